--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,17 +1,787 @@
-// Package decide holds all decisions.
+// Package decide holds every decision of one agent, for all deployments. An adapter makes a Balancer with New
+// (seed, and the terms of the deployment as a plain map of names to values), then calls Step with the time
+// since that start and one event, and carries out the actions it gets back, in order. The interface (ids,
+// events, actions) stands in package agent. Nothing here does input or output, reads a clock or shares state.
+//
+// Three tables (state, input, next state, effect) stand first: the course of a transaction, the health of an
+// appliance, and the agent's vote. run reads them.
 package decide
 
 import (
+	"fmt"
+	"math"
+	"sort"
 	"time"
 
 	"sagelever/agent"
+	"sagelever/gauge"
 )
 
-// Balancer is one agent.
-type Balancer struct{}
+var (
+	courses []row[course, turn, *transaction]
+	healths []row[health, symptom, *appliance]
+	votes   []row[poll3, reply, *ballot]
+)
+
+func init() {
+	courses = []row[course, turn, *transaction]{
+		{held, taken, held, (*Balancer).place},
+		{held, poll, held, (*Balancer).place},
+		{held, sent, out, nil},
+		{out, sent, out, nil},
+		{out, neverRan, held, (*Balancer).again},
+		{out, mayRun, held, (*Balancer).againIfHarmless},
+		{out, lag, out, (*Balancer).copyOut},
+		{out, begun, flowing, (*Balancer).dropCopies},
+		{flowing, mayRun, over, (*Balancer).giveUp},
+		{flowing, closed, over, (*Balancer).forget},
+		{held, lastCall, over, (*Balancer).giveUp},
+		{out, lastCall, over, (*Balancer).giveUp},
+		{held, closed, over, (*Balancer).forget},
+		{out, closed, over, (*Balancer).forget},
+	}
+	healths = []row[health, symptom, *appliance]{
+		{fit, sick, resting, (*Balancer).rest},
+		{resting, rested, trying, nil},
+		{trying, sick, resting, (*Balancer).rest},
+		{trying, well, fit, (*Balancer).recover},
+	}
+	votes = []row[poll3, reply, *ballot]{
+		{silent, wish, asked, (*Balancer).cast},
+		{standing, wish, asked, (*Balancer).cast},
+		{asked, counted, standing, nil},
+		{asked, refused, silent, (*Balancer).pause},
+		{asked, lapse, silent, nil},
+		{standing, lapse, asked, (*Balancer).cast},
+	}
+}
+
+// beat is how often held transactions, resting appliances and the vote are looked at: a few ticks of the wire,
+// far below any goal time.
+const beat = 20 * time.Millisecond
 
 // New starts an agent.
-func New(seed uint64, terms map[string]any) *Balancer { return &Balancer{} }
+func New(seed uint64, terms map[string]any) *Balancer {
+	b := &Balancer{terms: terms, dice: seed*2 + 1, work: map[agent.Workload]*workload{},
+		fleet: map[agent.ApplianceID]*appliance{}, open: map[agent.TransactionID]*transaction{},
+		late: map[agent.TransactionID]*transaction{}, timers: map[agent.TimerID]func(){},
+		exposure: map[lane]*gauge.Sliding{}, bound: map[agent.Key]agent.Build{}}
+	return b
+}
 
 // Step takes one event and gives the actions that answer it.
-func (b *Balancer) Step(now time.Duration, event agent.Event) []agent.Action { return nil }
+func (b *Balancer) Step(now time.Duration, event agent.Event) []agent.Action {
+	b.now, b.actions = now, nil
+	if b.timer == 0 {
+		if term(b, "discovery", "") == "asked" {
+			b.do(agent.Subscribe{On: true})
+		}
+		b.heartbeat()
+	}
+	switch e := event.(type) {
+	case agent.ListNews:
+		b.follow(e)
+	case agent.Taken:
+		b.take(e)
+	case agent.Begun:
+		if t := b.open[e.ID]; t != nil {
+			t.stream = e.Send
+			run(b, courses, &t.course, begun, t)
+		}
+	case agent.Ended:
+		b.ended(e)
+	case agent.ClientLeft:
+		if t := b.open[e.ID]; t != nil {
+			run(b, courses, &t.course, closed, t)
+		}
+	case agent.Due:
+		if f := b.timers[e.Timer]; f != nil {
+			delete(b.timers, e.Timer)
+			f()
+		}
+	case agent.TrialNews:
+		b.hearNews(e)
+	}
+	return b.actions
+}
+
+func (b *Balancer) heartbeat() {
+	b.after(beat, b.heartbeat)
+	for _, a := range b.order {
+		// An appliance that owes answers and has given none for this long is taken for silent, whatever the
+		// cause (hang, cut-off, crash): four times the usual time, but not under 300 ms, rides out pauses.
+		if a.out > 0 && b.now-max(a.heard, a.asked) > max(4*b.usual(), 300*time.Millisecond) {
+			run(b, healths, &a.health, sick, a)
+		}
+		if a.health == resting && b.now >= a.until {
+			run(b, healths, &a.health, rested, a)
+		}
+	}
+	b.pollHeld()
+	b.judge()
+}
+
+func (b *Balancer) pollHeld() {
+	again := b.waiting
+	b.waiting = nil
+	for _, t := range again {
+		run(b, courses, &t.course, poll, t)
+	}
+}
+
+// follow keeps the list. A drain or a departure holds from the moment it is told, without using the grace.
+func (b *Balancer) follow(e agent.ListNews) {
+	if e.Kind == agent.Unavailable {
+		// A failed call to discovery is tried again after a second or two, spread by chance.
+		b.after(time.Second+time.Duration(b.roll(1000))*time.Millisecond, func() {
+			b.do(agent.Subscribe{On: true})
+		})
+		return
+	}
+	if e.Kind != agent.Changes {
+		for _, a := range b.order {
+			a.listed = false
+		}
+	}
+	for _, n := range e.Entries {
+		a := b.fleet[n.ID]
+		if a == nil {
+			a = &appliance{}
+			b.fleet[n.ID] = a
+			b.order = append(b.order, a)
+		} else if a.Started != n.Started || a.Build != n.Build {
+			// It runs anew: what was known of its health is void, what it still owes is not.
+			*a = appliance{out: a.out, asked: b.now, heard: b.now, recent: a.recent}
+		}
+		a.Appliance, a.listed = n, n.Standing == agent.Up
+	}
+	sort.Slice(b.order, func(i, j int) bool { return b.order[i].ID < b.order[j].ID })
+	b.newSubject()
+}
+
+// newSubject sees whether a later build than the one judged so far has come; both arms then start anew.
+func (b *Balancer) newSubject() {
+	newest := b.news.Build
+	for _, a := range b.order {
+		if a.listed {
+			newest = max(newest, a.Build)
+		}
+	}
+	if newest != b.subject && b.told {
+		b.subject, b.arms = newest, [2]arm{}
+	}
+}
+
+func (b *Balancer) hearNews(e agent.TrialNews) {
+	if e.ToVote {
+		run(b, votes, &b.ballot.state, map[bool]reply{true: counted, false: refused}[e.HasBody], &b.ballot)
+	}
+	if !e.HasBody {
+		return
+	}
+	b.news, b.told = e, true
+	b.newSubject()
+	b.judge()
+}
+
+// onTrial tells whether the exposure rule holds for a build, and under which cap.
+func (b *Balancer) onTrial(build agent.Build) (bool, float64) {
+	switch {
+	case !b.told || build < b.news.Build || build == b.news.Build && b.news.Phase == agent.Released:
+		return false, 1
+	case build > b.news.Build: // not announced yet: as in the first stage
+		return true, append(term(b, "trial.caps", []float64{0}), 0)[0]
+	}
+	return true, b.news.Cap
+}
+
+// lane gives the count that the exposure rule keeps for sends of this workload at this build.
+func (b *Balancer) lane(build agent.Build, w *workload) (*gauge.Sliding, *gauge.Sliding) {
+	l, takes := lane{build: build}, &b.takes
+	if term(b, "trial.counts", "") == "per_lane" {
+		l.workload, takes = w.name, &w.takes
+	}
+	if b.exposure[l] == nil {
+		b.exposure[l] = &gauge.Sliding{}
+	}
+	return b.exposure[l], takes
+}
+
+// exposable is the exact check of the exposure rule for one more send. The window is stretched by two ticks
+// for sends and cut by two for what was taken, so that its ends never fall against us.
+func (b *Balancer) exposable(t *transaction, a *appliance) bool {
+	trial, share := b.onTrial(a.Build)
+	if !trial {
+		return true
+	}
+	if share == 0 {
+		return false
+	}
+	stage := b.news.Stage
+	if a.Build > b.news.Build {
+		stage = 0
+	}
+	if float64(stage) < term(b, "trial.guarded", 0.0) && t.work.effect != "pure" {
+		return false
+	}
+	sends, takes := b.lane(a.Build, t.work)
+	window, edge := term(b, "trial.window", time.Minute), 2*term(b, "tick", beat)
+	used := sends.Count(b.now, window+edge, window+edge)
+	return float64(used+1) <= term(b, "trial.allowance", 0.0)+share*float64(takes.Count(b.now, window-edge, window+edge))
+}
+
+// oneWay tells the lowest build that a key may go to.
+func (b *Balancer) oneWay(k agent.Key) agent.Build {
+	build, ok := b.bound[k]
+	if !ok || build < b.news.Build || build == b.news.Build &&
+		(b.news.Phase == agent.GoingBack || b.news.Phase == agent.Withdrawn) {
+		return 0
+	}
+	return build
+}
+
+// legal tells whether the rules let this transaction go to this appliance now.
+func (b *Balancer) legal(t *transaction, a *appliance) bool {
+	if !a.listed || !b.told || a.Build < b.oneWay(t.Key) || !b.exposable(t, a) {
+		return false
+	}
+	if t.ran >= 0 && t.work.effect == "receipted" {
+		same := t.work.group == "all" || t.work.group == "zone" && a.Place == t.ranAt.Place ||
+			t.work.group == "cell" && a.Group == t.ranAt.Group
+		if !same || b.now-t.ran >= t.work.memory-term(b, "tick", beat) {
+			return false
+		}
+	}
+	return b.warmEnough(a)
+}
+
+// warmth is the least share of its capacity that an appliance has by its age.
+func (b *Balancer) warmth(a *appliance) float64 {
+	whole := term(b, "cold.time", time.Duration(0))
+	if age := b.now - a.Started; age < whole {
+		from := term(b, "cold.from", 1.0)
+		return from + (1-from)*max(0, float64(age)/float64(whole))
+	}
+	return 1
+}
+
+const demandHalf = 5 * time.Second // long enough that a burst does not pass for capacity
+
+// fair is this agent's even share, in sends a window, of what one appliance gets.
+func (b *Balancer) fair(window time.Duration) float64 {
+	up := 0
+	for _, a := range b.order {
+		if a.listed {
+			up++
+		}
+	}
+	seen := float64(demandHalf) / math.Ln2 * (1 - math.Exp2(-float64(b.now)/float64(demandHalf)))
+	return b.demand.Read(b.now, demandHalf) / max(seen, float64(time.Second)) * float64(window) / float64(max(up, 1))
+}
+
+// warmEnough keeps a cold appliance from being pushed over by all agents together without their agreeing: warm
+// appliances bear at least the even share, so an agent that keeps below its own even share times the warmth
+// adds up, over all agents, to less than the appliance can do. 1.4 because fleets run below 0.7 of their
+// capacity when they have any choice; never more than 0.7 of the multiple at which it falls.
+func (b *Balancer) warmEnough(a *appliance) bool {
+	warm := b.warmth(a)
+	if warm >= 1 {
+		return true
+	}
+	window := term(b, "fall.time", time.Second)
+	used := a.recent.Count(b.now, window, window)
+	return used == 0 || float64(used+1) <= min(1.4, 0.7*term(b, "fall.multiple", 2.0))*warm*b.fair(window)
+}
+
+// usual is the mean time of recent answers over all workloads.
+func (b *Balancer) usual() time.Duration {
+	var sum, n float64
+	for _, w := range b.work {
+		k := w.all.Weight(b.now, timesHalf)
+		sum, n = sum+k*w.all.Read(b.now, timesHalf, 0, 0), n+k
+	}
+	if n < 1 {
+		return 100 * time.Millisecond
+	}
+	return time.Duration(sum / n * float64(time.Second))
+}
+
+const timesHalf = 5 * time.Second
+
+func (b *Balancer) mean(w *workload) time.Duration {
+	prior := w.goal.Seconds() / 4 // goals are set a few times the usual time
+	return time.Duration(w.all.Read(b.now, timesHalf, prior, 2) * float64(time.Second))
+}
+
+func (b *Balancer) workload(name agent.Workload) *workload {
+	w := b.work[name]
+	if w == nil {
+		p := "workload." + string(name) + "."
+		w = &workload{name: name, effect: term(b, p+"effect", "effectful"), group: term(b, p+"group", ""),
+			goal: term(b, p+"goal", time.Second), abandon: term(b, p+"abandon", time.Second),
+			memory: term(b, p+"memory", time.Duration(0)), payoff: term(b, p+"payoff", 1.0),
+			times: map[agent.MachineKind]*gauge.Mean{}}
+		b.work[name] = w
+	}
+	return w
+}
+
+func (b *Balancer) take(e agent.Taken) {
+	w := b.workload(e.Workload)
+	t := &transaction{Taken: e, work: w, at: b.now, last: b.now + e.Left, ran: -1}
+	b.open[e.ID] = t
+	b.takes.Add(b.now)
+	w.takes.Add(b.now)
+	b.demand.Add(b.now, demandHalf, 1)
+	if k := b.oneWay(e.Key); k > 0 {
+		b.boundIn.Add(b.now, demandHalf, 1)
+	} else {
+		b.boundIn.Add(b.now, demandHalf, 0)
+	}
+	b.further.earned.Add(b.now, furtherHalf, b.furtherShare())
+	// The answer timer runs out a tick before the client's time does, so that the answer is never late.
+	b.after(e.Left-term(b, "tick", beat), func() { run(b, courses, &t.course, lastCall, t) })
+	run(b, courses, &t.course, taken, t)
+}
+
+const furtherHalf = 10 * time.Second
+
+// furtherShare is how many further sends each transaction taken earns: it follows how many of the recent ones
+// succeeded, from 0.05 (to keep learning) to 0.3 (a retry storm must not double the load).
+func (b *Balancer) furtherShare() float64 {
+	tried := b.further.tried.Read(b.now, furtherHalf) + 4
+	return 0.05 + 0.25*(b.further.won.Read(b.now, furtherHalf)+2)/tried
+}
+
+func (b *Balancer) mayFurther(t *transaction) bool {
+	return float64(len(t.sends)) < term(b, "sends.most", 1.0) &&
+		b.further.tried.Read(b.now, furtherHalf) < b.further.earned.Read(b.now, furtherHalf)+3
+}
+
+// harmless tells whether the transaction may be sent again, or deferred.
+func (t *transaction) harmless() bool {
+	return t.ran < 0 || t.work.effect == "pure" || t.work.effect == "receipted" && t.work.group == "all"
+}
+
+func (b *Balancer) again(t *transaction) {
+	if !b.mayFurther(t) {
+		run(b, courses, &t.course, lastCall, t)
+		return
+	}
+	b.place(t)
+}
+
+func (b *Balancer) againIfHarmless(t *transaction) {
+	if t.work.effect == "effectful" {
+		run(b, courses, &t.course, lastCall, t)
+		return
+	}
+	b.again(t)
+}
+
+func (b *Balancer) copyOut(t *transaction) {
+	if t.work.effect == "effectful" || !term(b, "may.copy", false) || !b.mayFurther(t) ||
+		b.now-t.at > t.work.goal-b.mean(t.work)/2 {
+		return
+	}
+	if a := b.choose(t); a != nil {
+		b.sendTo(t, a)
+	}
+}
+
+// place sends a held transaction, or keeps it while it could still be satisfied in time.
+func (b *Balancer) place(t *transaction) {
+	if a := b.choose(t); a != nil {
+		b.sendTo(t, a)
+		return
+	}
+	if b.now-t.at > t.work.goal-b.mean(t.work) { // too late to be satisfied in time: answered at once
+		run(b, courses, &t.course, lastCall, t)
+		return
+	}
+	b.waiting = append(b.waiting, t)
+}
+
+// choose picks the arm by D-Tracking and the server by two random choices.
+func (b *Balancer) choose(t *transaction) *appliance {
+	var ready, spare [2][]*appliance
+	for _, a := range b.order {
+		if t.uses(a) || !b.legal(t, a) {
+			continue
+		}
+		i := 0
+		if a.Build == b.subject {
+			i = 1
+		}
+		if b.ready(a, i) {
+			ready[i] = append(ready[i], a)
+		} else {
+			spare[i] = append(spare[i], a)
+		}
+	}
+	pick := b.track()
+	if trial, share := b.onTrial(b.subject); trial && pick == 1 && len(ready[0]) > 0 && t.Key != "" &&
+		term(b, "trial.oneway", false) && b.oneWay(t.Key) == 0 &&
+		b.boundIn.Read(b.now, demandHalf, 0, 0) > share/2 {
+		// A key that the trial answers is bound to it: half of the cap is kept for the bound ones.
+		pick = 0
+	}
+	if len(t.sends) > 0 && len(ready[0]) > 0 {
+		pick = 0 // a further send goes to the build that is known
+	}
+	for _, group := range [][]*appliance{ready[pick], ready[1-pick], spare[0], spare[1]} {
+		if len(group) > 0 {
+			return b.twoChoices(group)
+		}
+	}
+	return nil
+}
+
+func (t *transaction) uses(a *appliance) bool {
+	for _, s := range t.sends {
+		if s.to == a {
+			return true
+		}
+	}
+	return false
+}
+
+// ready tells whether an appliance should be used while others are there too.
+func (b *Balancer) ready(a *appliance, arm int) bool {
+	if a.health == resting || a.health == trying && a.out > 0 {
+		return false
+	}
+	if arm == 1 {
+		// Few machines carry the trial at first: past one and a half times the even share it would be slow
+		// from load alone and be judged for it.
+		window := 2 * time.Second
+		if used := a.recent.Count(b.now, window, window); used > 1 && float64(used+1) > 1.5*b.fair(window) {
+			return false
+		}
+	}
+	return true
+}
+
+func (b *Balancer) twoChoices(from []*appliance) *appliance {
+	x := from[b.roll(len(from))]
+	if len(from) == 1 {
+		return x
+	}
+	y := from[b.roll(len(from))]
+	for y == x {
+		y = from[b.roll(len(from))]
+	}
+	if b.burden(y) < b.burden(x) {
+		return y
+	}
+	return x
+}
+
+// burden is about how long one more send would take there, in the workload's usual times.
+func (b *Balancer) burden(a *appliance) float64 {
+	// A report's worth halves every half second: it is refreshed about as often.
+	stale := math.Exp2(-float64(b.now-a.reported) / float64(500*time.Millisecond))
+	return (1 + float64(a.out) + 0.5*a.backlog*stale) * a.slowness.Read(b.now, 3*time.Second, 1, 1) / b.warmth(a)
+}
+
+func (b *Balancer) sendTo(t *transaction, a *appliance) {
+	if trial, _ := b.onTrial(a.Build); trial {
+		sends, _ := b.lane(a.Build, t.work)
+		sends.Add(b.now)
+	}
+	if len(t.sends) == 0 {
+		if a.Build == b.subject {
+			b.arms[1].picked++
+		} else {
+			b.arms[0].picked++
+		}
+	} else {
+		b.further.tried.Add(b.now, furtherHalf, 1)
+	}
+	if a.out == 0 {
+		a.asked = b.now
+	}
+	a.out++
+	a.recent.Add(b.now)
+	s := &send{to: a, at: b.now, cold: b.now-a.Started < 3*time.Second}
+	t.sends, t.out = append(t.sends, s), t.out+1
+	var limit time.Duration
+	patience := max(3*b.mean(t.work), 50*time.Millisecond)
+	if !term(b, "may.copy", false) && t.work.effect != "effectful" && len(t.sends) == 1 {
+		// Where no second copy may run, a send is timed out while a further one can still meet the goal.
+		if limit = max(patience, t.work.goal*6/10); limit > t.last-b.now-patience {
+			limit = 0
+		}
+	}
+	b.do(agent.Send{ID: t.ID, Appliance: a.ID, TimeOut: limit})
+	if t.work.effect != "effectful" && term(b, "may.copy", false) && len(t.sends) == 1 {
+		b.after(patience, func() { run(b, courses, &t.course, lag, t) })
+	}
+	run(b, courses, &t.course, sent, t)
+}
+
+// giveUp answers at once: deferred where that is harmless, else broken off.
+func (b *Balancer) giveUp(t *transaction) {
+	if t.out > 0 {
+		t.noteRan()
+	}
+	if t.harmless() {
+		var wait time.Duration
+		if term(b, "may.advise", false) {
+			wait = min(b.usual(), term(b, "return.most", time.Duration(0)))
+		}
+		b.do(agent.Defer{ID: t.ID, Wait: wait})
+	} else {
+		b.do(agent.BreakOff{ID: t.ID})
+	}
+	b.forget(t)
+}
+
+// noteRan marks the first send still out as one that may have run.
+func (t *transaction) noteRan() {
+	for _, s := range t.sends {
+		if !s.over && (t.ran < 0 || s.at < t.ran) {
+			t.ran, t.ranAt = s.at, s.to
+		}
+	}
+}
+
+// forget drops a transaction that is over and calls off what is still out for it.
+func (b *Balancer) forget(t *transaction) {
+	delete(b.open, t.ID)
+	if t.out > 0 {
+		b.late[t.ID] = t
+		b.dropCopies(t)
+	}
+}
+
+// dropCopies calls off what is still out, but for a send whose answer has begun.
+func (b *Balancer) dropCopies(t *transaction) {
+	for i, s := range t.sends {
+		if !s.over && term(b, "may.calloff", false) && (t.course != flowing || agent.SendNo(i) != t.stream) {
+			b.do(agent.CallOff{ID: t.ID, Send: agent.SendNo(i)})
+		}
+	}
+}
+
+func (b *Balancer) ended(e agent.Ended) {
+	t := b.open[e.ID]
+	if t == nil {
+		t = b.late[e.ID]
+	}
+	if t == nil || int(e.Send) >= len(t.sends) || t.sends[e.Send].over {
+		return
+	}
+	s := t.sends[e.Send]
+	s.over = true
+	t.out--
+	s.to.out--
+	b.observe(t, s, e)
+	ran := e.Outcome != agent.Rejected && e.Outcome != agent.Unreachable && e.Outcome != agent.NotSent
+	if ran && (t.ran < 0 || s.at < t.ran) {
+		t.ran, t.ranAt = s.at, s.to
+	}
+	if e.Outcome == agent.Satisfied && t.Key != "" && term(b, "trial.oneway", false) && s.to.Build >= b.news.Build {
+		b.bound[t.Key] = max(b.bound[t.Key], s.to.Build)
+	}
+	if e.Closed || e.Outcome == agent.Satisfied {
+		if e.Outcome == agent.Satisfied && e.Send > 0 && t.course != over {
+			b.further.won.Add(b.now, furtherHalf, 1)
+		}
+		run(b, courses, &t.course, closed, t)
+	} else if t.out == 0 {
+		run(b, courses, &t.course, map[bool]turn{true: mayRun, false: neverRan}[t.ran >= 0], t)
+	}
+	if t.out == 0 && t.course == over {
+		delete(b.late, t.ID)
+	}
+	if len(b.waiting) > 0 {
+		b.pollHeld()
+	}
+}
+
+// observe learns from one outcome: times, health, load and the evidence for an arm.
+func (b *Balancer) observe(t *transaction, s *send, e agent.Ended) {
+	a, w := s.to, t.work
+	if e.Load != nil {
+		a.backlog, a.reported = e.Load["queue"]+e.Load["inflight"], b.now
+	}
+	switch e.Outcome {
+	case agent.Satisfied:
+		a.heard, a.streak = b.now, 0
+		a.faults.Add(b.now, 2*time.Second, 0)
+		a.slowness.Add(b.now, 3*time.Second, e.After.Seconds()/b.mean(w).Seconds())
+		w.all.Add(b.now, timesHalf, e.After.Seconds())
+		run(b, healths, &a.health, well, a)
+	case agent.Fault, agent.Rejected:
+		a.heard, a.streak = b.now, 0
+		a.faults.Add(b.now, 2*time.Second, 1)
+	case agent.TimedOut, agent.Unreachable, agent.Cut:
+		a.streak++
+	}
+	// Three sends in a row without an answer, or most of at least four recent ones failed.
+	if a.streak >= 3 || a.health == trying && a.streak > 0 ||
+		a.faults.Weight(b.now, 2*time.Second) > 4 && a.faults.Read(b.now, 2*time.Second, 0, 0) > 0.6 {
+		run(b, healths, &a.health, sick, a)
+	}
+	b.weigh(t, s, e)
+}
+
+func (b *Balancer) rest(a *appliance) {
+	// Half a second at first, doubled up to four: short against any trouble, long against a send.
+	a.until = b.now + 500*time.Millisecond<<min(a.rests, 3)
+	a.rests, a.streak = a.rests+1, 0
+}
+
+func (b *Balancer) recover(a *appliance) { a.rests, a.faults = 0, gauge.Mean{} }
+
+// weigh adds one outcome to its arm. Payoff is 1 for a send satisfied before its deadline.
+func (b *Balancer) weigh(t *transaction, s *send, e agent.Ended) {
+	if s.cold || e.Outcome == agent.Rejected || e.Outcome == agent.Unreachable || e.Outcome == agent.NotSent ||
+		e.Outcome == agent.CalledOff {
+		return
+	}
+	i := 0
+	if s.to.Build == b.subject {
+		i = 1
+	}
+	arm := &b.arms[i]
+	arm.n++
+	if e.Outcome == agent.Satisfied {
+		arm.sum++
+	}
+	arm.fresh = b.now
+}
+
+// optimal solves d(μ1,μ*)=d(μ2,μ*) for α*, μ* being α*μ1+(1-α*)μ2, by halving.
+func optimal(m1, m2 float64) float64 {
+	if math.Abs(m1-m2) < 1e-6 {
+		return 0.5
+	}
+	lo, hi := 0.0, 1.0
+	for i := 0; i < 30; i++ {
+		mid := (lo + hi) / 2
+		if m := mid*m1 + (1-mid)*m2; divergence(m1, m) > divergence(m2, m) {
+			lo = mid
+		} else {
+			hi = mid
+		}
+	}
+	return (lo + hi) / 2
+}
+
+func (a *arm) mean() float64 {
+	if a.n == 0 {
+		return 0.5
+	}
+	return a.sum / a.n
+}
+
+// track is D-Tracking: an arm counted below √t-1 is forced, else the one furthest behind t·w*.
+func (b *Balancer) track() int {
+	n0, n1 := b.arms[0].picked, b.arms[1].picked
+	t := n0 + n1
+	if floor := math.Sqrt(t) - 1; min(n0, n1) < floor {
+		if n1 < n0 {
+			return 1
+		}
+		return 0
+	}
+	w := optimal(b.arms[0].mean(), b.arms[1].mean())
+	if t*(1-w)-n1 > t*w-n0 {
+		return 1
+	}
+	return 0
+}
+
+// statistic is Z for the two arms, with extra added to the trial's mean.
+func statistic(x, y arm, extra float64) float64 {
+	if x.n == 0 || y.n == 0 {
+		return 0
+	}
+	m1, m2 := x.mean(), min(y.mean()+extra, 1)
+	m := (x.n*m1 + y.n*m2) / (x.n + y.n)
+	return x.n*divergence(m1, m) + y.n*divergence(m2, m)
+}
+
+// threshold is log(2t·n/δ). δ is 0.1: a wrong vote costs about as much as ten needless seconds of a trial.
+func (b *Balancer) threshold() float64 {
+	t := max(b.arms[0].picked+b.arms[1].picked, 1)
+	return math.Log(2 * t * term(b, "agents", 1.0) / 0.1)
+}
+
+// verdict is what this agent's counts say of the build on trial.
+func (b *Balancer) verdict() agent.Verdict {
+	early, trial := b.arms[0], b.arms[1]
+	phase, wall := b.news.Phase, b.threshold()
+	if b.subject != b.news.Build || phase == agent.GoingBack || phase == agent.Withdrawn {
+		return agent.NoVote
+	}
+	const margin = 0.03
+	if trial.mean()+margin < early.mean() && statistic(early, trial, margin) > wall {
+		return agent.Back
+	}
+	if phase == agent.Released {
+		return agent.NoVote
+	}
+	behind := trial.mean() < early.mean() && statistic(early, trial, 0) > wall/2
+	if term(b, "trial.control", "") == "clocked" {
+		if behind {
+			return agent.Hold
+		}
+		return agent.NoVote
+	}
+	const least, wait = 10, 3 * time.Second
+	if trial.n >= least && (trial.mean() > early.mean() && statistic(early, trial, 0) > wall ||
+		!behind && b.now > b.stageStart()+wait) {
+		return agent.On
+	}
+	return agent.NoVote
+}
+
+// stageStart is when the machines of the present stage had started, as far as is known.
+func (b *Balancer) stageStart() time.Duration {
+	at := b.now - b.now
+	for _, a := range b.order {
+		if a.listed && a.Build == b.subject {
+			at = max(at, a.Started)
+		}
+	}
+	return at
+}
+
+// judge keeps the agent's vote in step with its verdict: cast, changed, renewed and withdrawn.
+func (b *Balancer) judge() {
+	v, o := b.verdict(), &b.ballot
+	life, wait := term(b, "vote.life", time.Second), term(b, "vote.wait", time.Second)
+	switch {
+	case !b.told || b.now < o.notTill:
+	case o.state == asked:
+		if b.now-o.at > wait+beat {
+			run(b, votes, &o.state, lapse, o)
+		}
+	case v != o.verdict || o.verdict != agent.NoVote && (o.build != b.subject || o.stage != b.news.Stage) ||
+		o.state == silent && v != agent.NoVote:
+		if v == agent.NoVote && o.state == silent || o.build != b.news.Build && v == agent.NoVote {
+			*o = ballot{}
+			return
+		}
+		o.verdict, o.build, o.stage = v, b.subject, b.news.Stage
+		run(b, votes, &o.state, wish, o)
+	case o.state == standing && v != agent.NoVote && b.now-o.at > life*6/10:
+		run(b, votes, &o.state, lapse, o)
+	}
+}
+
+func (b *Balancer) cast(o *ballot) {
+	o.at = b.now
+	b.do(agent.Vote{Build: o.build, Stage: o.stage, Verdict: o.verdict})
+	b.do(agent.Log{Text: fmt.Sprintf("vote %d on build %d stage %d: %.3f of %.0f, %.3f of %.0f, Z %.1f of %.1f", o.verdict,
+		o.build, o.stage, b.arms[0].mean(), b.arms[0].n, b.arms[1].mean(), b.arms[1].n,
+		statistic(b.arms[0], b.arms[1], 0), b.threshold())})
+}
+
+// pause spreads the next try, so that agents together stay within the calls that the platform takes.
+func (b *Balancer) pause(o *ballot) {
+	o.notTill = b.now + 100*time.Millisecond + time.Duration(b.roll(300))*time.Millisecond
+}
--- /dev/null
+++ b/decide/state.go
@@ -0,0 +1,210 @@
+package decide
+
+// State of one agent and the loop that reads the tables. Nothing here decides: no tuned value, no choice.
+
+import (
+	"math"
+	"time"
+
+	"sagelever/agent"
+	"sagelever/gauge"
+)
+
+type row[S, I comparable, T any] struct {
+	state  S
+	input  I
+	next   S
+	effect func(*Balancer, T)
+}
+
+func run[S, I comparable, T any](b *Balancer, table []row[S, I, T], state *S, input I, of T) {
+	for _, r := range table {
+		if r.state == *state && r.input == input {
+			if *state = r.next; r.effect != nil {
+				r.effect(b, of)
+			}
+			return
+		}
+	}
+}
+
+type course int // of a transaction
+
+const (
+	held    course = iota // nothing is out
+	out                   // one send or more is out
+	flowing               // its answer has begun to stream
+	over                  // it has its final answer
+)
+
+type turn int // what befalls a transaction
+
+const (
+	taken    turn = iota
+	poll          // time to try a held one again
+	sent          // a send has gone
+	neverRan      // the last send out failed and is known not to have run
+	mayRun        // the last send out failed and may have run
+	lag           // the answer is later than most
+	lastCall      // the client's time is nearly up
+	begun         // its answer has begun to stream
+	closed        // it was satisfied, or its client left
+)
+
+type health int // of an appliance
+
+const (
+	fit     health = iota
+	resting        // gets nothing while others are ready
+	trying         // gets one send at a time
+)
+
+type symptom int
+
+const (
+	well symptom = iota
+	sick
+	rested
+)
+
+type poll3 int // of the agent's vote
+
+const (
+	silent poll3 = iota
+	asked        // the platform has not answered yet
+	standing
+)
+
+type reply int
+
+const (
+	wish    reply = iota // the verdict is another than the one that stands
+	counted              // the platform took it
+	refused              // it did not count
+	lapse                // no answer came, or it is about to run out
+)
+
+// Balancer is one agent.
+type Balancer struct {
+	terms    map[string]any
+	now      time.Duration
+	actions  []agent.Action
+	dice     uint64
+	work     map[agent.Workload]*workload
+	fleet    map[agent.ApplianceID]*appliance
+	order    []*appliance // by id, so that the same events lead to the same actions
+	open     map[agent.TransactionID]*transaction
+	late     map[agent.TransactionID]*transaction // over, with sends still out
+	waiting  []*transaction
+	timers   map[agent.TimerID]func()
+	timer    agent.TimerID
+	takes    gauge.Sliding
+	demand   gauge.Decaying
+	exposure map[lane]*gauge.Sliding
+	bound    map[agent.Key]agent.Build // one-way keys: the newest build that has answered
+	boundIn  gauge.Mean                // share of what is taken that is bound to the build on trial
+	news     agent.TrialNews
+	told     bool
+	subject  agent.Build
+	arms     [2]arm
+	ballot   ballot
+	further  struct{ earned, tried, won gauge.Decaying }
+}
+
+type lane struct {
+	build    agent.Build
+	workload agent.Workload
+}
+
+type workload struct {
+	name          agent.Workload
+	effect, group string
+	goal, abandon time.Duration
+	memory        time.Duration
+	payoff        float64
+	takes         gauge.Sliding
+	times         map[agent.MachineKind]*gauge.Mean // of the earlier build
+	all           gauge.Mean
+}
+
+type appliance struct {
+	agent.Appliance
+	listed   bool
+	health   health
+	until    time.Duration // end of its rest
+	rests    int
+	out      int
+	streak   int // sends in a row without any answer
+	heard    time.Duration
+	asked    time.Duration // since when it owes an answer
+	faults   gauge.Mean
+	slowness gauge.Mean // time of its answers by the workload's mean
+	backlog  float64
+	reported time.Duration
+	recent   gauge.Sliding
+}
+
+type send struct {
+	to   *appliance
+	at   time.Duration
+	over bool
+	cold bool
+}
+
+type transaction struct {
+	agent.Taken
+	work     *workload
+	at, last time.Duration
+	course   course
+	sends    []*send
+	out      int
+	ran      time.Duration // when the first send that may have run was sent, -1 if none
+	ranAt    *appliance
+	stream   agent.SendNo
+}
+
+// arm counts decisions, outcomes and payoffs of one build, as the design has it.
+type arm struct {
+	picked, n, sum float64
+	fresh          time.Duration
+}
+
+type ballot struct {
+	state   poll3
+	verdict agent.Verdict
+	build   agent.Build
+	stage   agent.Stage
+	at      time.Duration
+	notTill time.Duration
+}
+
+// term reads one of the deployment's terms, or gives what holds where it names none.
+func term[T any](b *Balancer, name string, otherwise T) T {
+	if v, ok := b.terms[name].(T); ok {
+		return v
+	}
+	return otherwise
+}
+
+// roll is a permuted congruential generator (O'Neill's PCG-XSH-RR), drawn below n.
+func (b *Balancer) roll(n int) int {
+	old := b.dice
+	b.dice = old*6364136223846793005 + 1442695040888963407
+	x, rot := uint32(((old>>18)^old)>>27), uint32(old>>59)
+	return int(uint64(x>>rot|x<<(-rot&31)) * uint64(n) >> 32)
+}
+
+func (b *Balancer) do(a agent.Action) { b.actions = append(b.actions, a) }
+
+func (b *Balancer) after(d time.Duration, f func()) {
+	b.timer++
+	b.timers[b.timer] = f
+	b.do(agent.Wake{After: max(d, 0), Timer: b.timer})
+}
+
+// divergence is that of two Bernoulli means.
+func divergence(p, q float64) float64 {
+	const tiny = 1e-9
+	p, q = min(max(p, tiny), 1-tiny), min(max(q, tiny), 1-tiny)
+	return p*math.Log(p/q) + (1-p)*math.Log((1-p)/(1-q))
+}
