--- a/decide/decide.go
+++ b/decide/decide.go
@@ -62,7 +62,7 @@
 
 // New starts an agent.
 func New(seed uint64, terms map[string]any) *Balancer {
-	b := &Balancer{terms: terms, dice: seed*2 + 1, work: map[agent.Workload]*workload{},
+	b := &Balancer{terms: terms, dice: seed*2 + 1, bounds: 100, work: map[agent.Workload]*workload{},
 		fleet: map[agent.ApplianceID]*appliance{}, open: map[agent.TransactionID]*transaction{},
 		late: map[agent.TransactionID]*transaction{}, timers: map[agent.TimerID]func(){},
 		exposure: map[lane]*gauge.Sliding{}, bound: map[agent.Key]agent.Build{}}
@@ -117,18 +117,36 @@
 			run(b, healths, &a.health, rested, a)
 		}
 	}
+	// Time of answers against goals, held at 0.4: what is slower queues at the servers and is late for all, so
+	// fewer are let out at once; what is faster lets the bound grow, but not far past what is used.
+	if fill := b.fill.Read(b.now, fillHalf, 0, 1); fill > 0.4 {
+		b.bounds = max(b.bounds*0.97, float64(len(b.order))/2)
+	} else {
+		b.bounds = min(b.bounds*1.03+0.2, 1.5*float64(b.sending)+2*float64(len(b.order)))
+	}
 	b.pollHeld()
 	b.judge()
 }
 
+const fillHalf = 400 * time.Millisecond // a few answers long, yet shorter than a burst
+
+// pollHeld tries held transactions again, those with the most payoff for their work first.
 func (b *Balancer) pollHeld() {
 	again := b.waiting
 	b.waiting = nil
+	sort.SliceStable(again, func(i, j int) bool { return b.density(again[i]) > b.density(again[j]) })
 	for _, t := range again {
 		run(b, courses, &t.course, poll, t)
 	}
 }
 
+func (b *Balancer) density(t *transaction) float64 {
+	if term(b, "payoff.by", "") == "work" {
+		return t.work.payoff
+	}
+	return t.work.payoff / b.mean(t.work).Seconds()
+}
+
 // follow keeps the list. A drain or a departure holds from the moment it is told, without using the grace.
 func (b *Balancer) follow(e agent.ListNews) {
 	if e.Kind == agent.Unavailable {
@@ -380,7 +398,7 @@
 }
 
 func (b *Balancer) copyOut(t *transaction) {
-	if t.work.effect == "effectful" || !term(b, "may.copy", false) || !b.mayFurther(t) ||
+	if t.work.effect == "effectful" || !term(b, "may.copy", false) || !b.mayFurther(t) || len(b.waiting) > 0 ||
 		b.now-t.at > t.work.goal-b.mean(t.work)/2 {
 		return
 	}
@@ -391,11 +409,13 @@
 
 // place sends a held transaction, or keeps it while it could still be satisfied in time.
 func (b *Balancer) place(t *transaction) {
-	if a := b.choose(t); a != nil {
-		b.sendTo(t, a)
-		return
+	if float64(b.sending) < b.bounds {
+		if a := b.choose(t); a != nil {
+			b.sendTo(t, a)
+			return
+		}
 	}
-	if b.now-t.at > t.work.goal-b.mean(t.work) { // too late to be satisfied in time: answered at once
+	if b.now-t.at > min(t.work.goal/2, t.work.goal-b.mean(t.work)) { // too late to be satisfied in time: answered at once
 		run(b, courses, &t.course, lastCall, t)
 		return
 	}
@@ -502,6 +522,7 @@
 		a.asked = b.now
 	}
 	a.out++
+	b.sending++
 	a.recent.Add(b.now)
 	s := &send{to: a, at: b.now, cold: b.now-a.Started < 3*time.Second}
 	t.sends, t.out = append(t.sends, s), t.out+1
@@ -576,6 +597,7 @@
 	s.over = true
 	t.out--
 	s.to.out--
+	b.sending--
 	b.observe(t, s, e)
 	ran := e.Outcome != agent.Rejected && e.Outcome != agent.Unreachable && e.Outcome != agent.NotSent
 	if ran && (t.ran < 0 || s.at < t.ran) {
@@ -606,6 +628,10 @@
 	if e.Load != nil {
 		a.backlog, a.reported = e.Load["queue"]+e.Load["inflight"], b.now
 	}
+	if e.Outcome == agent.Satisfied || e.Outcome == agent.TimedOut && a.health == fit || e.Outcome == agent.Rejected {
+		full := map[bool]float64{true: 1, false: e.After.Seconds() / w.goal.Seconds()}[e.Outcome == agent.Rejected]
+		b.fill.Add(b.now, fillHalf, min(full, 2))
+	}
 	switch e.Outcome {
 	case agent.Satisfied:
 		a.heard, a.streak = b.now, 0
--- a/decide/state.go
+++ b/decide/state.go
@@ -108,6 +108,9 @@
 	subject  agent.Build
 	arms     [2]arm
 	ballot   ballot
+	sending  int        // sends out
+	bounds   float64    // most sends out at once
+	fill     gauge.Mean // time of answers by their goal
 	further  struct{ earned, tried, won gauge.Decaying }
 }
 
