--- a/decide/decide.go
+++ b/decide/decide.go
@@ -661,24 +661,47 @@
 
 func (b *Balancer) recover(a *appliance) { a.rests, a.faults = 0, gauge.Mean{} }
 
-// weigh adds one outcome to its arm. Payoff is 1 for a send satisfied before its deadline.
+// weigh adds one outcome to its arm. Payoff is 1 for a send satisfied within three times what the earlier build
+// took, before the trial began, for the same workload on the same kind of machine (within the goal where that
+// is not known): a slow build shows there long before its answers miss goals. Three, since about one answer in
+// twenty takes that long by chance and a build at twice the work shows at four times that share.
 func (b *Balancer) weigh(t *transaction, s *send, e agent.Ended) {
-	if s.cold || e.Outcome == agent.Rejected || e.Outcome == agent.Unreachable || e.Outcome == agent.NotSent ||
-		e.Outcome == agent.CalledOff {
-		return
-	}
-	i := 0
+	w, i := t.work, 0
 	if s.to.Build == b.subject {
 		i = 1
 	}
+	ref := w.times[s.to.Kind]
+	if ref == nil {
+		ref = &gauge.Mean{}
+		w.times[s.to.Kind] = ref
+	}
+	par := w.goal.Seconds()
+	if ref.Weight(b.now, parHalf) > 0.1 {
+		par = 3 * ref.Read(b.now, parHalf, 0, 0)
+	}
+	slow := e.After.Seconds() > par
+	silent := e.Outcome == agent.TimedOut || e.Outcome == agent.Cut || e.Outcome == agent.CalledOff
+	switch {
+	case s.cold || e.Outcome == agent.Rejected || e.Outcome == agent.Unreachable || e.Outcome == agent.NotSent:
+		return // cold machines mislead; what never ran says nothing of a build
+	case e.Outcome == agent.CalledOff && !slow:
+		return
+	case silent && s.to.heard < s.at:
+		return // a machine that answers nothing is sick, whatever build it runs
+	}
+	if e.Outcome == agent.Satisfied && i == 0 && b.arms[1].n == 0 {
+		ref.Add(b.now, parHalf, e.After.Seconds())
+	}
 	arm := &b.arms[i]
 	arm.n++
-	if e.Outcome == agent.Satisfied {
+	if e.Outcome == agent.Satisfied && !slow {
 		arm.sum++
 	}
 	arm.fresh = b.now
 }
 
+const parHalf = 20 * time.Second // much longer than any burst
+
 // optimal solves d(μ1,μ*)=d(μ2,μ*) for α*, μ* being α*μ1+(1-α*)μ2, by halving.
 func optimal(m1, m2 float64) float64 {
 	if math.Abs(m1-m2) < 1e-6 {
