--- a/decide/decide.go
+++ b/decide/decide.go
@@ -472,12 +472,15 @@
 		return false
 	}
 	if arm == 1 {
-		// Few machines carry the trial at first: past one and a half times the even share it would be slow
-		// from load alone and be judged for it.
-		window := 2 * time.Second
-		if used := a.recent.Count(b.now, window, window); used > 1 && float64(used+1) > 1.5*b.fair(window) {
-			return false
+		// Few machines carry the trial at first: holding more than the others do, it would be slow from load
+		// alone and be judged for it. A third more, so that the cap is still used.
+		var sum, n float64
+		for _, o := range b.order {
+			if o.listed && o.health == fit && o.Build != b.subject {
+				sum, n = sum+float64(o.out), n+1
+			}
 		}
+		return n == 0 || float64(a.out) <= 1.3*sum/n
 	}
 	return true
 }
