--- a/decide/decide.go
+++ b/decide/decide.go
@@ -415,7 +415,7 @@
 			return
 		}
 	}
-	if b.now-t.at > min(t.work.goal/2, t.work.goal-b.mean(t.work)) { // too late to be satisfied in time: answered at once
+	if b.now-t.at > min(t.work.goal/4, t.work.goal-b.mean(t.work)) { // too late to be satisfied in time: answered at once
 		run(b, courses, &t.course, lastCall, t)
 		return
 	}
