--- a/decide/decide.go
+++ b/decide/decide.go
@@ -397,9 +397,16 @@
 	b.again(t)
 }
 
+// copyOut sends a second copy of what takes longer than most do. Where no two may be out, the first is called
+// off instead, but only from an appliance that has answered nothing since it was sent: a busy one will answer.
 func (b *Balancer) copyOut(t *transaction) {
-	if t.work.effect == "effectful" || !term(b, "may.copy", false) || !b.mayFurther(t) || len(b.waiting) > 0 ||
-		b.now-t.at > t.work.goal-b.mean(t.work)/2 {
+	if !b.mayFurther(t) || len(b.waiting) > 0 || b.now-t.at > t.work.goal-b.mean(t.work)/2 {
+		return
+	}
+	if first := t.sends[0]; !term(b, "may.copy", false) {
+		if first.to.heard < first.at && term(b, "may.calloff", false) {
+			b.do(agent.CallOff{ID: t.ID})
+		}
 		return
 	}
 	if a := b.choose(t); a != nil {
@@ -529,17 +536,9 @@
 	a.recent.Add(b.now)
 	s := &send{to: a, at: b.now, cold: b.now-a.Started < 3*time.Second}
 	t.sends, t.out = append(t.sends, s), t.out+1
-	var limit time.Duration
-	patience := max(3*b.mean(t.work), 50*time.Millisecond)
-	if !term(b, "may.copy", false) && t.work.effect != "effectful" && len(t.sends) == 1 {
-		// Where no second copy may run, a send is timed out while a further one can still meet the goal.
-		if limit = max(patience, t.work.goal*6/10); limit > t.last-b.now-patience {
-			limit = 0
-		}
-	}
-	b.do(agent.Send{ID: t.ID, Appliance: a.ID, TimeOut: limit})
-	if t.work.effect != "effectful" && term(b, "may.copy", false) && len(t.sends) == 1 {
-		b.after(patience, func() { run(b, courses, &t.course, lag, t) })
+	b.do(agent.Send{ID: t.ID, Appliance: a.ID})
+	if t.work.effect != "effectful" && len(t.sends) == 1 {
+		b.after(max(3*b.mean(t.work), 50*time.Millisecond), func() { run(b, courses, &t.course, lag, t) })
 	}
 	run(b, courses, &t.course, sent, t)
 }
