--- a/decide/decide.go
+++ b/decide/decide.go
@@ -694,12 +694,20 @@
 	if e.Outcome == agent.Satisfied && i == 0 && b.arms[1].n == 0 {
 		ref.Add(b.now, parHalf, e.After.Seconds())
 	}
+	// The arms are compared over the same time only, else a burst or a slowdown of all would count against the
+	// build that had little traffic before: the earlier one is counted from the trial's first outcome on, and
+	// slowness counts only while the earlier one has answers too.
+	if i == 1 && b.arms[1].n == 0 {
+		b.arms[0].n, b.arms[0].sum = 0, 0
+	}
+	if e.Outcome == agent.Satisfied && b.now-b.arms[1-i].fresh > 2*time.Second {
+		slow = false
+	}
 	arm := &b.arms[i]
-	arm.n++
+	arm.n, arm.fresh = arm.n+1, b.now
 	if e.Outcome == agent.Satisfied && !slow {
 		arm.sum++
 	}
-	arm.fresh = b.now
 }
 
 const parHalf = 20 * time.Second // much longer than any burst
