--- a/decide/decide.go
+++ b/decide/decide.go
@@ -186,7 +186,7 @@
 		}
 	}
 	if newest != b.subject && b.told {
-		b.subject, b.arms = newest, [2]arm{}
+		b.subject, b.arms, b.harmSince = newest, [2]arm{}, b.now
 	}
 }
 
@@ -351,6 +351,7 @@
 	b.takes.Add(b.now)
 	w.takes.Add(b.now)
 	b.demand.Add(b.now, demandHalf, 1)
+	b.demandNow.Add(b.now, time.Second, 1)
 	if k := b.oneWay(e.Key); k > 0 {
 		b.boundIn.Add(b.now, demandHalf, 1)
 	} else {
@@ -663,10 +664,10 @@
 
 func (b *Balancer) recover(a *appliance) { a.rests, a.faults = 0, gauge.Mean{} }
 
-// weigh adds one outcome to its arm. Payoff is 1 for a send satisfied within three times what the earlier build
+// weigh adds one outcome to its arm. Payoff is 1 for a send satisfied within four times what the earlier build
 // took, before the trial began, for the same workload on the same kind of machine (within the goal where that
-// is not known): a slow build shows there long before its answers miss goals. Three, since about one answer in
-// twenty takes that long by chance and a build at twice the work shows at four times that share.
+// is not known): a slow build shows there long before its answers miss goals. Four, since one answer
+// in fifty takes that long by chance, while a build at twice the work shows at seven times that share.
 func (b *Balancer) weigh(t *transaction, s *send, e agent.Ended) {
 	w, i := t.work, 0
 	if s.to.Build == b.subject {
@@ -679,9 +680,12 @@
 	}
 	par := w.goal.Seconds()
 	if ref.Weight(b.now, parHalf) > 0.1 {
-		par = 3 * ref.Read(b.now, parHalf, 0, 0)
+		par = 4 * ref.Read(b.now, parHalf, 0, 0)
 	}
 	slow := e.After.Seconds() > par
+	if b.warmth(s.to) < 1 && e.Outcome == agent.Satisfied {
+		slow = false // not quite warm yet: only its failures count
+	}
 	silent := e.Outcome == agent.TimedOut || e.Outcome == agent.Cut || e.Outcome == agent.CalledOff
 	switch {
 	case s.cold || e.Outcome == agent.Rejected || e.Outcome == agent.Unreachable || e.Outcome == agent.NotSent:
@@ -694,6 +698,10 @@
 	if e.Outcome == agent.Satisfied && i == 0 && b.arms[1].n == 0 {
 		ref.Add(b.now, parHalf, e.After.Seconds())
 	}
+	good := map[bool]float64{true: 1, false: 0}[e.Outcome == agent.Satisfied && !slow]
+	if b.lately.Add(b.now, 2*time.Second, good); b.arms[1].n == 0 && i == 0 {
+		b.before.Add(b.now, parHalf, good)
+	}
 	// The arms are compared over the same time only, else a burst or a slowdown of all would count against the
 	// build that had little traffic before: the earlier one is counted from the trial's first outcome on, and
 	// slowness counts only while the earlier one has answers too.
@@ -769,6 +777,21 @@
 	return math.Log(2 * t * term(b, "agents", 1.0) / 0.1)
 }
 
+// harmed is the exception for builds that slow all machines alike, which Z never blames: payoffs over both arms
+// have fallen well below what they were before the trial. While they have, the agent casts no 'on'; once they
+// have for five seconds with no more demand than before, it blames the build. 0.15 is far from chance for the
+// dozen outcomes asked for. A slowdown of the fleet from elsewhere that lasts longer is blamed too.
+func (b *Balancer) harmed() (now, blamed bool) {
+	const half = 2 * time.Second
+	now = b.lately.Weight(b.now, half) > 12 && b.before.Weight(b.now, parHalf) > 1 &&
+		b.lately.Read(b.now, half, 0, 0) < b.before.Read(b.now, parHalf, 0, 0)-0.15
+	burst := b.demandNow.Read(b.now, time.Second)/float64(time.Second) > 1.25*b.demand.Read(b.now, demandHalf)/float64(demandHalf)
+	if !now || burst {
+		b.harmSince = b.now
+	}
+	return now, b.now-b.harmSince > 5*time.Second
+}
+
 // verdict is what this agent's counts say of the build on trial.
 func (b *Balancer) verdict() agent.Verdict {
 	early, trial := b.arms[0], b.arms[1]
@@ -776,8 +799,9 @@
 	if b.subject != b.news.Build || phase == agent.GoingBack || phase == agent.Withdrawn {
 		return agent.NoVote
 	}
+	harmed, blamed := b.harmed()
 	const margin = 0.03
-	if trial.mean()+margin < early.mean() && statistic(early, trial, margin) > wall {
+	if blamed || trial.mean()+margin < early.mean() && statistic(early, trial, margin) > wall {
 		return agent.Back
 	}
 	if phase == agent.Released {
@@ -791,7 +815,7 @@
 		return agent.NoVote
 	}
 	const least, wait = 10, 3 * time.Second
-	if trial.n >= least && (trial.mean() > early.mean() && statistic(early, trial, 0) > wall ||
+	if trial.n >= least && !harmed && (trial.mean() > early.mean() && statistic(early, trial, 0) > wall ||
 		!behind && b.now > b.stageStart()+wait) {
 		return agent.On
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -86,32 +86,35 @@
 
 // Balancer is one agent.
 type Balancer struct {
-	terms    map[string]any
-	now      time.Duration
-	actions  []agent.Action
-	dice     uint64
-	work     map[agent.Workload]*workload
-	fleet    map[agent.ApplianceID]*appliance
-	order    []*appliance // by id, so that the same events lead to the same actions
-	open     map[agent.TransactionID]*transaction
-	late     map[agent.TransactionID]*transaction // over, with sends still out
-	waiting  []*transaction
-	timers   map[agent.TimerID]func()
-	timer    agent.TimerID
-	takes    gauge.Sliding
-	demand   gauge.Decaying
-	exposure map[lane]*gauge.Sliding
-	bound    map[agent.Key]agent.Build // one-way keys: the newest build that has answered
-	boundIn  gauge.Mean                // share of what is taken that is bound to the build on trial
-	news     agent.TrialNews
-	told     bool
-	subject  agent.Build
-	arms     [2]arm
-	ballot   ballot
-	sending  int        // sends out
-	bounds   float64    // most sends out at once
-	fill     gauge.Mean // time of answers by their goal
-	further  struct{ earned, tried, won gauge.Decaying }
+	terms          map[string]any
+	now            time.Duration
+	actions        []agent.Action
+	dice           uint64
+	work           map[agent.Workload]*workload
+	fleet          map[agent.ApplianceID]*appliance
+	order          []*appliance // by id, so that the same events lead to the same actions
+	open           map[agent.TransactionID]*transaction
+	late           map[agent.TransactionID]*transaction // over, with sends still out
+	waiting        []*transaction
+	timers         map[agent.TimerID]func()
+	timer          agent.TimerID
+	takes          gauge.Sliding
+	demand         gauge.Decaying
+	exposure       map[lane]*gauge.Sliding
+	bound          map[agent.Key]agent.Build // one-way keys: the newest build that has answered
+	boundIn        gauge.Mean                // share of what is taken that is bound to the build on trial
+	news           agent.TrialNews
+	told           bool
+	subject        agent.Build
+	arms           [2]arm
+	ballot         ballot
+	lately, before gauge.Mean // payoffs over both arms, and before the trial
+	harmSince      time.Duration
+	demandNow      gauge.Decaying
+	sending        int        // sends out
+	bounds         float64    // most sends out at once
+	fill           gauge.Mean // time of answers by their goal
+	further        struct{ earned, tried, won gauge.Decaying }
 }
 
 type lane struct {
