--- a/decide/decide.go
+++ b/decide/decide.go
@@ -351,7 +351,6 @@
 	b.takes.Add(b.now)
 	w.takes.Add(b.now)
 	b.demand.Add(b.now, demandHalf, 1)
-	b.demandNow.Add(b.now, time.Second, 1)
 	if k := b.oneWay(e.Key); k > 0 {
 		b.boundIn.Add(b.now, demandHalf, 1)
 	} else {
@@ -698,9 +697,13 @@
 	if e.Outcome == agent.Satisfied && i == 0 && b.arms[1].n == 0 {
 		ref.Add(b.now, parHalf, e.After.Seconds())
 	}
+	if e.Outcome == agent.Satisfied {
+		b.pace.Add(b.now, 2*time.Second, 1)
+	}
 	good := map[bool]float64{true: 1, false: 0}[e.Outcome == agent.Satisfied && !slow]
 	if b.lately.Add(b.now, 2*time.Second, good); b.arms[1].n == 0 && i == 0 {
 		b.before.Add(b.now, parHalf, good)
+		b.paceWas.Add(b.now, parHalf, b.pace.Read(b.now, 2*time.Second))
 	}
 	// The arms are compared over the same time only, else a burst or a slowdown of all would count against the
 	// build that had little traffic before: the earlier one is counted from the trial's first outcome on, and
@@ -779,14 +782,14 @@
 
 // harmed is the exception for builds that slow all machines alike, which Z never blames: payoffs over both arms
 // have fallen well below what they were before the trial. While they have, the agent casts no 'on'; once they
-// have for five seconds with no more demand than before, it blames the build. 0.15 is far from chance for the
+// have for five seconds, it blames the build, unless more is satisfied a second than before: that is a burst (what is
+// taken tells less, as clients come again when they are deferred). 0.15 is far from chance for the
 // dozen outcomes asked for. A slowdown of the fleet from elsewhere that lasts longer is blamed too.
 func (b *Balancer) harmed() (now, blamed bool) {
 	const half = 2 * time.Second
 	now = b.lately.Weight(b.now, half) > 12 && b.before.Weight(b.now, parHalf) > 1 &&
 		b.lately.Read(b.now, half, 0, 0) < b.before.Read(b.now, parHalf, 0, 0)-0.15
-	burst := b.demandNow.Read(b.now, time.Second)/float64(time.Second) > 1.25*b.demand.Read(b.now, demandHalf)/float64(demandHalf)
-	if !now || burst {
+	if busier := b.pace.Read(b.now, half) > 1.1*b.paceWas.Read(b.now, parHalf, 0, 0); !now || busier {
 		b.harmSince = b.now
 	}
 	return now, b.now-b.harmSince > 5*time.Second
--- a/decide/state.go
+++ b/decide/state.go
@@ -110,7 +110,8 @@
 	ballot         ballot
 	lately, before gauge.Mean // payoffs over both arms, and before the trial
 	harmSince      time.Duration
-	demandNow      gauge.Decaying
+	pace           gauge.Decaying
+	paceWas        gauge.Mean
 	sending        int        // sends out
 	bounds         float64    // most sends out at once
 	fill           gauge.Mean // time of answers by their goal
