--- a/decide/decide.go
+++ b/decide/decide.go
@@ -69,42 +69,6 @@
 	return b
 }
 
-// Step takes one event and gives the actions that answer it.
-func (b *Balancer) Step(now time.Duration, event agent.Event) []agent.Action {
-	b.now, b.actions = now, nil
-	if b.timer == 0 {
-		if term(b, "discovery", "") == "asked" {
-			b.do(agent.Subscribe{On: true})
-		}
-		b.heartbeat()
-	}
-	switch e := event.(type) {
-	case agent.ListNews:
-		b.follow(e)
-	case agent.Taken:
-		b.take(e)
-	case agent.Begun:
-		if t := b.open[e.ID]; t != nil {
-			t.stream = e.Send
-			run(b, courses, &t.course, begun, t)
-		}
-	case agent.Ended:
-		b.ended(e)
-	case agent.ClientLeft:
-		if t := b.open[e.ID]; t != nil {
-			run(b, courses, &t.course, closed, t)
-		}
-	case agent.Due:
-		if f := b.timers[e.Timer]; f != nil {
-			delete(b.timers, e.Timer)
-			f()
-		}
-	case agent.TrialNews:
-		b.hearNews(e)
-	}
-	return b.actions
-}
-
 func (b *Balancer) heartbeat() {
 	b.after(beat, b.heartbeat)
 	for _, a := range b.order {
@@ -213,18 +177,6 @@
 	return true, b.news.Cap
 }
 
-// lane gives the count that the exposure rule keeps for sends of this workload at this build.
-func (b *Balancer) lane(build agent.Build, w *workload) (*gauge.Sliding, *gauge.Sliding) {
-	l, takes := lane{build: build}, &b.takes
-	if term(b, "trial.counts", "") == "per_lane" {
-		l.workload, takes = w.name, &w.takes
-	}
-	if b.exposure[l] == nil {
-		b.exposure[l] = &gauge.Sliding{}
-	}
-	return b.exposure[l], takes
-}
-
 // exposable is the exact check of the exposure rule for one more send. The window is stretched by two ticks
 // for sends and cut by two for what was taken, so that its ends never fall against us.
 func (b *Balancer) exposable(t *transaction, a *appliance) bool {
@@ -331,19 +283,6 @@
 	return time.Duration(w.all.Read(b.now, timesHalf, prior, 2) * float64(time.Second))
 }
 
-func (b *Balancer) workload(name agent.Workload) *workload {
-	w := b.work[name]
-	if w == nil {
-		p := "workload." + string(name) + "."
-		w = &workload{name: name, effect: term(b, p+"effect", "effectful"), group: term(b, p+"group", ""),
-			goal: term(b, p+"goal", time.Second), abandon: term(b, p+"abandon", time.Second),
-			memory: term(b, p+"memory", time.Duration(0)), payoff: term(b, p+"payoff", 1.0),
-			times: map[agent.MachineKind]*gauge.Mean{}}
-		b.work[name] = w
-	}
-	return w
-}
-
 func (b *Balancer) take(e agent.Taken) {
 	w := b.workload(e.Workload)
 	t := &transaction{Taken: e, work: w, at: b.now, last: b.now + e.Left, ran: -1}
@@ -464,15 +403,6 @@
 	return nil
 }
 
-func (t *transaction) uses(a *appliance) bool {
-	for _, s := range t.sends {
-		if s.to == a {
-			return true
-		}
-	}
-	return false
-}
-
 // ready tells whether an appliance should be used while others are there too.
 func (b *Balancer) ready(a *appliance, arm int) bool {
 	if a.health == resting || a.health == trying && a.out > 0 {
@@ -560,15 +490,6 @@
 	b.forget(t)
 }
 
-// noteRan marks the first send still out as one that may have run.
-func (t *transaction) noteRan() {
-	for _, s := range t.sends {
-		if !s.over && (t.ran < 0 || s.at < t.ran) {
-			t.ran, t.ranAt = s.at, s.to
-		}
-	}
-}
-
 // forget drops a transaction that is over and calls off what is still out for it.
 func (b *Balancer) forget(t *transaction) {
 	delete(b.open, t.ID)
@@ -723,30 +644,6 @@
 
 const parHalf = 20 * time.Second // much longer than any burst
 
-// optimal solves d(μ1,μ*)=d(μ2,μ*) for α*, μ* being α*μ1+(1-α*)μ2, by halving.
-func optimal(m1, m2 float64) float64 {
-	if math.Abs(m1-m2) < 1e-6 {
-		return 0.5
-	}
-	lo, hi := 0.0, 1.0
-	for i := 0; i < 30; i++ {
-		mid := (lo + hi) / 2
-		if m := mid*m1 + (1-mid)*m2; divergence(m1, m) > divergence(m2, m) {
-			lo = mid
-		} else {
-			hi = mid
-		}
-	}
-	return (lo + hi) / 2
-}
-
-func (a *arm) mean() float64 {
-	if a.n == 0 {
-		return 0.5
-	}
-	return a.sum / a.n
-}
-
 // track is D-Tracking: an arm counted below √t-1 is forced, else the one furthest behind t·w*.
 func (b *Balancer) track() int {
 	n0, n1 := b.arms[0].picked, b.arms[1].picked
--- a/decide/state.go
+++ b/decide/state.go
@@ -215,3 +215,106 @@
 	p, q = min(max(p, tiny), 1-tiny), min(max(q, tiny), 1-tiny)
 	return p*math.Log(p/q) + (1-p)*math.Log((1-p)/(1-q))
 }
+
+// Step takes one event and gives the actions that answer it.
+func (b *Balancer) Step(now time.Duration, event agent.Event) []agent.Action {
+	b.now, b.actions = now, nil
+	if b.timer == 0 {
+		if term(b, "discovery", "") == "asked" {
+			b.do(agent.Subscribe{On: true})
+		}
+		b.heartbeat()
+	}
+	switch e := event.(type) {
+	case agent.ListNews:
+		b.follow(e)
+	case agent.Taken:
+		b.take(e)
+	case agent.Begun:
+		if t := b.open[e.ID]; t != nil {
+			t.stream = e.Send
+			run(b, courses, &t.course, begun, t)
+		}
+	case agent.Ended:
+		b.ended(e)
+	case agent.ClientLeft:
+		if t := b.open[e.ID]; t != nil {
+			run(b, courses, &t.course, closed, t)
+		}
+	case agent.Due:
+		if f := b.timers[e.Timer]; f != nil {
+			delete(b.timers, e.Timer)
+			f()
+		}
+	case agent.TrialNews:
+		b.hearNews(e)
+	}
+	return b.actions
+}
+
+func (b *Balancer) workload(name agent.Workload) *workload {
+	w := b.work[name]
+	if w == nil {
+		p := "workload." + string(name) + "."
+		w = &workload{name: name, effect: term(b, p+"effect", "effectful"), group: term(b, p+"group", ""),
+			goal: term(b, p+"goal", time.Second), abandon: term(b, p+"abandon", time.Second),
+			memory: term(b, p+"memory", time.Duration(0)), payoff: term(b, p+"payoff", 1.0),
+			times: map[agent.MachineKind]*gauge.Mean{}}
+		b.work[name] = w
+	}
+	return w
+}
+
+// lane gives the count that the exposure rule keeps for sends of this workload at this build.
+func (b *Balancer) lane(build agent.Build, w *workload) (*gauge.Sliding, *gauge.Sliding) {
+	l, takes := lane{build: build}, &b.takes
+	if term(b, "trial.counts", "") == "per_lane" {
+		l.workload, takes = w.name, &w.takes
+	}
+	if b.exposure[l] == nil {
+		b.exposure[l] = &gauge.Sliding{}
+	}
+	return b.exposure[l], takes
+}
+
+func (t *transaction) uses(a *appliance) bool {
+	for _, s := range t.sends {
+		if s.to == a {
+			return true
+		}
+	}
+	return false
+}
+
+// noteRan marks the first send still out as one that may have run.
+func (t *transaction) noteRan() {
+	for _, s := range t.sends {
+		if !s.over && (t.ran < 0 || s.at < t.ran) {
+			t.ran, t.ranAt = s.at, s.to
+		}
+	}
+}
+
+// optimal solves d(μ1,μ*)=d(μ2,μ*) for α*, μ* being α*μ1+(1-α*)μ2, by halving.
+func optimal(m1, m2 float64) float64 {
+	if math.Abs(m1-m2) < 1e-6 {
+		return 0.5
+	}
+	lo, hi := 0.0, 1.0
+	for i := 0; i < 30; i++ {
+		mid := (lo + hi) / 2
+		if m := mid*m1 + (1-mid)*m2; divergence(m1, m) > divergence(m2, m) {
+			lo = mid
+		} else {
+			hi = mid
+		}
+	}
+	return (lo + hi) / 2
+}
+
+func (a *arm) mean() float64 {
+	if a.n == 0 {
+		return 0.5
+	}
+	return a.sum / a.n
+}
