--- a/decide/decide.go
+++ b/decide/decide.go
@@ -89,6 +89,10 @@
 		b.bounds = min(b.bounds*1.03+0.2, 1.5*float64(b.sending)+2*float64(len(b.order)))
 	}
 	b.pollHeld()
+	if term(b, "may.tell", false) && b.arms[1].n > 0 && b.now-b.toldAt > 500*time.Millisecond {
+		b.toldAt = b.now // often against a stage, seldom against its price
+		b.do(agent.Tell{All: true, Data: b.message()})
+	}
 	b.judge()
 }
 
@@ -151,6 +155,7 @@
 	}
 	if newest != b.subject && b.told {
 		b.subject, b.arms, b.harmSince = newest, [2]arm{}, b.now
+		b.peers = map[agent.PeerNo][2]arm{}
 	}
 }
 
@@ -263,17 +268,9 @@
 	return used == 0 || float64(used+1) <= min(1.4, 0.7*term(b, "fall.multiple", 2.0))*warm*b.fair(window)
 }
 
-// usual is the mean time of recent answers over all workloads.
+// usual is the mean time of recent answers over all workloads; a tenth of a second until there are some.
 func (b *Balancer) usual() time.Duration {
-	var sum, n float64
-	for _, w := range b.work {
-		k := w.all.Weight(b.now, timesHalf)
-		sum, n = sum+k*w.all.Read(b.now, timesHalf, 0, 0), n+k
-	}
-	if n < 1 {
-		return 100 * time.Millisecond
-	}
-	return time.Duration(sum / n * float64(time.Second))
+	return time.Duration(b.times.Read(b.now, timesHalf, 0.1, 1) * float64(time.Second))
 }
 
 const timesHalf = 5 * time.Second
@@ -290,11 +287,7 @@
 	b.takes.Add(b.now)
 	w.takes.Add(b.now)
 	b.demand.Add(b.now, demandHalf, 1)
-	if k := b.oneWay(e.Key); k > 0 {
-		b.boundIn.Add(b.now, demandHalf, 1)
-	} else {
-		b.boundIn.Add(b.now, demandHalf, 0)
-	}
+	b.boundIn.Add(b.now, demandHalf, float64(min(b.oneWay(e.Key), 1)))
 	b.further.earned.Add(b.now, furtherHalf, b.furtherShare())
 	// The answer timer runs out a tick before the client's time does, so that the answer is never late.
 	b.after(e.Left-term(b, "tick", beat), func() { run(b, courses, &t.course, lastCall, t) })
@@ -375,10 +368,7 @@
 		if t.uses(a) || !b.legal(t, a) {
 			continue
 		}
-		i := 0
-		if a.Build == b.subject {
-			i = 1
-		}
+		i := b.armOf(a)
 		if b.ready(a, i) {
 			ready[i] = append(ready[i], a)
 		} else {
@@ -450,11 +440,7 @@
 		sends.Add(b.now)
 	}
 	if len(t.sends) == 0 {
-		if a.Build == b.subject {
-			b.arms[1].picked++
-		} else {
-			b.arms[0].picked++
-		}
+		b.arms[b.armOf(a)].picked++
 	} else {
 		b.further.tried.Add(b.now, furtherHalf, 1)
 	}
@@ -561,6 +547,7 @@
 		a.faults.Add(b.now, 2*time.Second, 0)
 		a.slowness.Add(b.now, 3*time.Second, e.After.Seconds()/b.mean(w).Seconds())
 		w.all.Add(b.now, timesHalf, e.After.Seconds())
+		b.times.Add(b.now, timesHalf, e.After.Seconds())
 		run(b, healths, &a.health, well, a)
 	case agent.Fault, agent.Rejected:
 		a.heard, a.streak = b.now, 0
@@ -589,10 +576,7 @@
 // is not known): a slow build shows there long before its answers miss goals. Four, since one answer
 // in fifty takes that long by chance, while a build at twice the work shows at seven times that share.
 func (b *Balancer) weigh(t *transaction, s *send, e agent.Ended) {
-	w, i := t.work, 0
-	if s.to.Build == b.subject {
-		i = 1
-	}
+	w, i := t.work, b.armOf(s.to)
 	ref := w.times[s.to.Kind]
 	if ref == nil {
 		ref = &gauge.Mean{}
@@ -615,13 +599,15 @@
 	case silent && s.to.heard < s.at:
 		return // a machine that answers nothing is sick, whatever build it runs
 	}
-	if e.Outcome == agent.Satisfied && i == 0 && b.arms[1].n == 0 {
-		ref.Add(b.now, parHalf, e.After.Seconds())
-	}
 	if e.Outcome == agent.Satisfied {
-		b.pace.Add(b.now, 2*time.Second, 1)
+		if b.pace.Add(b.now, 2*time.Second, 1); i == 0 && b.arms[1].n == 0 {
+			ref.Add(b.now, parHalf, e.After.Seconds())
+		}
+	}
+	good := 0.0
+	if e.Outcome == agent.Satisfied && !slow {
+		good = 1
 	}
-	good := map[bool]float64{true: 1, false: 0}[e.Outcome == agent.Satisfied && !slow]
 	if b.lately.Add(b.now, 2*time.Second, good); b.arms[1].n == 0 && i == 0 {
 		b.before.Add(b.now, parHalf, good)
 		b.paceWas.Add(b.now, parHalf, b.pace.Read(b.now, 2*time.Second))
@@ -671,12 +657,6 @@
 	return x.n*divergence(m1, m) + y.n*divergence(m2, m)
 }
 
-// threshold is log(2t·n/δ). δ is 0.1: a wrong vote costs about as much as ten needless seconds of a trial.
-func (b *Balancer) threshold() float64 {
-	t := max(b.arms[0].picked+b.arms[1].picked, 1)
-	return math.Log(2 * t * term(b, "agents", 1.0) / 0.1)
-}
-
 // harmed is the exception for builds that slow all machines alike, which Z never blames: payoffs over both arms
 // have fallen well below what they were before the trial. While they have, the agent casts no 'on'; once they
 // have for five seconds, it blames the build, unless more is satisfied a second than before: that is a burst (what is
@@ -692,10 +672,13 @@
 	return now, b.now-b.harmSince > 5*time.Second
 }
 
-// verdict is what this agent's counts say of the build on trial.
+// verdict is what the counts say of the build on trial. The threshold is log(2t·n/δ), δ 0.1: a wrong vote costs
+// about as much as ten needless seconds of a trial. Counts that other agents tell are added to this agent's own:
+// it sees sooner what is bad, and has evidence again after a restart. Only one with enough trial traffic of its
+// own votes 'on'.
 func (b *Balancer) verdict() agent.Verdict {
-	early, trial := b.arms[0], b.arms[1]
-	phase, wall := b.news.Phase, b.threshold()
+	early, trial := b.pooled(0), b.pooled(1)
+	phase, wall := b.news.Phase, math.Log(2*max(early.picked+trial.picked, 1)*term(b, "agents", 1.0)/0.1)
 	if b.subject != b.news.Build || phase == agent.GoingBack || phase == agent.Withdrawn {
 		return agent.NoVote
 	}
@@ -715,7 +698,7 @@
 		return agent.NoVote
 	}
 	const least, wait = 10, 3 * time.Second
-	if trial.n >= least && !harmed && (trial.mean() > early.mean() && statistic(early, trial, 0) > wall ||
+	if b.arms[1].n >= least && !harmed && (trial.mean() > early.mean() && statistic(early, trial, 0) > wall ||
 		!behind && b.now > b.stageStart()+wait) {
 		return agent.On
 	}
@@ -724,7 +707,7 @@
 
 // stageStart is when the machines of the present stage had started, as far as is known.
 func (b *Balancer) stageStart() time.Duration {
-	at := b.now - b.now
+	at := time.Duration(0)
 	for _, a := range b.order {
 		if a.listed && a.Build == b.subject {
 			at = max(at, a.Started)
@@ -759,9 +742,9 @@
 func (b *Balancer) cast(o *ballot) {
 	o.at = b.now
 	b.do(agent.Vote{Build: o.build, Stage: o.stage, Verdict: o.verdict})
-	b.do(agent.Log{Text: fmt.Sprintf("vote %d on build %d stage %d: %.3f of %.0f, %.3f of %.0f, Z %.1f of %.1f", o.verdict,
-		o.build, o.stage, b.arms[0].mean(), b.arms[0].n, b.arms[1].mean(), b.arms[1].n,
-		statistic(b.arms[0], b.arms[1], 0), b.threshold())})
+	early, trial := b.pooled(0), b.pooled(1)
+	b.do(agent.Log{Text: fmt.Sprintf("vote %d on build %d stage %d: %.3f of %.0f, %.3f of %.0f, Z %.1f", o.verdict,
+		o.build, o.stage, early.mean(), early.n, trial.mean(), trial.n, statistic(early, trial, 0))})
 }
 
 // pause spreads the next try, so that agents together stay within the calls that the platform takes.
--- a/decide/state.go
+++ b/decide/state.go
@@ -3,6 +3,7 @@
 // State of one agent and the loop that reads the tables. Nothing here decides: no tuned value, no choice.
 
 import (
+	"encoding/binary"
 	"math"
 	"time"
 
@@ -108,6 +109,9 @@
 	subject        agent.Build
 	arms           [2]arm
 	ballot         ballot
+	times          gauge.Mean // of all answers
+	peers          map[agent.PeerNo][2]arm
+	toldAt         time.Duration
 	lately, before gauge.Mean // payoffs over both arms, and before the trial
 	harmSince      time.Duration
 	pace           gauge.Decaying
@@ -248,6 +252,8 @@
 		}
 	case agent.TrialNews:
 		b.hearNews(e)
+	case agent.Heard:
+		b.hear(e)
 	}
 	return b.actions
 }
@@ -318,3 +324,42 @@
 	}
 	return a.sum / a.n
 }
+
+func (b *Balancer) armOf(a *appliance) int {
+	if a.Build == b.subject {
+		return 1
+	}
+	return 0
+}
+
+// message holds the build judged and this agent's counts of both arms, four bytes a number.
+func (b *Balancer) message() []byte {
+	var data []byte
+	for _, x := range []float64{float64(b.subject), b.arms[0].picked, b.arms[0].n, b.arms[0].sum, b.arms[1].picked,
+		b.arms[1].n, b.arms[1].sum} {
+		data = binary.BigEndian.AppendUint32(data, uint32(x))
+	}
+	return data
+}
+
+func (b *Balancer) hear(e agent.Heard) {
+	var x [7]float64
+	if len(e.Data) < 4*len(x) {
+		return
+	}
+	for i := range x {
+		x[i] = float64(binary.BigEndian.Uint32(e.Data[4*i:]))
+	}
+	if agent.Build(x[0]) == b.subject && b.told {
+		b.peers[e.From] = [2]arm{{picked: x[1], n: x[2], sum: x[3]}, {picked: x[4], n: x[5], sum: x[6]}}
+	}
+}
+
+// pooled adds up an arm over this agent and those heard; counts are whole numbers, so order does not matter.
+func (b *Balancer) pooled(i int) arm {
+	sum := b.arms[i]
+	for _, p := range b.peers {
+		sum.picked, sum.n, sum.sum = sum.picked+p[i].picked, sum.n+p[i].n, sum.sum+p[i].sum
+	}
+	return sum
+}
