--- a/decide/decide.go
+++ b/decide/decide.go
@@ -407,7 +407,7 @@
 				sum, n = sum+float64(o.out), n+1
 			}
 		}
-		return n == 0 || float64(a.out) <= 1.3*sum/n
+		return n == 0 || a.out == 0 || float64(a.out+1) <= 1.3*sum/n+0.5
 	}
 	return true
 }
@@ -743,7 +743,11 @@
 	o.at = b.now
 	b.do(agent.Vote{Build: o.build, Stage: o.stage, Verdict: o.verdict})
 	early, trial := b.pooled(0), b.pooled(1)
-	b.do(agent.Log{Text: fmt.Sprintf("vote %d on build %d stage %d: %.3f of %.0f, %.3f of %.0f, Z %.1f", o.verdict,
+	word := []string{"no vote", "vote on", "vote hold", "vote back"}[o.verdict]
+	if _, blamed := b.harmed(); blamed {
+		word += ", all harmed,"
+	}
+	b.do(agent.Log{Text: fmt.Sprintf("%s: build %d stage %d: %.3f of %.0f, %.3f of %.0f, Z %.1f", word,
 		o.build, o.stage, early.mean(), early.n, trial.mean(), trial.n, statistic(early, trial, 0))})
 }
 
