--- a/decide/decide.go
+++ b/decide/decide.go
@@ -450,7 +450,7 @@
 	a.out++
 	b.sending++
 	a.recent.Add(b.now)
-	s := &send{to: a, at: b.now, cold: b.now-a.Started < 3*time.Second}
+	s := &send{to: a, at: b.now, behind: a.out - 1, cold: b.now-a.Started < 3*time.Second}
 	t.sends, t.out = append(t.sends, s), t.out+1
 	b.do(agent.Send{ID: t.ID, Appliance: a.ID})
 	if t.work.effect != "effectful" && len(t.sends) == 1 {
@@ -618,7 +618,8 @@
 	if i == 1 && b.arms[1].n == 0 {
 		b.arms[0].n, b.arms[0].sum = 0, 0
 	}
-	if e.Outcome == agent.Satisfied && b.now-b.arms[1-i].fresh > 2*time.Second {
+	// Slowness behind other sends of our own may be their doing.
+	if e.Outcome == agent.Satisfied && (b.now-b.arms[1-i].fresh > 2*time.Second || s.behind > 1) {
 		slow = false
 	}
 	arm := &b.arms[i]
--- a/decide/state.go
+++ b/decide/state.go
@@ -156,10 +156,11 @@
 }
 
 type send struct {
-	to   *appliance
-	at   time.Duration
-	over bool
-	cold bool
+	to     *appliance
+	at     time.Duration
+	over   bool
+	cold   bool
+	behind int // sends of ours that were out there already
 }
 
 type transaction struct {
