--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,7 +1,8 @@
-// Package decide holds every decision of one agent, for all deployments. An adapter makes a Balancer with New
-// (seed, and the terms of the deployment as a plain map of names to values), then calls Step with the time
-// since that start and one event, and carries out the actions it gets back, in order. The interface (ids,
-// events, actions) stands in package agent. Nothing here does input or output, reads a clock or shares state.
+// Package decide holds every decision of one agent, for all deployments. An adapter makes a Balancer with
+// New (seed, and the terms of the deployment as a plain map of names to values), then calls Step with the
+// time since that start and one event, and carries out the actions it gets back, in order. The interface
+// (ids, events, actions) stands in package agent. Nothing here does input or output, reads a clock or shares
+// state.
 //
 // Three tables (state, input, next state, effect) stand first: the course of a transaction, the health of an
 // appliance, and the agent's vote. run reads them.
@@ -29,11 +30,10 @@
 		{held, poll, held, (*Balancer).place},
 		{held, sent, out, nil},
 		{out, sent, out, nil},
-		{out, neverRan, held, (*Balancer).again},
-		{out, mayRun, held, (*Balancer).againIfHarmless},
+		{out, lost, held, (*Balancer).again},
 		{out, lag, out, (*Balancer).copyOut},
 		{out, begun, flowing, (*Balancer).dropCopies},
-		{flowing, mayRun, over, (*Balancer).giveUp},
+		{flowing, lost, over, (*Balancer).giveUp},
 		{flowing, closed, over, (*Balancer).forget},
 		{held, lastCall, over, (*Balancer).giveUp},
 		{out, lastCall, over, (*Balancer).giveUp},
@@ -56,19 +56,10 @@
 	}
 }
 
-// beat is how often held transactions, resting appliances and the vote are looked at: a few ticks of the wire,
-// far below any goal time.
+// beat is how often held transactions, resting appliances and the vote are looked at: a few ticks of the
+// wire, far below any goal time.
 const beat = 20 * time.Millisecond
 
-// New starts an agent.
-func New(seed uint64, terms map[string]any) *Balancer {
-	b := &Balancer{terms: terms, dice: seed*2 + 1, bounds: 100, work: map[agent.Workload]*workload{},
-		fleet: map[agent.ApplianceID]*appliance{}, open: map[agent.TransactionID]*transaction{},
-		late: map[agent.TransactionID]*transaction{}, timers: map[agent.TimerID]func(){},
-		exposure: map[lane]*gauge.Sliding{}, bound: map[agent.Key]agent.Build{}}
-	return b
-}
-
 func (b *Balancer) heartbeat() {
 	b.after(beat, b.heartbeat)
 	for _, a := range b.order {
@@ -81,13 +72,15 @@
 			run(b, healths, &a.health, rested, a)
 		}
 	}
-	// Time of answers against goals, held at 0.4: what is slower queues at the servers and is late for all, so
-	// fewer are let out at once; what is faster lets the bound grow, but not far past what is used.
-	if fill := b.fill.Read(b.now, fillHalf, 0, 1); fill > 0.4 {
-		b.bounds = max(b.bounds*0.97, float64(len(b.order))/2)
+	// Time of answers against goals, held at 0.4: what is slower queues at the servers and is late for all,
+	// so fewer are let out at once; what is faster lets the bound grow, but not far past what is used. One
+	// send an appliance may always be out.
+	if b.fill.Read(b.now, fillHalf, 0, 1) > 0.4 {
+		b.bounds *= 0.97
 	} else {
-		b.bounds = min(b.bounds*1.03+0.2, 1.5*float64(b.sending)+2*float64(len(b.order)))
+		b.bounds = min(b.bounds*1.03, 1.5*float64(b.sending)+2*float64(len(b.order)))
 	}
+	b.bounds = max(b.bounds, 2*float64(len(b.order))/term(b, "agents", 1.0))
 	b.pollHeld()
 	if term(b, "may.tell", false) && b.arms[1].n > 0 && b.now-b.toldAt > 500*time.Millisecond {
 		b.toldAt = b.now // often against a stage, seldom against its price
@@ -102,19 +95,18 @@
 func (b *Balancer) pollHeld() {
 	again := b.waiting
 	b.waiting = nil
-	sort.SliceStable(again, func(i, j int) bool { return b.density(again[i]) > b.density(again[j]) })
+	density := func(t *transaction) float64 {
+		if term(b, "payoff.by", "") == "work" {
+			return t.work.payoff
+		}
+		return t.work.payoff / b.mean(t.work).Seconds()
+	}
+	sort.SliceStable(again, func(i, j int) bool { return density(again[i]) > density(again[j]) })
 	for _, t := range again {
 		run(b, courses, &t.course, poll, t)
 	}
 }
 
-func (b *Balancer) density(t *transaction) float64 {
-	if term(b, "payoff.by", "") == "work" {
-		return t.work.payoff
-	}
-	return t.work.payoff / b.mean(t.work).Seconds()
-}
-
 // follow keeps the list. A drain or a departure holds from the moment it is told, without using the grace.
 func (b *Balancer) follow(e agent.ListNews) {
 	if e.Kind == agent.Unavailable {
@@ -201,8 +193,8 @@
 	}
 	sends, takes := b.lane(a.Build, t.work)
 	window, edge := term(b, "trial.window", time.Minute), 2*term(b, "tick", beat)
-	used := sends.Count(b.now, window+edge, window+edge)
-	return float64(used+1) <= term(b, "trial.allowance", 0.0)+share*float64(takes.Count(b.now, window-edge, window+edge))
+	used, took := sends.Count(b.now, window+edge, window+edge), takes.Count(b.now, window-edge, window+edge)
+	return float64(used+1) <= term(b, "trial.allowance", 0.0)+share*float64(took)
 }
 
 // oneWay tells the lowest build that a key may go to.
@@ -251,13 +243,14 @@
 		}
 	}
 	seen := float64(demandHalf) / math.Ln2 * (1 - math.Exp2(-float64(b.now)/float64(demandHalf)))
-	return b.demand.Read(b.now, demandHalf) / max(seen, float64(time.Second)) * float64(window) / float64(max(up, 1))
+	rate := b.demand.Read(b.now, demandHalf) / max(seen, float64(time.Second))
+	return rate * float64(window) / float64(max(up, 1))
 }
 
-// warmEnough keeps a cold appliance from being pushed over by all agents together without their agreeing: warm
-// appliances bear at least the even share, so an agent that keeps below its own even share times the warmth
-// adds up, over all agents, to less than the appliance can do. 1.4 because fleets run below 0.7 of their
-// capacity when they have any choice; never more than 0.7 of the multiple at which it falls.
+// warmEnough keeps a cold appliance from being pushed over by all agents together without their agreeing:
+// warm appliances bear at least the even share, so an agent that keeps below its own even share times the
+// warmth adds up, over all agents, to less than the appliance can do. 1.4 because fleets run below 0.7 of
+// their capacity when they have any choice; never more than 0.7 of the multiple at which it falls.
 func (b *Balancer) warmEnough(a *appliance) bool {
 	warm := b.warmth(a)
 	if warm >= 1 {
@@ -296,8 +289,8 @@
 
 const furtherHalf = 10 * time.Second
 
-// furtherShare is how many further sends each transaction taken earns: it follows how many of the recent ones
-// succeeded, from 0.05 (to keep learning) to 0.3 (a retry storm must not double the load).
+// furtherShare is how many further sends each transaction taken earns: it follows how many of the recent
+// ones succeeded, from 0.05 (to keep learning) to 0.3 (a retry storm must not double the load).
 func (b *Balancer) furtherShare() float64 {
 	tried := b.further.tried.Read(b.now, furtherHalf) + 4
 	return 0.05 + 0.25*(b.further.won.Read(b.now, furtherHalf)+2)/tried
@@ -313,24 +306,18 @@
 	return t.ran < 0 || t.work.effect == "pure" || t.work.effect == "receipted" && t.work.group == "all"
 }
 
+// again follows a send that failed: another where the workload and the budget allow it, else the answer.
 func (b *Balancer) again(t *transaction) {
-	if !b.mayFurther(t) {
+	if t.ran >= 0 && t.work.effect == "effectful" || !b.mayFurther(t) {
 		run(b, courses, &t.course, lastCall, t)
 		return
 	}
 	b.place(t)
 }
 
-func (b *Balancer) againIfHarmless(t *transaction) {
-	if t.work.effect == "effectful" {
-		run(b, courses, &t.course, lastCall, t)
-		return
-	}
-	b.again(t)
-}
-
-// copyOut sends a second copy of what takes longer than most do. Where no two may be out, the first is called
-// off instead, but only from an appliance that has answered nothing since it was sent: a busy one will answer.
+// copyOut sends a second copy of what takes longer than most do. Where no two may be out, the first is
+// called off instead, but only from an appliance that has answered nothing since it was sent: a busy one
+// will answer.
 func (b *Balancer) copyOut(t *transaction) {
 	if !b.mayFurther(t) || len(b.waiting) > 0 || b.now-t.at > t.work.goal-b.mean(t.work)/2 {
 		return
@@ -354,7 +341,9 @@
 			return
 		}
 	}
-	if b.now-t.at > min(t.work.goal/4, t.work.goal-b.mean(t.work)) { // too late to be satisfied in time: answered at once
+	// A quarter of the goal is kept for waiting here at most: what starts later is late. Then it is
+	// answered.
+	if b.now-t.at > min(t.work.goal/4, t.work.goal-b.mean(t.work)) {
 		run(b, courses, &t.course, lastCall, t)
 		return
 	}
@@ -386,9 +375,16 @@
 		pick = 0 // a further send goes to the build that is known
 	}
 	for _, group := range [][]*appliance{ready[pick], ready[1-pick], spare[0], spare[1]} {
-		if len(group) > 0 {
-			return b.twoChoices(group)
+		if len(group) == 0 {
+			continue
+		}
+		i := b.roll(len(group))
+		if len(group) > 1 { // two different ones, the less burdened goes
+			if j := (i + 1 + b.roll(len(group)-1)) % len(group); b.burden(group[j]) < b.burden(group[i]) {
+				i = j
+			}
 		}
+		return group[i]
 	}
 	return nil
 }
@@ -412,26 +408,12 @@
 	return true
 }
 
-func (b *Balancer) twoChoices(from []*appliance) *appliance {
-	x := from[b.roll(len(from))]
-	if len(from) == 1 {
-		return x
-	}
-	y := from[b.roll(len(from))]
-	for y == x {
-		y = from[b.roll(len(from))]
-	}
-	if b.burden(y) < b.burden(x) {
-		return y
-	}
-	return x
-}
-
 // burden is about how long one more send would take there, in the workload's usual times.
 func (b *Balancer) burden(a *appliance) float64 {
 	// A report's worth halves every half second: it is refreshed about as often.
 	stale := math.Exp2(-float64(b.now-a.reported) / float64(500*time.Millisecond))
-	return (1 + float64(a.out) + 0.5*a.backlog*stale) * a.slowness.Read(b.now, 3*time.Second, 1, 1) / b.warmth(a)
+	slow := a.slowness.Read(b.now, 3*time.Second, 1, 1) / b.warmth(a)
+	return (1 + float64(a.out) + 0.5*a.backlog*stale) * slow
 }
 
 func (b *Balancer) sendTo(t *transaction, a *appliance) {
@@ -450,7 +432,7 @@
 	a.out++
 	b.sending++
 	a.recent.Add(b.now)
-	s := &send{to: a, at: b.now, behind: a.out - 1, cold: b.now-a.Started < 3*time.Second}
+	s := &send{to: a, at: b.now, cold: b.now-a.Started < 3*time.Second}
 	t.sends, t.out = append(t.sends, s), t.out+1
 	b.do(agent.Send{ID: t.ID, Appliance: a.ID})
 	if t.work.effect != "effectful" && len(t.sends) == 1 {
@@ -512,7 +494,8 @@
 	if ran && (t.ran < 0 || s.at < t.ran) {
 		t.ran, t.ranAt = s.at, s.to
 	}
-	if e.Outcome == agent.Satisfied && t.Key != "" && term(b, "trial.oneway", false) && s.to.Build >= b.news.Build {
+	oneWay := t.Key != "" && term(b, "trial.oneway", false)
+	if e.Outcome == agent.Satisfied && oneWay && s.to.Build >= b.news.Build {
 		b.bound[t.Key] = max(b.bound[t.Key], s.to.Build)
 	}
 	if e.Closed || e.Outcome == agent.Satisfied {
@@ -521,7 +504,7 @@
 		}
 		run(b, courses, &t.course, closed, t)
 	} else if t.out == 0 {
-		run(b, courses, &t.course, map[bool]turn{true: mayRun, false: neverRan}[t.ran >= 0], t)
+		run(b, courses, &t.course, lost, t)
 	}
 	if t.out == 0 && t.course == over {
 		delete(b.late, t.ID)
@@ -537,12 +520,10 @@
 	if e.Load != nil {
 		a.backlog, a.reported = e.Load["queue"]+e.Load["inflight"], b.now
 	}
-	if e.Outcome == agent.Satisfied || e.Outcome == agent.TimedOut && a.health == fit || e.Outcome == agent.Rejected {
-		full := map[bool]float64{true: 1, false: e.After.Seconds() / w.goal.Seconds()}[e.Outcome == agent.Rejected]
-		b.fill.Add(b.now, fillHalf, min(full, 2))
-	}
+	full := min(e.After.Seconds()/w.goal.Seconds(), 2)
 	switch e.Outcome {
 	case agent.Satisfied:
+		b.fill.Add(b.now, fillHalf, full)
 		a.heard, a.streak = b.now, 0
 		a.faults.Add(b.now, 2*time.Second, 0)
 		a.slowness.Add(b.now, 3*time.Second, e.After.Seconds()/b.mean(w).Seconds())
@@ -550,10 +531,15 @@
 		b.times.Add(b.now, timesHalf, e.After.Seconds())
 		run(b, healths, &a.health, well, a)
 	case agent.Fault, agent.Rejected:
+		if e.Outcome == agent.Rejected { // a full machine is as bad as an answer at the goal time
+			b.fill.Add(b.now, fillHalf, 1)
+		}
 		a.heard, a.streak = b.now, 0
 		a.faults.Add(b.now, 2*time.Second, 1)
 	case agent.TimedOut, agent.Unreachable, agent.Cut:
-		a.streak++
+		if a.streak++; e.Outcome == agent.TimedOut && a.health == fit {
+			b.fill.Add(b.now, fillHalf, full)
+		}
 	}
 	// Three sends in a row without an answer, or most of at least four recent ones failed.
 	if a.streak >= 3 || a.health == trying && a.streak > 0 ||
@@ -571,18 +557,14 @@
 
 func (b *Balancer) recover(a *appliance) { a.rests, a.faults = 0, gauge.Mean{} }
 
-// weigh adds one outcome to its arm. Payoff is 1 for a send satisfied within four times what the earlier build
-// took, before the trial began, for the same workload on the same kind of machine (within the goal where that
-// is not known): a slow build shows there long before its answers miss goals. Four, since one answer
-// in fifty takes that long by chance, while a build at twice the work shows at seven times that share.
+// weigh adds one outcome to its arm. Payoff is 1 for a send satisfied within four times what the earlier
+// build took, before the trial began, for the same workload on the same kind of machine (within the goal
+// where that is not known): a slow build shows there long before its answers miss goals. Four, since one
+// answer in fifty takes that long by chance, while a build at twice the work shows at seven times that
+// share.
 func (b *Balancer) weigh(t *transaction, s *send, e agent.Ended) {
 	w, i := t.work, b.armOf(s.to)
-	ref := w.times[s.to.Kind]
-	if ref == nil {
-		ref = &gauge.Mean{}
-		w.times[s.to.Kind] = ref
-	}
-	par := w.goal.Seconds()
+	par, ref := w.goal.Seconds(), w.timesOn(s.to.Kind)
 	if ref.Weight(b.now, parHalf) > 0.1 {
 		par = 4 * ref.Read(b.now, parHalf, 0, 0)
 	}
@@ -592,7 +574,7 @@
 	}
 	silent := e.Outcome == agent.TimedOut || e.Outcome == agent.Cut || e.Outcome == agent.CalledOff
 	switch {
-	case s.cold || e.Outcome == agent.Rejected || e.Outcome == agent.Unreachable || e.Outcome == agent.NotSent:
+	case s.cold, e.Outcome == agent.Rejected, e.Outcome == agent.Unreachable, e.Outcome == agent.NotSent:
 		return // cold machines mislead; what never ran says nothing of a build
 	case e.Outcome == agent.CalledOff && !slow:
 		return
@@ -612,14 +594,13 @@
 		b.before.Add(b.now, parHalf, good)
 		b.paceWas.Add(b.now, parHalf, b.pace.Read(b.now, 2*time.Second))
 	}
-	// The arms are compared over the same time only, else a burst or a slowdown of all would count against the
-	// build that had little traffic before: the earlier one is counted from the trial's first outcome on, and
-	// slowness counts only while the earlier one has answers too.
+	// The arms are compared over the same time only, else a burst or a slowdown of all would count against
+	// the build that had little traffic before: the earlier one is counted from the trial's first outcome
+	// on, and slowness counts only while the earlier one has answers too.
 	if i == 1 && b.arms[1].n == 0 {
 		b.arms[0].n, b.arms[0].sum = 0, 0
 	}
-	// Slowness behind other sends of our own may be their doing.
-	if e.Outcome == agent.Satisfied && (b.now-b.arms[1-i].fresh > 2*time.Second || s.behind > 1) {
+	if e.Outcome == agent.Satisfied && b.now-b.arms[1-i].fresh > 2*time.Second {
 		slow = false
 	}
 	arm := &b.arms[i]
@@ -634,15 +615,12 @@
 // track is D-Tracking: an arm counted below √t-1 is forced, else the one furthest behind t·w*.
 func (b *Balancer) track() int {
 	n0, n1 := b.arms[0].picked, b.arms[1].picked
-	t := n0 + n1
+	t, w := n0+n1, optimal(b.arms[0].mean(), b.arms[1].mean())
+	behind := t*(1-w)-n1 > t*w-n0
 	if floor := math.Sqrt(t) - 1; min(n0, n1) < floor {
-		if n1 < n0 {
-			return 1
-		}
-		return 0
+		behind = n1 < n0
 	}
-	w := optimal(b.arms[0].mean(), b.arms[1].mean())
-	if t*(1-w)-n1 > t*w-n0 {
+	if behind {
 		return 1
 	}
 	return 0
@@ -658,25 +636,26 @@
 	return x.n*divergence(m1, m) + y.n*divergence(m2, m)
 }
 
-// harmed is the exception for builds that slow all machines alike, which Z never blames: payoffs over both arms
-// have fallen well below what they were before the trial. While they have, the agent casts no 'on'; once they
-// have for five seconds, it blames the build, unless more is satisfied a second than before: that is a burst (what is
-// taken tells less, as clients come again when they are deferred). 0.15 is far from chance for the
-// dozen outcomes asked for. A slowdown of the fleet from elsewhere that lasts longer is blamed too.
+// harmed is the exception for builds that slow all machines alike, which Z never blames: payoffs over both
+// arms have fallen well below what they were before the trial. While they have, the agent casts no 'on';
+// once they have for five seconds, it blames the build, unless more is satisfied a second than before: that
+// is a burst (what is taken tells less, as clients come again when they are deferred). 0.15 is far from
+// chance for the dozen outcomes asked for. A slowdown of the fleet from elsewhere that lasts longer is
+// blamed too.
 func (b *Balancer) harmed() (now, blamed bool) {
 	const half = 2 * time.Second
 	now = b.lately.Weight(b.now, half) > 12 && b.before.Weight(b.now, parHalf) > 1 &&
 		b.lately.Read(b.now, half, 0, 0) < b.before.Read(b.now, parHalf, 0, 0)-0.15
-	if busier := b.pace.Read(b.now, half) > 1.1*b.paceWas.Read(b.now, parHalf, 0, 0); !now || busier {
+	if !now || b.pace.Read(b.now, half) > 1.1*b.paceWas.Read(b.now, parHalf, 0, 0) {
 		b.harmSince = b.now
 	}
 	return now, b.now-b.harmSince > 5*time.Second
 }
 
-// verdict is what the counts say of the build on trial. The threshold is log(2t·n/δ), δ 0.1: a wrong vote costs
-// about as much as ten needless seconds of a trial. Counts that other agents tell are added to this agent's own:
-// it sees sooner what is bad, and has evidence again after a restart. Only one with enough trial traffic of its
-// own votes 'on'.
+// verdict is what the counts say of the build on trial. The threshold is log(2t·n/δ), δ 0.1: a wrong vote
+// costs about as much as ten needless seconds of a trial. Counts that other agents tell are added to this
+// agent's own: it sees sooner what is bad, and has evidence again after a restart. Only one with enough
+// trial traffic of its own votes 'on'.
 func (b *Balancer) verdict() agent.Verdict {
 	early, trial := b.pooled(0), b.pooled(1)
 	phase, wall := b.news.Phase, math.Log(2*max(early.picked+trial.picked, 1)*term(b, "agents", 1.0)/0.1)
@@ -706,17 +685,6 @@
 	return agent.NoVote
 }
 
-// stageStart is when the machines of the present stage had started, as far as is known.
-func (b *Balancer) stageStart() time.Duration {
-	at := time.Duration(0)
-	for _, a := range b.order {
-		if a.listed && a.Build == b.subject {
-			at = max(at, a.Started)
-		}
-	}
-	return at
-}
-
 // judge keeps the agent's vote in step with its verdict: cast, changed, renewed and withdrawn.
 func (b *Balancer) judge() {
 	v, o := b.verdict(), &b.ballot
--- /dev/null
+++ b/decide/decide_test.go
@@ -0,0 +1,343 @@
+package decide
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"sagelever/agent"
+)
+
+func near(t *testing.T, what string, got, want, by float64) {
+	t.Helper()
+	if math.Abs(got-want) > by {
+		t.Errorf("%s: got %v, want %v", what, got, want)
+	}
+}
+
+// For means p and 1-p the optimum is a half by symmetry; else α* must satisfy its own equation.
+func TestOptimalProportion(t *testing.T) {
+	near(t, "symmetric", optimal(0.9, 0.1), 0.5, 1e-6)
+	near(t, "equal", optimal(0.7, 0.7), 0.5, 1e-9)
+	for _, m := range [][2]float64{{0.99, 0.6}, {0.2, 0.9}, {0, 0.5}, {1, 0.5}, {1, 0}} {
+		a := optimal(m[0], m[1])
+		mid := a*m[0] + (1-a)*m[1]
+		near(t, "equation", divergence(m[0], mid), divergence(m[1], mid), 1e-4)
+	}
+}
+
+// An independent form of Z: log-likelihood of the arms apart less that of the arms together.
+func TestStatistic(t *testing.T) {
+	ll := func(s, n float64) float64 { p := s / n; return s*math.Log(p) + (n-s)*math.Log(1-p) }
+	got := statistic(arm{n: 80, sum: 76}, arm{n: 20, sum: 12}, 0)
+	near(t, "Z", got, ll(76, 80)+ll(12, 20)-ll(88, 100), 1e-6)
+	near(t, "no outcomes", statistic(arm{n: 80, sum: 76}, arm{}, 0), 0, 0)
+}
+
+func TestTracking(t *testing.T) {
+	b := bench(0.5, nil)
+	b.arms[0], b.arms[1] = arm{picked: 100, n: 100, sum: 99}, arm{picked: 8, n: 8, sum: 8}
+	if b.track() != 1 { // 8 < √108-1
+		t.Error("an arm below √t-1 is not forced")
+	}
+	b.arms[0], b.arms[1] = arm{picked: 30, n: 30, sum: 15}, arm{picked: 70, n: 70, sum: 35}
+	if b.track() != 0 { // w* is a half for equal means: the earlier arm is 20 behind
+		t.Error("the arm furthest behind its share does not go")
+	}
+}
+
+// The threshold is log(2·200·3/0.1) = 9.39; Z of 96/100 against 60/100, less the margin, is far above it, and
+// of 96/100 against 88/100 below.
+func TestVerdicts(t *testing.T) {
+	b := bench(0.5, map[string]any{"trial.control": "single"})
+	set := func(s1 float64, phase agent.Phase) {
+		b.news.Phase = phase
+		b.arms[0], b.arms[1] = arm{picked: 100, n: 100, sum: 96}, arm{picked: 100, n: 100, sum: s1}
+	}
+	check := func(what string, want agent.Verdict) {
+		t.Helper()
+		if got := b.verdict(); got != want {
+			t.Errorf("%s: verdict %v, want %v", what, got, want)
+		}
+	}
+	set(60, agent.OnTrial)
+	check("far behind", agent.Back)
+	set(60, agent.Released)
+	check("far behind, released", agent.Back)
+	set(60, agent.GoingBack)
+	check("going back already", agent.NoVote)
+	set(95, agent.OnTrial)
+	check("level, stage long started", agent.On)
+	b.join(9, 2).Started = b.now - 2*time.Second
+	check("level, machines just started", agent.NoVote)
+	b.arms[1] = arm{picked: 9, n: 9, sum: 9}
+	b.now += 5 * time.Second
+	check("too few trial outcomes", agent.NoVote)
+	b.terms["trial.control"] = "clocked"
+	set(83, agent.OnTrial) // Z 9.3: above half the threshold, with the margin 6.0: below the whole
+	check("clock, behind", agent.Hold)
+	set(96, agent.OnTrial)
+	check("clock, level", agent.NoVote)
+	b.arms = [2]arm{}
+	check("restarted, no counts", agent.NoVote)
+	b.peers[1] = [2]arm{{picked: 100, n: 100, sum: 96}, {picked: 100, n: 100, sum: 60}}
+	check("restarted, counts heard", agent.Back)
+}
+
+// A build that slows all machines alike leaves Z at nothing; payoffs before the trial tell.
+func TestBuildThatHarmsAll(t *testing.T) {
+	b := bench(0.5, nil)
+	for i := 0; i < 200; i++ {
+		b.before.Add(b.now, parHalf, 1)
+		b.paceWas.Add(b.now, parHalf, 100)
+		b.lately.Add(b.now, 2*time.Second, 0.6)
+	}
+	b.arms[0], b.arms[1] = arm{picked: 90, n: 90, sum: 60}, arm{picked: 30, n: 30, sum: 20}
+	b.harmSince = b.now - 3*time.Second
+	if v := b.verdict(); v != agent.NoVote {
+		t.Errorf("after three seconds: verdict %v, want none", v)
+	}
+	b.harmSince = b.now - 6*time.Second
+	if v := b.verdict(); v != agent.Back {
+		t.Errorf("after six seconds: verdict %v, want back", v)
+	}
+	b.pace.Add(b.now, 2*time.Second, 150)
+	if v := b.verdict(); v != agent.NoVote {
+		t.Errorf("more satisfied than before, a burst: verdict %v, want none", v)
+	}
+}
+
+func TestBallot(t *testing.T) {
+	b := bench(0.5, map[string]any{"vote.life": 4 * time.Second, "vote.wait": time.Second})
+	b.arms[0], b.arms[1] = arm{picked: 100, n: 100, sum: 96}, arm{picked: 100, n: 100, sum: 60}
+	step := func(what string, wait time.Duration, votes int) {
+		t.Helper()
+		b.now, b.actions = b.now+wait, nil
+		if b.judge(); len(wanted[agent.Vote](b)) != votes {
+			t.Errorf("%s: votes %v, want %d", what, wanted[agent.Vote](b), votes)
+		}
+	}
+	step("first", 0, 1)
+	step("not answered yet", 500*time.Millisecond, 0)
+	b.hearNews(agent.TrialNews{ToVote: true, Answer: agent.TooMany})
+	step("refused, pausing", 50*time.Millisecond, 0)
+	step("refused, again", time.Second, 1)
+	news := b.news
+	news.ToVote = true
+	b.hearNews(news)
+	step("standing", time.Second, 0)
+	step("renewed before it runs out", 2*time.Second, 1)
+	b.hearNews(news)
+	b.arms[1] = arm{picked: 100, n: 100, sum: 90} // behind by more than half the threshold: neither on nor back
+	step("withdrawn", 0, 1)
+}
+
+// Rule 1: the answer comes a tick before the client's time is up, and nothing is sent after it.
+func TestAnswerTimer(t *testing.T) {
+	b := bench(0, nil)
+	b.take(agent.Taken{ID: "x", Workload: "effectful", Left: 300 * time.Millisecond})
+	if w := wanted[agent.Wake](b); len(w) == 0 || w[0].After != 295*time.Millisecond {
+		t.Fatalf("timers %v, want one after 295 ms", w)
+	}
+	x := b.open["x"]
+	b.putOut(x, b.join(1, 1))
+	run(b, courses, &x.course, lastCall, x)
+	if len(wanted[agent.BreakOff](b)) != 1 || len(wanted[agent.Defer](b)) != 0 {
+		t.Errorf("an effectful send is out: %v, want one break-off", b.actions)
+	}
+	b.actions = nil
+	b.ended(agent.Ended{ID: "x", Outcome: agent.Fault})
+	if len(b.actions) > 0 {
+		t.Errorf("after the answer: %v", b.actions)
+	}
+}
+
+// Rule 2, by workload, after a fault that may have run.
+func TestNoEffectTwice(t *testing.T) {
+	for effect, sends := range map[agent.Workload]int{"pure": 1, "receipted": 1, "effectful": 0} {
+		b := bench(0, nil)
+		b.join(1, 1)
+		x := b.hold("x", effect)
+		b.putOut(x, b.join(2, 1))
+		b.ended(agent.Ended{ID: "x", Appliance: 2, Outcome: agent.Fault})
+		if n := len(wanted[agent.Send](b)); n != sends {
+			t.Errorf("%s: %d further sends, want %d", effect, n, sends)
+		}
+	}
+	b := bench(0, nil)
+	x, a := b.hold("x", "receipted"), b.join(1, 1)
+	x.ran, x.ranAt = b.now-1990*time.Millisecond, a
+	if !b.legal(x, a) {
+		t.Error("within the time repeats are known, the send is not legal")
+	}
+	x.ran -= 10 * time.Millisecond
+	if b.legal(x, a) {
+		t.Error("past the time repeats are known, the send is legal")
+	}
+	x.work.group, x.ran = "cell", b.now
+	other := b.join(2, 1)
+	if other.Group = 5; b.legal(x, other) {
+		t.Error("a send outside the group is legal")
+	}
+}
+
+// Rule 3: what drains or has left a full list gets nothing more.
+func TestDrains(t *testing.T) {
+	b := bench(0, nil)
+	b.follow(agent.ListNews{Kind: agent.Whole, Entries: []agent.Appliance{{ID: 1, Build: 1}, {ID: 2, Build: 1}}})
+	x := b.hold("x", "pure")
+	b.follow(agent.ListNews{Kind: agent.Changes, Entries: []agent.Appliance{{ID: 1, Build: 1, Standing: agent.Draining}}})
+	if a := b.choose(x); a == nil || a.ID != 2 {
+		t.Errorf("chosen %v, want 2", a)
+	}
+	b.follow(agent.ListNews{Kind: agent.Whole, Entries: []agent.Appliance{{ID: 3, Build: 1, Standing: agent.Gone}}})
+	if a := b.choose(x); a != nil {
+		t.Errorf("chosen %v from an empty list", a.ID)
+	}
+}
+
+// Rule 4: three agents that each keep to the budget stay, together, below the multiple.
+func TestColdBudget(t *testing.T) {
+	b := bench(0, nil)
+	for i := agent.ApplianceID(1); i <= 10; i++ {
+		b.join(i, 1)
+	}
+	b.demand.Add(b.now, demandHalf, 100*demandHalf.Seconds()/math.Ln2) // 100 a second, 10 for each appliance
+	a := b.fleet[3]
+	a.Started = b.now
+	n := 0
+	for ; b.warmEnough(a) && n < 100; n++ {
+		a.recent.Add(b.now)
+	}
+	if n != 5 { // 1.4 x 0.4 x 10 a second
+		t.Errorf("%d sends at a cold appliance in a second, want 5", n)
+	}
+}
+
+// Rule 5, sliding: two free, and half of the twenty taken within the window.
+func TestExposure(t *testing.T) {
+	b := bench(0.5, nil)
+	x, a := b.hold("x", "pure"), b.join(1, 2)
+	for i := 0; i < 20; i++ {
+		b.takes.Add(b.now)
+	}
+	n := 0
+	for ; b.legal(x, a) && n < 100; n++ {
+		sends, _ := b.lane(2, x.work)
+		sends.Add(b.now)
+	}
+	if n != 12 {
+		t.Errorf("%d sends at the trial, want 12", n)
+	}
+	a.Build = 3 // not announced: the first stage's tenth
+	if _, share := b.onTrial(3); share != 0.1 {
+		t.Errorf("share %v for an unannounced build, want 0.1", share)
+	}
+	a.Build, b.news.Cap = 2, 0
+	if b.now += 10 * time.Second; b.legal(x, a) {
+		t.Error("a send at cap 0 is legal")
+	}
+	b.news.Cap, b.terms["trial.guarded"] = 1, 1.0
+	if !b.legal(x, a) || b.legal(b.hold("y", "effectful"), a) {
+		t.Error("a guarded stage must take pure sends and no others")
+	}
+}
+
+// A key that the trial has answered goes to no earlier build until the trial is sent back.
+func TestOneWayKeys(t *testing.T) {
+	b := bench(1, map[string]any{"trial.oneway": true})
+	x, early, trial := b.hold("x", "pure"), b.join(1, 1), b.join(2, 2)
+	x.Key = "k"
+	b.putOut(x, trial)
+	b.ended(agent.Ended{ID: "x", Appliance: 2, Outcome: agent.Satisfied, Closed: true})
+	y := b.hold("y", "pure")
+	if y.Key = "k"; b.legal(y, early) || !b.legal(y, trial) {
+		t.Error("a bound key may go back")
+	}
+	if b.news.Phase = agent.GoingBack; !b.legal(y, early) {
+		t.Error("a bound key may not go back though its build does")
+	}
+}
+
+// Silent appliances are left in peace, tried with one send, and trusted again.
+func TestHealth(t *testing.T) {
+	b := bench(0, nil)
+	a, other := b.join(1, 1), b.join(2, 1)
+	b.putOut(b.hold("x", "pure"), a)
+	b.now += time.Second
+	b.heartbeat()
+	if a.health != resting || b.ready(a, 0) || !b.ready(other, 0) {
+		t.Errorf("a silent appliance is in state %v", a.health)
+	}
+	a.out = 0
+	b.now += time.Second
+	if b.heartbeat(); a.health != trying || !b.ready(a, 0) {
+		t.Errorf("after its rest it is in state %v", a.health)
+	}
+	y := b.hold("y", "pure")
+	b.putOut(y, a)
+	if b.ready(a, 0) {
+		t.Error("a second send goes to an appliance on trial of health")
+	}
+	b.ended(agent.Ended{ID: "y", Appliance: 1, Outcome: agent.Satisfied, Closed: true})
+	if a.health != fit {
+		t.Errorf("after an answer it is in state %v", a.health)
+	}
+}
+
+// Rejections, machines that answer nothing and cold ones are no evidence; slow answers and faults are.
+func TestEvidence(t *testing.T) {
+	b := bench(1, nil)
+	a, early := b.join(1, 2), b.join(2, 1)
+	b.workload("pure").timesOn("").Add(b.now, parHalf, 0.05)
+	feed := func(to *appliance, outcome agent.Outcome, after time.Duration, cold bool) arm {
+		x := b.hold("x", "pure")
+		b.arms = [2]arm{{fresh: b.now, n: 1, sum: 1}, {fresh: b.now, n: 1, sum: 1}}
+		b.weigh(x, &send{to: to, at: b.now, cold: cold}, agent.Ended{Outcome: outcome, After: after})
+		return b.arms[b.armOf(to)]
+	}
+	for _, c := range []struct {
+		what    string
+		to      *appliance
+		outcome agent.Outcome
+		after   time.Duration
+		cold    bool
+		n, sum  float64
+	}{
+		{"quick", a, agent.Satisfied, 100 * time.Millisecond, false, 2, 2},
+		{"slow", a, agent.Satisfied, 300 * time.Millisecond, false, 2, 1},
+		{"slow, earlier", early, agent.Satisfied, 300 * time.Millisecond, false, 2, 1},
+		{"fault", a, agent.Fault, 0, false, 2, 1},
+		{"cold fault", a, agent.Fault, 0, true, 1, 1},
+		{"rejected", a, agent.Rejected, 0, false, 1, 1},
+		{"unreachable", a, agent.Unreachable, 0, false, 1, 1},
+		{"silent", a, agent.TimedOut, time.Second, false, 1, 1},
+	} {
+		if got := feed(c.to, c.outcome, c.after, c.cold); got.n != c.n || got.sum != c.sum {
+			t.Errorf("%s: %v of %v, want %v of %v", c.what, got.sum, got.n, c.sum, c.n)
+		}
+	}
+}
+
+// Sends out are bounded by how quickly answers come; a transaction held too long is answered at once.
+func TestBound(t *testing.T) {
+	b := bench(0, map[string]any{"may.advise": true, "return.most": 500 * time.Millisecond})
+	b.join(1, 1)
+	b.bounds, b.sending = 1, 1
+	x := b.hold("x", "pure")
+	if run(b, courses, &x.course, taken, x); len(b.actions) != 0 || len(b.waiting) != 1 {
+		t.Errorf("past the bound: %v", b.actions)
+	}
+	b.now += 126 * time.Millisecond
+	b.pollHeld()
+	if d := wanted[agent.Defer](b); len(d) != 1 || d[0].Wait <= 0 || len(wanted[agent.Send](b)) != 0 {
+		t.Errorf("held past a quarter of the goal: %v, want a deferral with advice", b.actions)
+	}
+	b.bounds, b.sending = 40, 40
+	for i := 0; i < 50; i++ {
+		b.fill.Add(b.now, fillHalf, 1)
+	}
+	if b.heartbeat(); b.bounds >= 40 {
+		t.Errorf("answers at the goal time leave the bound at %v", b.bounds)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -44,8 +44,7 @@
 	taken    turn = iota
 	poll          // time to try a held one again
 	sent          // a send has gone
-	neverRan      // the last send out failed and is known not to have run
-	mayRun        // the last send out failed and may have run
+	lost          // the last send out has failed
 	lag           // the answer is later than most
 	lastCall      // the client's time is nearly up
 	begun         // its answer has begun to stream
@@ -156,11 +155,10 @@
 }
 
 type send struct {
-	to     *appliance
-	at     time.Duration
-	over   bool
-	cold   bool
-	behind int // sends of ours that were out there already
+	to   *appliance
+	at   time.Duration
+	over bool
+	cold bool
 }
 
 type transaction struct {
@@ -336,8 +334,8 @@
 // message holds the build judged and this agent's counts of both arms, four bytes a number.
 func (b *Balancer) message() []byte {
 	var data []byte
-	for _, x := range []float64{float64(b.subject), b.arms[0].picked, b.arms[0].n, b.arms[0].sum, b.arms[1].picked,
-		b.arms[1].n, b.arms[1].sum} {
+	x, y := b.arms[0], b.arms[1]
+	for _, x := range []float64{float64(b.subject), x.picked, x.n, x.sum, y.picked, y.n, y.sum} {
 		data = binary.BigEndian.AppendUint32(data, uint32(x))
 	}
 	return data
@@ -364,3 +362,30 @@
 	}
 	return sum
 }
+
+func (w *workload) timesOn(k agent.MachineKind) *gauge.Mean {
+	if w.times[k] == nil {
+		w.times[k] = &gauge.Mean{}
+	}
+	return w.times[k]
+}
+
+// New starts an agent.
+func New(seed uint64, terms map[string]any) *Balancer {
+	b := &Balancer{terms: terms, dice: seed*2 + 1, work: map[agent.Workload]*workload{},
+		fleet: map[agent.ApplianceID]*appliance{}, open: map[agent.TransactionID]*transaction{},
+		late: map[agent.TransactionID]*transaction{}, timers: map[agent.TimerID]func(){},
+		exposure: map[lane]*gauge.Sliding{}, bound: map[agent.Key]agent.Build{}}
+	return b
+}
+
+// stageStart is when the machines of the present stage had started, as far as is known.
+func (b *Balancer) stageStart() time.Duration {
+	at := time.Duration(0)
+	for _, a := range b.order {
+		if a.listed && a.Build == b.subject {
+			at = max(at, a.Started)
+		}
+	}
+	return at
+}
