--- a/decide/decide.go
+++ b/decide/decide.go
@@ -146,6 +146,8 @@
 		}
 	}
 	if newest != b.subject && b.told {
+		b.clear(0)
+		b.clear(1)
 		b.subject, b.arms, b.harmSince = newest, [2]arm{}, b.now
 		b.peers = map[agent.PeerNo][2]arm{}
 	}
@@ -541,9 +543,9 @@
 			b.fill.Add(b.now, fillHalf, full)
 		}
 	}
-	// Three sends in a row without an answer, or most of at least four recent ones failed.
+	// Three sends in a row without an answer, or most of at least five recent ones failed.
 	if a.streak >= 3 || a.health == trying && a.streak > 0 ||
-		a.faults.Weight(b.now, 2*time.Second) > 4 && a.faults.Read(b.now, 2*time.Second, 0, 0) > 0.6 {
+		a.faults.Weight(b.now, 2*time.Second) > 5 && a.faults.Read(b.now, 2*time.Second, 0, 0) > 0.6 {
 		run(b, healths, &a.health, sick, a)
 	}
 	b.weigh(t, s, e)
@@ -553,6 +555,10 @@
 	// Half a second at first, doubled up to four: short against any trouble, long against a send.
 	a.until = b.now + 500*time.Millisecond<<min(a.rests, 3)
 	a.rests, a.streak = a.rests+1, 0
+	// Its outcomes no longer count for its build: bad builds fail a third of everything or one workload, so a
+	// machine that fails most or goes silent is sick itself, which one or two trial machines may well be.
+	own := &b.arms[b.armOf(a)]
+	own.n, own.sum, a.given = own.n-a.given.n, own.sum-a.given.sum, arm{}
 }
 
 func (b *Balancer) recover(a *appliance) { a.rests, a.faults = 0, gauge.Mean{} }
@@ -574,8 +580,8 @@
 	}
 	silent := e.Outcome == agent.TimedOut || e.Outcome == agent.Cut || e.Outcome == agent.CalledOff
 	switch {
-	case s.cold, e.Outcome == agent.Rejected, e.Outcome == agent.Unreachable, e.Outcome == agent.NotSent:
-		return // cold machines mislead; what never ran says nothing of a build
+	case s.to.health != fit, s.cold, e.Outcome == agent.Rejected, e.Outcome == agent.Unreachable, e.Outcome == agent.NotSent:
+		return // sick and cold machines mislead; what never ran says nothing of a build
 	case e.Outcome == agent.CalledOff && !slow:
 		return
 	case silent && s.to.heard < s.at:
@@ -598,15 +604,15 @@
 	// the build that had little traffic before: the earlier one is counted from the trial's first outcome
 	// on, and slowness counts only while the earlier one has answers too.
 	if i == 1 && b.arms[1].n == 0 {
-		b.arms[0].n, b.arms[0].sum = 0, 0
+		b.clear(0)
 	}
 	if e.Outcome == agent.Satisfied && b.now-b.arms[1-i].fresh > 2*time.Second {
 		slow = false
 	}
 	arm := &b.arms[i]
-	arm.n, arm.fresh = arm.n+1, b.now
+	arm.n, arm.fresh, s.to.given.n = arm.n+1, b.now, s.to.given.n+1
 	if e.Outcome == agent.Satisfied && !slow {
-		arm.sum++
+		arm.sum, s.to.given.sum = arm.sum+1, s.to.given.sum+1
 	}
 }
 
@@ -652,6 +658,21 @@
 	return now, b.now-b.harmSince > 5*time.Second
 }
 
+// allSick is the other side of leaving out sick machines: when two or more run the trial and most of them are
+// sick, but few of the others, it is the build after all.
+func (b *Balancer) allSick() bool {
+	var all, ill [2]int
+	for _, a := range b.order {
+		if a.listed {
+			i := b.armOf(a)
+			if all[i]++; a.health != fit {
+				ill[i]++
+			}
+		}
+	}
+	return ill[1] >= 2 && 2*ill[1] > all[1] && 4*ill[0] <= all[0]
+}
+
 // verdict is what the counts say of the build on trial. The threshold is log(2t·n/δ), δ 0.1: a wrong vote
 // costs about as much as ten needless seconds of a trial. Counts that other agents tell are added to this
 // agent's own: it sees sooner what is bad, and has evidence again after a restart. Only one with enough
@@ -664,7 +685,7 @@
 	}
 	harmed, blamed := b.harmed()
 	const margin = 0.03
-	if blamed || trial.mean()+margin < early.mean() && statistic(early, trial, margin) > wall {
+	if blamed || b.allSick() || trial.mean()+margin < early.mean() && statistic(early, trial, margin) > wall {
 		return agent.Back
 	}
 	if phase == agent.Released {
--- a/decide/state.go
+++ b/decide/state.go
@@ -151,6 +151,7 @@
 	slowness gauge.Mean // time of its answers by the workload's mean
 	backlog  float64
 	reported time.Duration
+	given    arm // its part of its arm's counts
 	recent   gauge.Sliding
 }
 
@@ -389,3 +390,13 @@
 	}
 	return at
 }
+
+// clear drops the outcomes of one arm, also from the appliances that gave them.
+func (b *Balancer) clear(i int) {
+	for _, a := range b.order {
+		if b.armOf(a) == i {
+			a.given = arm{}
+		}
+	}
+	b.arms[i].n, b.arms[i].sum = 0, 0
+}
