--- a/decide/decide.go
+++ b/decide/decide.go
@@ -658,21 +658,6 @@
 	return now, b.now-b.harmSince > 5*time.Second
 }
 
-// allSick is the other side of leaving out sick machines: when two or more run the trial and most of them are
-// sick, but few of the others, it is the build after all.
-func (b *Balancer) allSick() bool {
-	var all, ill [2]int
-	for _, a := range b.order {
-		if a.listed {
-			i := b.armOf(a)
-			if all[i]++; a.health != fit {
-				ill[i]++
-			}
-		}
-	}
-	return ill[1] >= 2 && 2*ill[1] > all[1] && 4*ill[0] <= all[0]
-}
-
 // verdict is what the counts say of the build on trial. The threshold is log(2t·n/δ), δ 0.1: a wrong vote
 // costs about as much as ten needless seconds of a trial. Counts that other agents tell are added to this
 // agent's own: it sees sooner what is bad, and has evidence again after a restart. Only one with enough
@@ -685,7 +670,7 @@
 	}
 	harmed, blamed := b.harmed()
 	const margin = 0.03
-	if blamed || b.allSick() || trial.mean()+margin < early.mean() && statistic(early, trial, margin) > wall {
+	if blamed || trial.mean()+margin < early.mean() && statistic(early, trial, margin) > wall {
 		return agent.Back
 	}
 	if phase == agent.Released {
