--- a/decide/decide.go
+++ b/decide/decide.go
@@ -555,8 +555,8 @@
 	// Half a second at first, doubled up to four: short against any trouble, long against a send.
 	a.until = b.now + 500*time.Millisecond<<min(a.rests, 3)
 	a.rests, a.streak = a.rests+1, 0
-	// Its outcomes no longer count for its build: bad builds fail a third of everything or one workload, so a
-	// machine that fails most or goes silent is sick itself, which one or two trial machines may well be.
+	// Its outcomes no longer count for its build: bad builds fail a third of everything or one workload, so
+	// a machine that fails most or goes silent is sick itself, which one or two trial machines may well be.
 	own := &b.arms[b.armOf(a)]
 	own.n, own.sum, a.given = own.n-a.given.n, own.sum-a.given.sum, arm{}
 }
