--- a/decide/decide.go
+++ b/decide/decide.go
@@ -661,7 +661,7 @@
 // verdict is what the counts say of the build on trial. The threshold is log(2t·n/δ), δ 0.1: a wrong vote
 // costs about as much as ten needless seconds of a trial. Counts that other agents tell are added to this
 // agent's own: it sees sooner what is bad, and has evidence again after a restart. Only one with enough
-// trial traffic of its own votes 'on'.
+// trial traffic of its own votes: ten outcomes, by which it also knows a sick machine from a build.
 func (b *Balancer) verdict() agent.Verdict {
 	early, trial := b.pooled(0), b.pooled(1)
 	phase, wall := b.news.Phase, math.Log(2*max(early.picked+trial.picked, 1)*term(b, "agents", 1.0)/0.1)
@@ -669,8 +669,9 @@
 		return agent.NoVote
 	}
 	harmed, blamed := b.harmed()
-	const margin = 0.03
-	if blamed || trial.mean()+margin < early.mean() && statistic(early, trial, margin) > wall {
+	const margin, least, wait = 0.03, 10, 3 * time.Second
+	enough := b.arms[1].n >= least
+	if blamed || enough && trial.mean()+margin < early.mean() && statistic(early, trial, margin) > wall {
 		return agent.Back
 	}
 	if phase == agent.Released {
@@ -683,8 +684,7 @@
 		}
 		return agent.NoVote
 	}
-	const least, wait = 10, 3 * time.Second
-	if b.arms[1].n >= least && !harmed && (trial.mean() > early.mean() && statistic(early, trial, 0) > wall ||
+	if enough && !harmed && (trial.mean() > early.mean() && statistic(early, trial, 0) > wall ||
 		!behind && b.now > b.stageStart()+wait) {
 		return agent.On
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -81,6 +81,8 @@
 	b.arms = [2]arm{}
 	check("restarted, no counts", agent.NoVote)
 	b.peers[1] = [2]arm{{picked: 100, n: 100, sum: 96}, {picked: 100, n: 100, sum: 60}}
+	check("restarted, counts heard, nothing seen itself", agent.Hold)
+	b.arms[1] = arm{picked: 10, n: 10, sum: 9}
 	check("restarted, counts heard", agent.Back)
 }
 
