--- a/decide/decide.go
+++ b/decide/decide.go
@@ -543,9 +543,8 @@
 			b.fill.Add(b.now, fillHalf, full)
 		}
 	}
-	// Three sends in a row without an answer, or most of at least five recent ones failed.
-	if a.streak >= 3 || a.health == trying && a.streak > 0 ||
-		a.faults.Weight(b.now, 2*time.Second) > 5 && a.faults.Read(b.now, 2*time.Second, 0, 0) > 0.6 {
+	// Three sends in a row without an answer, or most answers faults.
+	if b.failing(a) || a.streak >= 3 || a.health == trying && a.streak > 0 {
 		run(b, healths, &a.health, sick, a)
 	}
 	b.weigh(t, s, e)
@@ -555,10 +554,19 @@
 	// Half a second at first, doubled up to four: short against any trouble, long against a send.
 	a.until = b.now + 500*time.Millisecond<<min(a.rests, 3)
 	a.rests, a.streak = a.rests+1, 0
-	// Its outcomes no longer count for its build: bad builds fail a third of everything or one workload, so
-	// a machine that fails most or goes silent is sick itself, which one or two trial machines may well be.
+}
+
+// failing tells whether most of at least five recent answers were faults. Its outcomes then do not count for
+// its build: bad builds fail a third of everything or one workload, so a machine that fails most is sick
+// itself, as one or two trial machines may well be.
+func (b *Balancer) failing(a *appliance) bool {
+	const half = 2 * time.Second
+	if a.faults.Weight(b.now, half) <= 5 || a.faults.Read(b.now, half, 0, 0) <= 0.6 {
+		return false
+	}
 	own := &b.arms[b.armOf(a)]
 	own.n, own.sum, a.given = own.n-a.given.n, own.sum-a.given.sum, arm{}
+	return true
 }
 
 func (b *Balancer) recover(a *appliance) { a.rests, a.faults = 0, gauge.Mean{} }
@@ -580,7 +588,7 @@
 	}
 	silent := e.Outcome == agent.TimedOut || e.Outcome == agent.Cut || e.Outcome == agent.CalledOff
 	switch {
-	case s.to.health != fit, s.cold, e.Outcome == agent.Rejected, e.Outcome == agent.Unreachable, e.Outcome == agent.NotSent:
+	case b.failing(s.to), s.cold, e.Outcome == agent.Rejected, e.Outcome == agent.Unreachable, e.Outcome == agent.NotSent:
 		return // sick and cold machines mislead; what never ran says nothing of a build
 	case e.Outcome == agent.CalledOff && !slow:
 		return
