--- a/decide/decide.go
+++ b/decide/decide.go
@@ -402,10 +402,10 @@
 		var sum, n float64
 		for _, o := range b.order {
 			if o.listed && o.health == fit && o.Build != b.subject {
-				sum, n = sum+float64(o.out), n+1
+				sum, n = sum+b.burden(o), n+1
 			}
 		}
-		return n == 0 || a.out == 0 || float64(a.out+1) <= 1.3*sum/n+0.5
+		return n == 0 || a.out == 0 || b.burden(a) <= 1.3*sum/n
 	}
 	return true
 }
