--- a/decide/decide.go
+++ b/decide/decide.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"sagelever/agent"
-	"sagelever/gauge"
 )
 
 var (
@@ -527,7 +526,7 @@
 	case agent.Satisfied:
 		b.fill.Add(b.now, fillHalf, full)
 		a.heard, a.streak = b.now, 0
-		a.faults.Add(b.now, 2*time.Second, 0)
+		a.faulty *= 0.8
 		a.slowness.Add(b.now, 3*time.Second, e.After.Seconds()/b.mean(w).Seconds())
 		w.all.Add(b.now, timesHalf, e.After.Seconds())
 		b.times.Add(b.now, timesHalf, e.After.Seconds())
@@ -537,7 +536,7 @@
 			b.fill.Add(b.now, fillHalf, 1)
 		}
 		a.heard, a.streak = b.now, 0
-		a.faults.Add(b.now, 2*time.Second, 1)
+		a.faulty = 0.8*a.faulty + 0.2
 	case agent.TimedOut, agent.Unreachable, agent.Cut:
 		if a.streak++; e.Outcome == agent.TimedOut && a.health == fit {
 			b.fill.Add(b.now, fillHalf, full)
@@ -556,12 +555,11 @@
 	a.rests, a.streak = a.rests+1, 0
 }
 
-// failing tells whether most of at least five recent answers were faults. Its outcomes then do not count for
-// its build: bad builds fail a third of everything or one workload, so a machine that fails most is sick
-// itself, as one or two trial machines may well be.
+// failing tells whether most of the last few answers were faults; five in a row will do. Its outcomes then
+// do not count for its build: bad builds fail a third of everything or one workload, so a machine that fails
+// most is sick itself, as one or two trial machines may well be.
 func (b *Balancer) failing(a *appliance) bool {
-	const half = 2 * time.Second
-	if a.faults.Weight(b.now, half) <= 5 || a.faults.Read(b.now, half, 0, 0) <= 0.6 {
+	if a.faulty < 0.6 {
 		return false
 	}
 	own := &b.arms[b.armOf(a)]
@@ -569,7 +567,7 @@
 	return true
 }
 
-func (b *Balancer) recover(a *appliance) { a.rests, a.faults = 0, gauge.Mean{} }
+func (b *Balancer) recover(a *appliance) { a.rests, a.faulty = 0, 0 }
 
 // weigh adds one outcome to its arm. Payoff is 1 for a send satisfied within four times what the earlier
 // build took, before the trial began, for the same workload on the same kind of machine (within the goal
--- a/decide/state.go
+++ b/decide/state.go
@@ -147,8 +147,8 @@
 	streak   int // sends in a row without any answer
 	heard    time.Duration
 	asked    time.Duration // since when it owes an answer
-	faults   gauge.Mean
-	slowness gauge.Mean // time of its answers by the workload's mean
+	faulty   float64       // share of faults in the last few answers
+	slowness gauge.Mean    // time of its answers by the workload's mean
 	backlog  float64
 	reported time.Duration
 	given    arm // its part of its arm's counts
