--- a/decide/decide.go
+++ b/decide/decide.go
@@ -680,18 +680,16 @@
 	if blamed || enough && trial.mean()+margin < early.mean() && statistic(early, trial, margin) > wall {
 		return agent.Back
 	}
-	if phase == agent.Released {
-		return agent.NoVote
-	}
 	behind := trial.mean() < early.mean() && statistic(early, trial, 0) > wall/2
-	if term(b, "trial.control", "") == "clocked" {
-		if behind {
-			return agent.Hold
-		}
+	clocked := term(b, "trial.control", "") == "clocked"
+	switch {
+	case phase == agent.Released, clocked && !behind:
 		return agent.NoVote
-	}
-	if enough && !harmed && (trial.mean() > early.mean() && statistic(early, trial, 0) > wall ||
-		!behind && b.now > b.stageStart()+wait) {
+	case clocked:
+		return agent.Hold
+	case !enough, harmed, behind:
+		return agent.NoVote
+	case trial.mean() > early.mean() && statistic(early, trial, 0) > wall, b.now > b.stageStart()+wait:
 		return agent.On
 	}
 	return agent.NoVote
