--- a/decide/decide.go
+++ b/decide/decide.go
@@ -617,8 +617,12 @@
 	}
 	arm := &b.arms[i]
 	arm.n, arm.fresh, s.to.given.n = arm.n+1, b.now, s.to.given.n+1
-	if e.Outcome == agent.Satisfied && !slow {
-		arm.sum, s.to.given.sum = arm.sum+1, s.to.given.sum+1
+	if e.Outcome == agent.Satisfied {
+		worth := 1.0
+		if slow { // half: load, cold machines and slower kinds make some answers slow, but none fail
+			worth = 0.5
+		}
+		arm.sum, s.to.given.sum = arm.sum+worth, s.to.given.sum+worth
 	}
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -332,12 +332,12 @@
 	return 0
 }
 
-// message holds the build judged and this agent's counts of both arms, four bytes a number.
+// message holds the build judged and this agent's counts of both arms, in halves, four bytes a number.
 func (b *Balancer) message() []byte {
 	var data []byte
 	x, y := b.arms[0], b.arms[1]
 	for _, x := range []float64{float64(b.subject), x.picked, x.n, x.sum, y.picked, y.n, y.sum} {
-		data = binary.BigEndian.AppendUint32(data, uint32(x))
+		data = binary.BigEndian.AppendUint32(data, uint32(2*x))
 	}
 	return data
 }
@@ -348,7 +348,7 @@
 		return
 	}
 	for i := range x {
-		x[i] = float64(binary.BigEndian.Uint32(e.Data[4*i:]))
+		x[i] = float64(binary.BigEndian.Uint32(e.Data[4*i:])) / 2
 	}
 	if agent.Build(x[0]) == b.subject && b.told {
 		b.peers[e.From] = [2]arm{{picked: x[1], n: x[2], sum: x[3]}, {picked: x[4], n: x[5], sum: x[6]}}
