--- a/decide/state.go
+++ b/decide/state.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"sort"
 	"time"
 
 	"sagelever/agent"
@@ -400,3 +401,25 @@
 	}
 	b.arms[i].n, b.arms[i].sum = 0, 0
 }
+
+// enlist brings the list up to date.
+func (b *Balancer) enlist(e agent.ListNews) {
+	if e.Kind != agent.Changes {
+		for _, a := range b.order {
+			a.listed = false
+		}
+	}
+	for _, n := range e.Entries {
+		a := b.fleet[n.ID]
+		if a == nil {
+			a = &appliance{}
+			b.fleet[n.ID] = a
+			b.order = append(b.order, a)
+		} else if a.Started != n.Started || a.Build != n.Build {
+			// It runs anew: what was known of its health is void, what it still owes is not.
+			*a = appliance{out: a.out, asked: b.now, heard: b.now, recent: a.recent}
+		}
+		a.Appliance, a.listed = n, n.Standing == agent.Up
+	}
+	sort.Slice(b.order, func(i, j int) bool { return b.order[i].ID < b.order[j].ID })
+}
