--- a/decide/decide.go
+++ b/decide/decide.go
@@ -667,8 +667,11 @@
 	if blamed || enough && trial.mean()+margin < early.mean() && statistic(early, trial, margin) > wall {
 		return agent.Back
 	}
-	behind := trial.mean() < early.mean() && statistic(early, trial, 0) > wall/2
-	clocked := term(b, "trial.control", "") == "clocked"
+	clocked, bar := term(b, "trial.control", "") == "clocked", wall/4
+	if clocked {
+		bar = wall / 2
+	}
+	behind := trial.mean() < early.mean() && statistic(early, trial, 0) > bar
 	switch {
 	case phase == agent.Released, clocked && !behind:
 		return agent.NoVote
