--- a/decide/decide.go
+++ b/decide/decide.go
@@ -74,6 +74,9 @@
 	// Time of answers against goals, held at 0.4: what is slower queues at the servers and is late for all,
 	// so fewer are let out at once; what is faster lets the bound grow, but not far past what is used. One
 	// send an appliance may always be out.
+	if b.bounds == 0 { // an agent that starts learns the bound from above
+		b.bounds = 4 * float64(len(b.order))
+	}
 	if b.fill.Read(b.now, fillHalf, 0, 1) > 0.4 {
 		b.bounds *= 0.97
 	} else {
@@ -319,7 +322,7 @@
 
 // place sends a held transaction, or keeps it while it could still be satisfied in time.
 func (b *Balancer) place(t *transaction) {
-	if float64(b.sending) < b.bounds {
+	if b.bounds == 0 || float64(b.sending) < b.bounds {
 		if a := b.choose(t); a != nil {
 			b.sendTo(t, a)
 			return
