--- a/decide/decide.go
+++ b/decide/decide.go
@@ -563,10 +563,16 @@
 func (b *Balancer) weigh(t *transaction, s *send, e agent.Ended) {
 	w, i := t.work, b.armOf(s.to)
 	par, ref := w.goal.Seconds(), w.timesOn(s.to.Kind)
+	took, times := e.After.Seconds(), 4.0
+	if told := e.Load["latency_ms"]; told > 0 && e.Outcome == agent.Satisfied {
+		// Where machines tell their recent service time without waiting, that is the better measure: a mean,
+		// so twice the usual is no chance, and a burst leaves it alone.
+		took, times = told/1000, 2
+	}
 	if ref.Weight(b.now, parHalf) > 0.1 {
-		par = 4 * ref.Read(b.now, parHalf, 0, 0)
+		par = times * ref.Read(b.now, parHalf, 0, 0)
 	}
-	slow := e.After.Seconds() > par
+	slow := took > par
 	if b.warmth(s.to) < 1 && e.Outcome == agent.Satisfied {
 		slow = false // not quite warm yet: only its failures count
 	}
@@ -581,7 +587,7 @@
 	}
 	if e.Outcome == agent.Satisfied {
 		if b.pace.Add(b.now, 2*time.Second, 1); i == 0 && b.arms[1].n == 0 {
-			ref.Add(b.now, parHalf, e.After.Seconds())
+			ref.Add(b.now, parHalf, took)
 		}
 	}
 	good := 0.0
