--- a/decide/decide.go
+++ b/decide/decide.go
@@ -563,11 +563,11 @@
 func (b *Balancer) weigh(t *transaction, s *send, e agent.Ended) {
 	w, i := t.work, b.armOf(s.to)
 	par, ref := w.goal.Seconds(), w.timesOn(s.to.Kind)
-	took, times := e.After.Seconds(), 4.0
+	took, times, doubt := e.After.Seconds(), 4.0, 0.5
 	if told := e.Load["latency_ms"]; told > 0 && e.Outcome == agent.Satisfied {
 		// Where machines tell their recent service time without waiting, that is the better measure: a mean,
 		// so twice the usual is no chance, and a burst leaves it alone.
-		took, times = told/1000, 2
+		took, times, doubt = told/1000, 2, 0
 	}
 	if ref.Weight(b.now, parHalf) > 0.1 {
 		par = times * ref.Read(b.now, parHalf, 0, 0)
@@ -612,7 +612,7 @@
 	if e.Outcome == agent.Satisfied {
 		worth := 1.0
 		if slow { // half: load, cold machines and slower kinds make some answers slow, but none fail
-			worth = 0.5
+			worth = doubt
 		}
 		arm.sum, s.to.given.sum = arm.sum+worth, s.to.given.sum+worth
 	}
