--- a/decide/decide.go
+++ b/decide/decide.go
@@ -9,7 +9,6 @@
 package decide
 
 import (
-	"fmt"
 	"math"
 	"sort"
 	"time"
@@ -267,6 +266,7 @@
 	b.takes.Add(b.now)
 	w.takes.Add(b.now)
 	b.demand.Add(b.now, demandHalf, 1)
+	b.boundIn.Add(b.now, demandHalf, float64(min(b.oneWay(e.Key), 1)))
 	b.further.earned.Add(b.now, furtherHalf, b.furtherShare())
 	// The answer timer runs out a tick before the client's time does, so that the answer is never late.
 	b.after(e.Left-term(b, "tick", beat), func() { run(b, courses, &t.course, lastCall, t) })
@@ -351,6 +351,12 @@
 		}
 	}
 	pick := b.track()
+	if trial, share := b.onTrial(b.subject); trial && pick == 1 && len(ready[0]) > 0 && t.Key != "" &&
+		term(b, "trial.oneway", false) && b.oneWay(t.Key) == 0 &&
+		b.boundIn.Read(b.now, demandHalf, 0, 0) > share/2 {
+		// A key that the trial answers is bound to it: half of the cap is kept for the bound ones.
+		pick = 0
+	}
 	if len(t.sends) > 0 && len(ready[0]) > 0 {
 		pick = 0 // a further send goes to the build that is known
 	}
@@ -556,11 +562,11 @@
 func (b *Balancer) weigh(t *transaction, s *send, e agent.Ended) {
 	w, i := t.work, b.armOf(s.to)
 	par, ref := w.goal.Seconds(), w.timesOn(s.to.Kind)
-	took, times := e.After.Seconds(), 4.0
+	took, times, doubt := e.After.Seconds(), 4.0, 0.5
 	if told := e.Load["latency_ms"]; told > 0 && e.Outcome == agent.Satisfied {
 		// Where machines tell their recent service time without waiting, that is the better measure: a mean,
 		// so twice the usual is no chance, and a burst leaves it alone.
-		took, times = told/1000, 2
+		took, times, doubt = told/1000, 2, 0
 	}
 	if ref.Weight(b.now, parHalf) > 0.1 {
 		par = times * ref.Read(b.now, parHalf, 0, 0)
@@ -605,7 +611,7 @@
 	if e.Outcome == agent.Satisfied {
 		worth := 1.0
 		if slow { // half: load, cold machines and slower kinds make some answers slow, but none fail
-			worth = 0.5
+			worth = doubt
 		}
 		arm.sum, s.to.given.sum = arm.sum+worth, s.to.given.sum+worth
 	}
@@ -713,13 +719,7 @@
 func (b *Balancer) cast(o *ballot) {
 	o.at = b.now
 	b.do(agent.Vote{Build: o.build, Stage: o.stage, Verdict: o.verdict})
-	early, trial := b.pooled(0), b.pooled(1)
-	word := []string{"no vote", "vote on", "vote hold", "vote back"}[o.verdict]
-	if _, blamed := b.harmed(); blamed {
-		word += ", all harmed,"
-	}
-	b.do(agent.Log{Text: fmt.Sprintf("%s: build %d stage %d: %.3f of %.0f, %.3f of %.0f, Z %.1f", word,
-		o.build, o.stage, early.mean(), early.n, trial.mean(), trial.n, statistic(early, trial, 0))})
+	b.note(o)
 }
 
 // pause spreads the next try, so that agents together stay within the calls that the platform takes.
--- a/decide/state.go
+++ b/decide/state.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"math"
 	"sort"
 	"time"
@@ -423,3 +424,14 @@
 	}
 	sort.Slice(b.order, func(i, j int) bool { return b.order[i].ID < b.order[j].ID })
 }
+
+// note leaves a line in the log on the vote just cast.
+func (b *Balancer) note(o *ballot) {
+	early, trial := b.pooled(0), b.pooled(1)
+	word := []string{"no vote", "vote on", "vote hold", "vote back"}[o.verdict]
+	if _, blamed := b.harmed(); blamed {
+		word += ", all harmed,"
+	}
+	b.do(agent.Log{Text: fmt.Sprintf("%s: build %d stage %d: %.3f of %.0f, %.3f of %.0f, Z %.1f", word,
+		o.build, o.stage, early.mean(), early.n, trial.mean(), trial.n, statistic(early, trial, 0))})
+}
