--- a/decide/decide.go
+++ b/decide/decide.go
@@ -562,11 +562,11 @@
 func (b *Balancer) weigh(t *transaction, s *send, e agent.Ended) {
 	w, i := t.work, b.armOf(s.to)
 	par, ref := w.goal.Seconds(), w.timesOn(s.to.Kind)
-	took, times, doubt := e.After.Seconds(), 4.0, 0.5
+	took, times := e.After.Seconds(), 4.0
 	if told := e.Load["latency_ms"]; told > 0 && e.Outcome == agent.Satisfied {
 		// Where machines tell their recent service time without waiting, that is the better measure: a mean,
 		// so twice the usual is no chance, and a burst leaves it alone.
-		took, times, doubt = told/1000, 2, 0
+		took, times = told/1000, 2
 	}
 	if ref.Weight(b.now, parHalf) > 0.1 {
 		par = times * ref.Read(b.now, parHalf, 0, 0)
@@ -577,8 +577,10 @@
 	}
 	silent := e.Outcome == agent.TimedOut || e.Outcome == agent.Cut || e.Outcome == agent.CalledOff
 	switch {
-	case b.failing(s.to), s.cold, e.Outcome == agent.Rejected, e.Outcome == agent.Unreachable, e.Outcome == agent.NotSent:
-		return // sick and cold machines mislead; what never ran says nothing of a build
+	case b.failing(s.to), s.cold:
+		return // sick and cold machines mislead
+	case e.Outcome == agent.Rejected, e.Outcome == agent.Unreachable, e.Outcome == agent.NotSent:
+		return // what never ran says nothing of a build
 	case e.Outcome == agent.CalledOff && !slow:
 		return
 	case silent && s.to.heard < s.at:
@@ -611,7 +613,7 @@
 	if e.Outcome == agent.Satisfied {
 		worth := 1.0
 		if slow { // half: load, cold machines and slower kinds make some answers slow, but none fail
-			worth = doubt
+			worth = 0.5
 		}
 		arm.sum, s.to.given.sum = arm.sum+worth, s.to.given.sum+worth
 	}
