--- a/decide/decide.go
+++ b/decide/decide.go
@@ -382,14 +382,14 @@
 	}
 	if arm == 1 {
 		// Few machines carry the trial at first: holding more than the others do, it would be slow from load
-		// alone and be judged for it. A third more, so that the cap is still used.
+		// alone and be judged for it. A seventh more, so that the cap is still used.
 		var sum, n float64
 		for _, o := range b.order {
 			if o.listed && o.health == fit && o.Build != b.subject {
 				sum, n = sum+b.burden(o), n+1
 			}
 		}
-		return n == 0 || a.out == 0 || b.burden(a) <= 1.3*sum/n
+		return n == 0 || a.out == 0 || b.burden(a) <= 1.15*sum/n
 	}
 	return true
 }
