--- a/decide/decide.go
+++ b/decide/decide.go
@@ -70,13 +70,13 @@
 			run(b, healths, &a.health, rested, a)
 		}
 	}
-	// Time of answers against goals, held at 0.4: what is slower queues at the servers and is late for all,
+	// Time of answers against goals, held at 0.33: what is slower queues at the servers and is late for all,
 	// so fewer are let out at once; what is faster lets the bound grow, but not far past what is used. One
 	// send an appliance may always be out.
 	if b.bounds == 0 { // an agent that starts learns the bound from above
 		b.bounds = 4 * float64(len(b.order))
 	}
-	if b.fill.Read(b.now, fillHalf, 0, 1) > 0.4 {
+	if b.fill.Read(b.now, fillHalf, 0, 1) > 0.33 {
 		b.bounds *= 0.97
 	} else {
 		b.bounds = min(b.bounds*1.03, 1.5*float64(b.sending)+2*float64(len(b.order)))
