--- a/decide/decide.go
+++ b/decide/decide.go
@@ -677,11 +677,12 @@
 	if blamed || enough && trial.mean()+margin < early.mean() && statistic(early, trial, margin) > wall {
 		return agent.Back
 	}
-	clocked, bar := term(b, "trial.control", "") == "clocked", wall/4
+	// Fallback votes stop at a smaller doubt, but not for a difference that would not matter.
+	clocked, bar, gap := term(b, "trial.control", "") == "clocked", wall/4, margin/2
 	if clocked {
-		bar = wall / 2
+		bar, gap = wall/2, 0
 	}
-	behind := trial.mean() < early.mean() && statistic(early, trial, 0) > bar
+	behind := trial.mean()+gap < early.mean() && statistic(early, trial, 0) > bar
 	switch {
 	case phase == agent.Released, clocked && !behind:
 		return agent.NoVote
