--- a/decide/decide.go
+++ b/decide/decide.go
@@ -167,14 +167,9 @@
 	if !trial {
 		return true
 	}
-	if share == 0 {
-		return false
-	}
-	stage := b.news.Stage
-	if a.Build > b.news.Build {
-		stage = 0
-	}
-	if float64(stage) < term(b, "trial.guarded", 0.0) && t.work.effect != "pure" {
+	guarded := term(b, "trial.guarded", 0.0)
+	early := guarded > 0 && (a.Build > b.news.Build || float64(b.news.Stage) < guarded)
+	if share == 0 || early && t.work.effect != "pure" {
 		return false
 	}
 	sends, takes := b.lane(a.Build, t.work)
@@ -357,7 +352,7 @@
 		// A key that the trial answers is bound to it: half of the cap is kept for the bound ones.
 		pick = 0
 	}
-	if len(t.sends) > 0 && len(ready[0]) > 0 {
+	if b.abstain || len(t.sends) > 0 && len(ready[0]) > 0 {
 		pick = 0 // a further send goes to the build that is known
 	}
 	for _, group := range [][]*appliance{ready[pick], ready[1-pick], spare[0], spare[1]} {
@@ -595,7 +590,7 @@
 	if e.Outcome == agent.Satisfied && !slow {
 		good = 1
 	}
-	if b.lately.Add(b.now, 2*time.Second, good); b.arms[1].n == 0 && i == 0 {
+	if b.lately.Add(b.now, time.Second, good); b.arms[1].n == 0 && i == 0 {
 		b.before.Add(b.now, parHalf, good)
 		b.paceWas.Add(b.now, parHalf, b.pace.Read(b.now, 2*time.Second))
 	}
@@ -646,19 +641,24 @@
 }
 
 // harmed is the exception for builds that slow all machines alike, which Z never blames: payoffs over both
-// arms have fallen well below what they were before the trial. While they have, the agent casts no 'on';
-// once they have for five seconds, it blames the build, unless more is satisfied a second than before: that
-// is a burst (what is taken tells less, as clients come again when they are deferred). 0.15 is far from
-// chance for the dozen outcomes asked for. A slowdown of the fleet from elsewhere that lasts longer is
-// blamed too.
+// arms have fallen 0.15 below what they were before the trial, with no more satisfied a second than then, as a
+// burst would have. While they have, the agent casts no 'on'. After two seconds it sends the trial nothing for
+// three: harm that goes away with the trial's traffic is the build's. Harm that stays is the fleet's own, unless
+// it outlasts ten seconds, longer than most such slowdowns.
 func (b *Balancer) harmed() (now, blamed bool) {
-	const half = 2 * time.Second
-	now = b.lately.Weight(b.now, half) > 12 && b.before.Weight(b.now, parHalf) > 1 &&
-		b.lately.Read(b.now, half, 0, 0) < b.before.Read(b.now, parHalf, 0, 0)-0.15
-	if !now || b.pace.Read(b.now, half) > 1.1*b.paceWas.Read(b.now, parHalf, 0, 0) {
+	const half = time.Second
+	gap := b.before.Read(b.now, parHalf, 0, 0) - b.lately.Read(b.now, half, 0, 0)
+	busier := b.pace.Read(b.now, 2*time.Second) > 1.1*b.paceWas.Read(b.now, parHalf, 0, 0)
+	now = gap > 0.15 && !busier && b.lately.Weight(b.now, half) > 6 && b.before.Weight(b.now, parHalf) > 1
+	if b.abstain && gap < 0.08 {
+		b.blamedTill = b.now + 5*time.Second
+	}
+	if !now {
 		b.harmSince = b.now
 	}
-	return now, b.now-b.harmSince > 5*time.Second
+	since := b.now - b.harmSince
+	b.abstain = since > 2*time.Second && since < 5*time.Second
+	return now, since > 10*time.Second || b.now < b.blamedTill
 }
 
 // verdict is what the counts say of the build on trial. The threshold is log(2t·n/δ), δ 0.1: a wrong vote
--- a/decide/state.go
+++ b/decide/state.go
@@ -115,6 +115,8 @@
 	toldAt         time.Duration
 	lately, before gauge.Mean // payoffs over both arms, and before the trial
 	harmSince      time.Duration
+	blamedTill     time.Duration
+	abstain        bool // the trial gets nothing, to see what harm goes away
 	pace           gauge.Decaying
 	paceWas        gauge.Mean
 	sending        int        // sends out
