--- a/decide/decide.go
+++ b/decide/decide.go
@@ -141,12 +141,11 @@
 	if e.ToVote {
 		run(b, votes, &b.ballot.state, map[bool]reply{true: counted, false: refused}[e.HasBody], &b.ballot)
 	}
-	if !e.HasBody {
-		return
+	if e.HasBody {
+		b.news, b.told = e, true
+		b.newSubject()
+		b.judge()
 	}
-	b.news, b.told = e, true
-	b.newSubject()
-	b.judge()
 }
 
 // onTrial tells whether the exposure rule holds for a build, and under which cap.
@@ -278,8 +277,8 @@
 }
 
 func (b *Balancer) mayFurther(t *transaction) bool {
-	return float64(len(t.sends)) < term(b, "sends.most", 1.0) &&
-		b.further.tried.Read(b.now, furtherHalf) < b.further.earned.Read(b.now, furtherHalf)+3
+	spare := b.further.earned.Read(b.now, furtherHalf) + 3 - b.further.tried.Read(b.now, furtherHalf)
+	return spare > 0 && float64(len(t.sends)) < term(b, "sends.most", 1.0)
 }
 
 // harmless tells whether the transaction may be sent again, or deferred.
@@ -641,10 +640,9 @@
 }
 
 // harmed is the exception for builds that slow all machines alike, which Z never blames: payoffs over both
-// arms have fallen 0.15 below what they were before the trial, with no more satisfied a second than then, as a
-// burst would have. While they have, the agent casts no 'on'. After two seconds it sends the trial nothing for
-// three: harm that goes away with the trial's traffic is the build's. Harm that stays is the fleet's own, unless
-// it outlasts ten seconds, longer than most such slowdowns.
+// arms 0.15 below those before the trial, with no more satisfied a second than then, as in a burst. While it
+// lasts the agent casts no 'on'. After two seconds it sends the trial nothing for three: harm that goes away
+// with the trial's traffic is the build's, what stays the fleet's own, unless it outlasts ten seconds.
 func (b *Balancer) harmed() (now, blamed bool) {
 	const half = time.Second
 	gap := b.before.Read(b.now, parHalf, 0, 0) - b.lately.Read(b.now, half, 0, 0)
@@ -661,6 +659,21 @@
 	return now, since > 10*time.Second || b.now < b.blamedTill
 }
 
+// sound gives this agent's counts of one arm without the machine that stands out below the rest, if there is
+// one: a sick machine differs from its like, a bad build's machines do not. Z of 3 between them is 1 in 80.
+func (b *Balancer) sound(i int) arm {
+	whole, worst := b.arms[i], arm{}
+	least := 3.0
+	for _, a := range b.order {
+		rest := arm{n: whole.n - a.given.n, sum: whole.sum - a.given.sum}
+		if b.armOf(a) == i && rest.n >= 5 && a.given.mean() < rest.mean() && statistic(rest, a.given, 0) > least {
+			worst, least = a.given, statistic(rest, a.given, 0)
+		}
+	}
+	whole.n, whole.sum = whole.n-worst.n, whole.sum-worst.sum
+	return whole
+}
+
 // verdict is what the counts say of the build on trial. The threshold is log(2t·n/δ), δ 0.1: a wrong vote
 // costs about as much as ten needless seconds of a trial. Counts that other agents tell are added to this
 // agent's own: it sees sooner what is bad, and has evidence again after a restart. Only one with enough
@@ -706,12 +719,9 @@
 		if b.now-o.at > wait+beat {
 			run(b, votes, &o.state, lapse, o)
 		}
-	case v != o.verdict || o.verdict != agent.NoVote && (o.build != b.subject || o.stage != b.news.Stage) ||
-		o.state == silent && v != agent.NoVote:
-		if v == agent.NoVote && o.state == silent || o.build != b.news.Build && v == agent.NoVote {
-			*o = ballot{}
-			return
-		}
+	case v == agent.NoVote && (o.state == silent || o.build != b.news.Build):
+		*o = ballot{}
+	case v != o.verdict || o.state == silent || v != agent.NoVote && (o.build != b.subject || o.stage != b.news.Stage):
 		o.verdict, o.build, o.stage = v, b.subject, b.news.Stage
 		run(b, votes, &o.state, wish, o)
 	case o.state == standing && v != agent.NoVote && b.now-o.at > life*6/10:
