--- a/decide/decide.go
+++ b/decide/decide.go
@@ -659,21 +659,6 @@
 	return now, since > 10*time.Second || b.now < b.blamedTill
 }
 
-// sound gives this agent's counts of one arm without the machine that stands out below the rest, if there is
-// one: a sick machine differs from its like, a bad build's machines do not. Z of 3 between them is 1 in 80.
-func (b *Balancer) sound(i int) arm {
-	whole, worst := b.arms[i], arm{}
-	least := 3.0
-	for _, a := range b.order {
-		rest := arm{n: whole.n - a.given.n, sum: whole.sum - a.given.sum}
-		if b.armOf(a) == i && rest.n >= 5 && a.given.mean() < rest.mean() && statistic(rest, a.given, 0) > least {
-			worst, least = a.given, statistic(rest, a.given, 0)
-		}
-	}
-	whole.n, whole.sum = whole.n-worst.n, whole.sum-worst.sum
-	return whole
-}
-
 // verdict is what the counts say of the build on trial. The threshold is log(2t·n/δ), δ 0.1: a wrong vote
 // costs about as much as ten needless seconds of a trial. Counts that other agents tell are added to this
 // agent's own: it sees sooner what is bad, and has evidence again after a restart. Only one with enough
@@ -701,7 +686,8 @@
 		return agent.NoVote
 	case clocked:
 		return agent.Hold
-	case !enough, harmed, behind:
+	case !enough, harmed, behind, trial.n < least*math.Pow(float64(b.news.Stage+1), 2):
+		// Each stage risks more, so an agent that has seen little of the trial by then leaves it to others.
 		return agent.NoVote
 	case trial.mean() > early.mean() && statistic(early, trial, 0) > wall, b.now > b.stageStart()+wait:
 		return agent.On
@@ -721,7 +707,7 @@
 		}
 	case v == agent.NoVote && (o.state == silent || o.build != b.news.Build):
 		*o = ballot{}
-	case v != o.verdict || o.state == silent || v != agent.NoVote && (o.build != b.subject || o.stage != b.news.Stage):
+	case v != o.verdict, o.state == silent, o.build != b.subject, o.stage != b.news.Stage:
 		o.verdict, o.build, o.stage = v, b.subject, b.news.Stage
 		run(b, votes, &o.state, wish, o)
 	case o.state == standing && v != agent.NoVote && b.now-o.at > life*6/10:
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -73,6 +73,11 @@
 	b.arms[1] = arm{picked: 9, n: 9, sum: 9}
 	b.now += 5 * time.Second
 	check("too few trial outcomes", agent.NoVote)
+	b.arms[1] = arm{picked: 39, n: 39, sum: 38}
+	check("enough for the first stage", agent.On)
+	b.news.Stage = 1
+	check("too few for the second stage", agent.NoVote)
+	b.news.Stage = 0
 	b.terms["trial.control"] = "clocked"
 	set(83, agent.OnTrial) // Z 9.3: above half the threshold, with the margin 6.0: below the whole
 	check("clock, behind", agent.Hold)
@@ -351,3 +356,19 @@
 		t.Errorf("answers at the goal time leave the bound at %v", b.bounds)
 	}
 }
+
+// One trial machine that fails everything is sick: its outcomes are taken out of its arm, and it rests.
+func TestFailingMachine(t *testing.T) {
+	b := bench(1, nil)
+	a := b.join(1, 2)
+	b.join(2, 1)
+	b.arms[1], a.given = arm{n: 30, sum: 25}, arm{n: 10, sum: 5}
+	for i := 0; i < 5; i++ {
+		x := b.hold("x", "effectful")
+		b.putOut(x, a)
+		b.ended(agent.Ended{ID: "x", Appliance: 1, Outcome: agent.Fault})
+	}
+	if b.arms[1].n != 20 || b.arms[1].sum != 20 || a.health != resting {
+		t.Errorf("counts %v, health %v; want 20 of 20 left and a rest", b.arms[1], a.health)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -339,7 +339,7 @@
 // message holds the build judged and this agent's counts of both arms, in halves, four bytes a number.
 func (b *Balancer) message() []byte {
 	var data []byte
-	x, y := b.sound(0), b.sound(1)
+	x, y := b.arms[0], b.arms[1]
 	for _, x := range []float64{float64(b.subject), x.picked, x.n, x.sum, y.picked, y.n, y.sum} {
 		data = binary.BigEndian.AppendUint32(data, uint32(2*x))
 	}
@@ -361,7 +361,7 @@
 
 // pooled adds up an arm over this agent and those heard; counts are whole numbers, so order does not matter.
 func (b *Balancer) pooled(i int) arm {
-	sum := b.sound(i)
+	sum := b.arms[i]
 	for _, p := range b.peers {
 		sum.picked, sum.n, sum.sum = sum.picked+p[i].picked, sum.n+p[i].n, sum.sum+p[i].sum
 	}
