--- a/decide/decide.go
+++ b/decide/decide.go
@@ -393,7 +393,7 @@
 	// A report's worth halves every half second: it is refreshed about as often.
 	stale := math.Exp2(-float64(b.now-a.reported) / float64(500*time.Millisecond))
 	slow := a.slowness.Read(b.now, 3*time.Second, 1, 1) / b.warmth(a)
-	return (1 + float64(a.out) + 0.5*a.backlog*stale) * slow
+	return (1 + float64(a.out) + 0.5*a.backlog*stale) * slow * math.Sqrt(slow)
 }
 
 func (b *Balancer) sendTo(t *transaction, a *appliance) {
