--- a/decide/decide.go
+++ b/decide/decide.go
@@ -4,8 +4,7 @@
 // (ids, events, actions) stands in package agent. Nothing here does input or output, reads a clock or shares
 // state.
 //
-// Three tables (state, input, next state, effect) stand first: the course of a transaction, the health of an
-// appliance, and the agent's vote. run reads them.
+// Three tables (state, input, next state, effect) stand first; run reads them.
 package decide
 
 import (
@@ -123,12 +122,7 @@
 
 // newSubject sees whether a later build than the one judged so far has come; both arms then start anew.
 func (b *Balancer) newSubject() {
-	newest := b.news.Build
-	for _, a := range b.order {
-		if a.listed {
-			newest = max(newest, a.Build)
-		}
-	}
+	newest := b.newest()
 	if newest != b.subject && b.told {
 		b.clear(0)
 		b.clear(1)
@@ -241,7 +235,7 @@
 	return used == 0 || float64(used+1) <= min(1.4, 0.7*term(b, "fall.multiple", 2.0))*warm*b.fair(window)
 }
 
-// usual is the mean time of recent answers over all workloads; a tenth of a second until there are some.
+// usual is the mean time of recent answers; a tenth of a second until there are some.
 func (b *Balancer) usual() time.Duration {
 	return time.Duration(b.times.Read(b.now, timesHalf, 0.1, 1) * float64(time.Second))
 }
@@ -613,6 +607,16 @@
 	}
 }
 
+// complain takes back the payoff of an answer that a client found wrong, and of those that went unreported.
+func (b *Balancer) complain(e agent.Complaint) {
+	a := b.fleet[e.Appliance]
+	if a == nil || b.now-e.Age < a.Started {
+		return
+	}
+	own, wrong := &b.arms[b.armOf(a)], min(1/term(b, "trial.complaints", 1.0), a.given.sum)
+	own.sum, a.given.sum = own.sum-wrong, a.given.sum-wrong
+}
+
 const parHalf = 20 * time.Second // much longer than any burst
 
 // track is D-Tracking: an arm counted below √t-1 is forced, else the one furthest behind t·w*.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -372,3 +372,16 @@
 		t.Errorf("counts %v, health %v; want 20 of 20 left and a rest", b.arms[1], a.health)
 	}
 }
+
+// A client's report stands for those that go unreported: one in four is, so four answers lose their payoff.
+func TestComplaint(t *testing.T) {
+	b := bench(1, map[string]any{"trial.complaints": 0.25})
+	a := b.join(1, 2)
+	b.arms[1], a.given = arm{n: 30, sum: 30}, arm{n: 10, sum: 10}
+	b.complain(agent.Complaint{Appliance: 1, Age: time.Second})
+	a.Started = b.now
+	b.complain(agent.Complaint{Appliance: 1, Age: time.Second}) // of a machine that had this id before
+	if b.arms[1].sum != 26 || a.given.sum != 6 {
+		t.Errorf("payoffs %v and %v, want 26 and 6", b.arms[1].sum, a.given.sum)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -256,6 +256,8 @@
 		}
 	case agent.TrialNews:
 		b.hearNews(e)
+	case agent.Complaint:
+		b.complain(e)
 	case agent.Heard:
 		b.hear(e)
 	}
@@ -424,6 +426,20 @@
 		}
 		a.Appliance, a.listed = n, n.Standing == agent.Up
 	}
+	kept := b.order[:0]
+	for _, a := range b.order {
+		if a.listed || a.out > 0 || a.Standing == agent.Draining {
+			kept = append(kept, a)
+		} else {
+			delete(b.fleet, a.ID)
+		}
+	}
+	b.order = kept
+	for k, build := range b.bound {
+		if build < b.news.Build {
+			delete(b.bound, k)
+		}
+	}
 	sort.Slice(b.order, func(i, j int) bool { return b.order[i].ID < b.order[j].ID })
 }
 
@@ -437,3 +453,14 @@
 	b.do(agent.Log{Text: fmt.Sprintf("%s: build %d stage %d: %.3f of %.0f, %.3f of %.0f, Z %.1f", word,
 		o.build, o.stage, early.mean(), early.n, trial.mean(), trial.n, statistic(early, trial, 0))})
 }
+
+// newest is the highest build that the news or the list names.
+func (b *Balancer) newest() agent.Build {
+	newest := b.news.Build
+	for _, a := range b.order {
+		if a.listed {
+			newest = max(newest, a.Build)
+		}
+	}
+	return newest
+}
