--- a/decide/decide.go
+++ b/decide/decide.go
@@ -18,7 +18,7 @@
 var (
 	courses []row[course, turn, *transaction]
 	healths []row[health, symptom, *appliance]
-	votes   []row[poll3, reply, *ballot]
+	votes   []row[casting, reply, *ballot]
 )
 
 func init() {
@@ -43,7 +43,7 @@
 		{trying, sick, resting, (*Balancer).rest},
 		{trying, well, fit, (*Balancer).recover},
 	}
-	votes = []row[poll3, reply, *ballot]{
+	votes = []row[casting, reply, *ballot]{
 		{silent, wish, asked, (*Balancer).cast},
 		{standing, wish, asked, (*Balancer).cast},
 		{asked, counted, standing, nil},
@@ -72,15 +72,15 @@
 	// Time of answers against goals, held at 0.33: what is slower queues at the servers and is late for all,
 	// so fewer are let out at once; what is faster lets the bound grow, but not far past what is used. One
 	// send an appliance may always be out.
-	if b.bounds == 0 { // an agent that starts learns the bound from above
-		b.bounds = 4 * float64(len(b.order))
+	if b.mostOut == 0 { // an agent that starts learns the bound from above
+		b.mostOut = 4 * float64(len(b.order))
 	}
 	if b.fill.Read(b.now, fillHalf, 0, 1) > 0.33 {
-		b.bounds *= 0.97
+		b.mostOut *= 0.97
 	} else {
-		b.bounds = min(b.bounds*1.03, 1.5*float64(b.sending)+2*float64(len(b.order)))
+		b.mostOut = min(b.mostOut*1.03, 1.5*float64(b.sending)+2*float64(len(b.order)))
 	}
-	b.bounds = max(b.bounds, 2*float64(len(b.order))/term(b, "agents", 1.0))
+	b.mostOut = max(b.mostOut, 2*float64(len(b.order))/term(b, "agents", 1.0))
 	b.pollHeld()
 	if term(b, "may.tell", false) && b.arms[1].n > 0 && b.now-b.toldAt > 500*time.Millisecond {
 		b.toldAt = b.now // often against a stage, seldom against its price
@@ -309,7 +309,7 @@
 
 // place sends a held transaction, or keeps it while it could still be satisfied in time.
 func (b *Balancer) place(t *transaction) {
-	if b.bounds == 0 || float64(b.sending) < b.bounds {
+	if b.mostOut == 0 || float64(b.sending) < b.mostOut {
 		if a := b.choose(t); a != nil {
 			b.sendTo(t, a)
 			return
--- a/decide/state.go
+++ b/decide/state.go
@@ -69,11 +69,11 @@
 	rested
 )
 
-type poll3 int // of the agent's vote
+type casting int // of the agent's vote
 
 const (
-	silent poll3 = iota
-	asked        // the platform has not answered yet
+	silent casting = iota
+	asked          // the platform has not answered yet
 	standing
 )
 
@@ -120,7 +120,7 @@
 	pace           gauge.Decaying
 	paceWas        gauge.Mean
 	sending        int        // sends out
-	bounds         float64    // most sends out at once
+	mostOut        float64    // most sends out at once
 	fill           gauge.Mean // time of answers by their goal
 	further        struct{ earned, tried, won gauge.Decaying }
 }
@@ -185,7 +185,7 @@
 }
 
 type ballot struct {
-	state   poll3
+	state   casting
 	verdict agent.Verdict
 	build   agent.Build
 	stage   agent.Stage
