--- a/agent/agent.go
+++ b/agent/agent.go
@@ -164,14 +164,13 @@
 
 // TrialNews tells where the newest build stands; the fields after Answer hold only if it is Counted.
 type TrialNews struct {
-	Answer  Answer
-	ToVote  bool
-	Stage   Stage
-	Build   Build
-	Age     time.Duration
-	Cap     float64
-	Phase   Phase
-	HasBody bool
+	Answer Answer
+	ToVote bool
+	Stage  Stage
+	Build  Build
+	Age    time.Duration
+	Cap    float64
+	Phase  Phase
 }
 
 // Tally is what the platform counted in a sample of all agents' sends.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -70,8 +70,8 @@
 		}
 	}
 	// Time of answers against goals, held at 0.33: what is slower queues at the servers and is late for all,
-	// so fewer are let out at once; what is faster lets the bound grow, but not far past what is used. One
-	// send an appliance may always be out.
+	// so fewer are let out at once; what is faster lets the bound grow, but not far past what is used. Two
+	// sends an appliance, over all agents, may always be out.
 	if b.mostOut == 0 { // an agent that starts learns the bound from above
 		b.mostOut = 4 * float64(len(b.order))
 	}
@@ -132,11 +132,16 @@
 }
 
 func (b *Balancer) hearNews(e agent.TrialNews) {
+	took := refused
+	if e.Answer == agent.Counted {
+		took = counted
+	}
 	if e.ToVote {
-		run(b, votes, &b.ballot.state, map[bool]reply{true: counted, false: refused}[e.HasBody], &b.ballot)
+		run(b, votes, &b.ballot.state, took, &b.ballot)
 	}
-	if e.HasBody {
+	if took == counted {
 		b.news, b.told = e, true
+		b.unbind()
 		b.newSubject()
 		b.judge()
 	}
@@ -153,6 +158,11 @@
 	return true, b.news.Cap
 }
 
+// window is that of the exposure rule, and the two ticks by which it is stretched and cut.
+func (b *Balancer) window() (whole, edge time.Duration) {
+	return term(b, "trial.window", time.Minute), 2 * term(b, "tick", beat)
+}
+
 // exposable is the exact check of the exposure rule for one more send. The window is stretched by two ticks
 // for sends and cut by two for what was taken, so that its ends never fall against us.
 func (b *Balancer) exposable(t *transaction, a *appliance) bool {
@@ -166,8 +176,8 @@
 		return false
 	}
 	sends, takes := b.lane(a.Build, t.work)
-	window, edge := term(b, "trial.window", time.Minute), 2*term(b, "tick", beat)
-	used, took := sends.Count(b.now, window+edge, window+edge), takes.Count(b.now, window-edge, window+edge)
+	window, edge := b.window()
+	used, took := sends.Count(b.now, window+edge), takes.Count(b.now, window-edge)
 	return float64(used+1) <= term(b, "trial.allowance", 0.0)+share*float64(took)
 }
 
@@ -231,7 +241,7 @@
 		return true
 	}
 	window := term(b, "fall.time", time.Second)
-	used := a.recent.Count(b.now, window, window)
+	used := a.recent.Count(b.now, window)
 	return used == 0 || float64(used+1) <= min(1.4, 0.7*term(b, "fall.multiple", 2.0))*warm*b.fair(window)
 }
 
@@ -249,10 +259,11 @@
 
 func (b *Balancer) take(e agent.Taken) {
 	w := b.workload(e.Workload)
-	t := &transaction{Taken: e, work: w, at: b.now, last: b.now + e.Left, ran: -1}
+	t := &transaction{Taken: e, work: w, at: b.now, ran: -1}
 	b.open[e.ID] = t
-	b.takes.Add(b.now)
-	w.takes.Add(b.now)
+	window, edge := b.window()
+	b.takes.Add(b.now, window+edge)
+	w.takes.Add(b.now, window+edge)
 	b.demand.Add(b.now, demandHalf, 1)
 	b.boundIn.Add(b.now, demandHalf, float64(min(b.oneWay(e.Key), 1)))
 	b.further.earned.Add(b.now, furtherHalf, b.furtherShare())
@@ -327,12 +338,18 @@
 // choose picks the arm by D-Tracking and the server by two random choices.
 func (b *Balancer) choose(t *transaction) *appliance {
 	var ready, spare [2][]*appliance
+	level := -1.0 // of the others, once it is asked for
 	for _, a := range b.order {
 		if t.uses(a) || !b.legal(t, a) {
 			continue
 		}
 		i := b.armOf(a)
-		if b.ready(a, i) {
+		if i == 1 && level < 0 {
+			level = b.level()
+		}
+		// Few machines carry the trial at first: holding more than the others do, one would be slow from
+		// load alone and be judged for it. A seventh more, so that the cap is still used.
+		if a.ready() && (i == 0 || level <= 0 || a.out == 0 || b.burden(a) <= 1.15*level) {
 			ready[i] = append(ready[i], a)
 		} else {
 			spare[i] = append(spare[i], a)
@@ -364,23 +381,7 @@
 }
 
 // ready tells whether an appliance should be used while others are there too.
-func (b *Balancer) ready(a *appliance, arm int) bool {
-	if a.health == resting || a.health == trying && a.out > 0 {
-		return false
-	}
-	if arm == 1 {
-		// Few machines carry the trial at first: holding more than the others do, it would be slow from load
-		// alone and be judged for it. A seventh more, so that the cap is still used.
-		var sum, n float64
-		for _, o := range b.order {
-			if o.listed && o.health == fit && o.Build != b.subject {
-				sum, n = sum+b.burden(o), n+1
-			}
-		}
-		return n == 0 || a.out == 0 || b.burden(a) <= 1.15*sum/n
-	}
-	return true
-}
+func (a *appliance) ready() bool { return a.health == fit || a.health == trying && a.out == 0 }
 
 // burden is about how long one more send would take there, in the workload's usual times.
 func (b *Balancer) burden(a *appliance) float64 {
@@ -393,7 +394,8 @@
 func (b *Balancer) sendTo(t *transaction, a *appliance) {
 	if trial, _ := b.onTrial(a.Build); trial {
 		sends, _ := b.lane(a.Build, t.work)
-		sends.Add(b.now)
+		window, edge := b.window()
+		sends.Add(b.now, window+edge)
 	}
 	if len(t.sends) == 0 {
 		b.arms[b.armOf(a)].picked++
@@ -405,7 +407,7 @@
 	}
 	a.out++
 	b.sending++
-	a.recent.Add(b.now)
+	a.recent.Add(b.now, term(b, "fall.time", time.Second))
 	s := &send{to: a, at: b.now, cold: b.now-a.Started < 3*time.Second}
 	t.sends, t.out = append(t.sends, s), t.out+1
 	b.do(agent.Send{ID: t.ID, Appliance: a.ID})
@@ -516,7 +518,10 @@
 		}
 	}
 	// Three sends in a row without an answer, or most answers faults.
-	if b.failing(a) || a.streak >= 3 || a.health == trying && a.streak > 0 {
+	if a.failing() {
+		b.disown(a)
+	}
+	if a.failing() || a.streak >= 3 || a.health == trying && a.streak > 0 {
 		run(b, healths, &a.health, sick, a)
 	}
 	b.weigh(t, s, e)
@@ -531,14 +536,7 @@
 // failing tells whether most of the last few answers were faults; five in a row will do. Its outcomes then
 // do not count for its build: bad builds fail a third of everything or one workload, so a machine that fails
 // most is sick itself, as one or two trial machines may well be.
-func (b *Balancer) failing(a *appliance) bool {
-	if a.faulty < 0.6 {
-		return false
-	}
-	own := &b.arms[b.armOf(a)]
-	own.n, own.sum, a.given = own.n-a.given.n, own.sum-a.given.sum, arm{}
-	return true
-}
+func (a *appliance) failing() bool { return a.faulty >= 0.6 }
 
 func (b *Balancer) recover(a *appliance) { a.rests, a.faulty = 0, 0 }
 
@@ -565,7 +563,7 @@
 	}
 	silent := e.Outcome == agent.TimedOut || e.Outcome == agent.Cut || e.Outcome == agent.CalledOff
 	switch {
-	case b.failing(s.to), s.cold:
+	case s.to.failing(), s.cold:
 		return // sick and cold machines mislead
 	case e.Outcome == agent.Rejected, e.Outcome == agent.Unreachable, e.Outcome == agent.NotSent:
 		return // what never ran says nothing of a build
@@ -660,7 +658,8 @@
 	}
 	since := b.now - b.harmSince
 	b.abstain = since > 2*time.Second && since < 5*time.Second
-	return now, since > 10*time.Second || b.now < b.blamedTill
+	b.blamed = since > 10*time.Second || b.now < b.blamedTill
+	return now, b.blamed
 }
 
 // verdict is what the counts say of the build on trial. The threshold is log(2t·n/δ), δ 0.1: a wrong vote
--- a/decide/state.go
+++ b/decide/state.go
@@ -116,6 +116,7 @@
 	lately, before gauge.Mean // payoffs over both arms, and before the trial
 	harmSince      time.Duration
 	blamedTill     time.Duration
+	blamed         bool // as last judged
 	abstain        bool // the trial gets nothing, to see what harm goes away
 	pace           gauge.Decaying
 	paceWas        gauge.Mean
@@ -133,7 +134,7 @@
 type workload struct {
 	name          agent.Workload
 	effect, group string
-	goal, abandon time.Duration
+	goal          time.Duration
 	memory        time.Duration
 	payoff        float64
 	takes         gauge.Sliding
@@ -168,14 +169,14 @@
 
 type transaction struct {
 	agent.Taken
-	work     *workload
-	at, last time.Duration
-	course   course
-	sends    []*send
-	out      int
-	ran      time.Duration // when the first send that may have run was sent, -1 if none
-	ranAt    *appliance
-	stream   agent.SendNo
+	work   *workload
+	at     time.Duration
+	course course
+	sends  []*send
+	out    int
+	ran    time.Duration // when the first send that may have run was sent, -1 if none
+	ranAt  *appliance
+	stream agent.SendNo
 }
 
 // arm counts decisions, outcomes and payoffs of one build, as the design has it.
@@ -269,7 +270,7 @@
 	if w == nil {
 		p := "workload." + string(name) + "."
 		w = &workload{name: name, effect: term(b, p+"effect", "effectful"), group: term(b, p+"group", ""),
-			goal: term(b, p+"goal", time.Second), abandon: term(b, p+"abandon", time.Second),
+			goal:   term(b, p+"goal", time.Second),
 			memory: term(b, p+"memory", time.Duration(0)), payoff: term(b, p+"payoff", 1.0),
 			times: map[agent.MachineKind]*gauge.Mean{}}
 		b.work[name] = w
@@ -341,8 +342,9 @@
 // message holds the build judged and this agent's counts of both arms, in halves, four bytes a number.
 func (b *Balancer) message() []byte {
 	var data []byte
-	x, y := b.arms[0], b.arms[1]
-	for _, x := range []float64{float64(b.subject), x.picked, x.n, x.sum, y.picked, y.n, y.sum} {
+	early, trial := b.arms[0], b.arms[1]
+	for _, x := range []float64{float64(b.subject), early.picked, early.n, early.sum,
+		trial.picked, trial.n, trial.sum} {
 		data = binary.BigEndian.AppendUint32(data, uint32(2*x))
 	}
 	return data
@@ -361,13 +363,15 @@
 	}
 }
 
-// pooled adds up an arm over this agent and those heard; counts are whole numbers, so order does not matter.
+// pooled adds up an arm over this agent and those heard. What is heard comes in halves, so that its order
+// does not matter; this agent's own sum need not, and goes last.
 func (b *Balancer) pooled(i int) arm {
-	sum := b.arms[i]
+	var sum arm
 	for _, p := range b.peers {
 		sum.picked, sum.n, sum.sum = sum.picked+p[i].picked, sum.n+p[i].n, sum.sum+p[i].sum
 	}
-	return sum
+	own := b.arms[i]
+	return arm{picked: sum.picked + own.picked, n: sum.n + own.n, sum: sum.sum + own.sum}
 }
 
 func (w *workload) timesOn(k agent.MachineKind) *gauge.Mean {
@@ -435,11 +439,6 @@
 		}
 	}
 	b.order = kept
-	for k, build := range b.bound {
-		if build < b.news.Build {
-			delete(b.bound, k)
-		}
-	}
 	sort.Slice(b.order, func(i, j int) bool { return b.order[i].ID < b.order[j].ID })
 }
 
@@ -447,7 +446,7 @@
 func (b *Balancer) note(o *ballot) {
 	early, trial := b.pooled(0), b.pooled(1)
 	word := []string{"no vote", "vote on", "vote hold", "vote back"}[o.verdict]
-	if _, blamed := b.harmed(); blamed {
+	if b.blamed {
 		word += ", all harmed,"
 	}
 	b.do(agent.Log{Text: fmt.Sprintf("%s: build %d stage %d: %.3f of %.0f, %.3f of %.0f, Z %.1f", word,
@@ -464,3 +463,29 @@
 	}
 	return newest
 }
+
+// disown takes what an appliance has given out of its arm.
+func (b *Balancer) disown(a *appliance) {
+	own := &b.arms[b.armOf(a)]
+	own.n, own.sum, a.given = own.n-a.given.n, own.sum-a.given.sum, arm{}
+}
+
+// unbind forgets keys bound to builds before the one in the news: oneWay passes them over.
+func (b *Balancer) unbind() {
+	for k, build := range b.bound {
+		if build < b.news.Build {
+			delete(b.bound, k)
+		}
+	}
+}
+
+// level is the mean burden of the machines that run earlier builds, 0 where there are none.
+func (b *Balancer) level() float64 {
+	var sum, n float64
+	for _, a := range b.order {
+		if a.listed && a.health == fit && b.armOf(a) == 0 {
+			sum, n = sum+b.burden(a), n+1
+		}
+	}
+	return sum / max(n, 1)
+}
--- a/gauge/gauge.go
+++ b/gauge/gauge.go
@@ -3,33 +3,27 @@
 
 import (
 	"math"
+	"sort"
 	"time"
 )
 
 // Sliding counts moments exactly over a trailing window.
 type Sliding struct{ at []time.Duration }
 
-// Add notes one moment; moments come in order.
-func (s *Sliding) Add(now time.Duration) { s.at = append(s.at, now) }
-
-// Count tells how many moments lie within the window that ends now; older ones than keep are dropped.
-func (s *Sliding) Count(now, window, keep time.Duration) int {
-	drop := 0
-	for drop < len(s.at) && s.at[drop] < now-keep {
-		drop++
-	}
-	if drop > 64 || drop == len(s.at) {
-		s.at = append(s.at[:0], s.at[drop:]...)
-	}
-	lo, hi := 0, len(s.at)
-	for lo < hi {
-		if mid := (lo + hi) / 2; s.at[mid] >= now-window {
-			hi = mid
-		} else {
-			lo = mid + 1
-		}
+// Add notes one moment and drops those older than keep; moments come in order.
+func (s *Sliding) Add(now, keep time.Duration) {
+	if old := s.before(now - keep); 2*old > len(s.at) { // half at a time, so that each is moved once at most
+		s.at = append(s.at[:0], s.at[old:]...)
 	}
-	return len(s.at) - lo
+	s.at = append(s.at, now)
+}
+
+// Count tells how many moments lie within the window that ends now, which is no longer than what is kept.
+func (s *Sliding) Count(now, window time.Duration) int { return len(s.at) - s.before(now-window) }
+
+// before tells how many moments lie before one.
+func (s *Sliding) before(moment time.Duration) int {
+	return sort.Search(len(s.at), func(i int) bool { return s.at[i] >= moment })
 }
 
 // Decaying is a sum whose past halves with every half-life; it is brought up to date when read.
