--- a/decide/decide.go
+++ b/decide/decide.go
@@ -218,17 +218,20 @@
 
 const demandHalf = 5 * time.Second // long enough that a burst does not pass for capacity
 
-// fair is this agent's even share, in sends a window, of what one appliance gets.
-func (b *Balancer) fair(window time.Duration) float64 {
-	up := 0
-	for _, a := range b.order {
-		if a.listed {
-			up++
-		}
-	}
+// rate is how many transactions a second this agent takes.
+func (b *Balancer) rate() float64 {
 	seen := float64(demandHalf) / math.Ln2 * (1 - math.Exp2(-float64(b.now)/float64(demandHalf)))
-	rate := b.demand.Read(b.now, demandHalf) / max(seen, float64(time.Second))
-	return rate * float64(window) / float64(max(up, 1))
+	return b.demand.Read(b.now, demandHalf) / max(seen, float64(time.Second)) * float64(time.Second)
+}
+
+// paced tells whether one more send keeps an appliance below times this agent's even share of what one
+// gets. It counts by credit, which starts anywhere below one send: shares far below one send a window still
+// add up, over hundreds of agents, to the whole and no more. A quarter of a second may be saved up.
+func (b *Balancer) paced(a *appliance, times float64) bool {
+	a.credit += times * b.rate() / float64(max(b.up, 1)) * (b.now - a.creditAt).Seconds()
+	a.credit = min(a.credit, max(1, times*b.rate()/float64(max(b.up, 1))/4))
+	a.creditAt = b.now
+	return a.credit >= 1
 }
 
 // warmEnough keeps a cold appliance from being pushed over by all agents together without their agreeing:
@@ -237,12 +240,7 @@
 // their capacity when they have any choice; never more than 0.7 of the multiple at which it falls.
 func (b *Balancer) warmEnough(a *appliance) bool {
 	warm := b.warmth(a)
-	if warm >= 1 {
-		return true
-	}
-	window := term(b, "fall.time", time.Second)
-	used := a.recent.Count(b.now, window)
-	return used == 0 || float64(used+1) <= min(1.4, 0.7*term(b, "fall.multiple", 2.0))*warm*b.fair(window)
+	return warm >= 1 || b.paced(a, min(1.4, 0.7*term(b, "fall.multiple", 2.0))*warm)
 }
 
 // usual is the mean time of recent answers; a tenth of a second until there are some.
@@ -407,7 +405,7 @@
 	}
 	a.out++
 	b.sending++
-	a.recent.Add(b.now, term(b, "fall.time", time.Second))
+	a.credit--
 	s := &send{to: a, at: b.now, cold: b.now-a.Started < 3*time.Second}
 	t.sends, t.out = append(t.sends, s), t.out+1
 	b.do(agent.Send{ID: t.ID, Appliance: a.ID})
--- a/decide/helpers_test.go
+++ b/decide/helpers_test.go
@@ -31,6 +31,7 @@
 	a := &appliance{Appliance: agent.Appliance{ID: id, Build: build, Started: agent.LongAgo}, listed: true}
 	b.fleet[id] = a
 	b.order = append(b.order, a)
+	b.up++
 	return a
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -94,6 +94,7 @@
 	dice           uint64
 	work           map[agent.Workload]*workload
 	fleet          map[agent.ApplianceID]*appliance
+	up             int          // appliances listed
 	order          []*appliance // by id, so that the same events lead to the same actions
 	open           map[agent.TransactionID]*transaction
 	late           map[agent.TransactionID]*transaction // over, with sends still out
@@ -156,8 +157,9 @@
 	slowness gauge.Mean    // time of its answers by the workload's mean
 	backlog  float64
 	reported time.Duration
-	given    arm // its part of its arm's counts
-	recent   gauge.Sliding
+	given    arm     // its part of its arm's counts
+	credit   float64 // sends that its pace allows
+	creditAt time.Duration
 }
 
 type send struct {
@@ -210,6 +212,9 @@
 	return int(uint64(x>>rot|x<<(-rot&31)) * uint64(n) >> 32)
 }
 
+// luck is drawn evenly between 0 and 1.
+func (b *Balancer) luck() float64 { return float64(b.roll(1<<20)) / (1 << 20) }
+
 func (b *Balancer) do(a agent.Action) { b.actions = append(b.actions, a) }
 
 func (b *Balancer) after(d time.Duration, f func()) {
@@ -421,17 +426,21 @@
 	for _, n := range e.Entries {
 		a := b.fleet[n.ID]
 		if a == nil {
-			a = &appliance{}
+			a = &appliance{credit: b.luck(), creditAt: b.now}
 			b.fleet[n.ID] = a
 			b.order = append(b.order, a)
 		} else if a.Started != n.Started || a.Build != n.Build {
 			// It runs anew: what was known of its health is void, what it still owes is not.
-			*a = appliance{out: a.out, asked: b.now, heard: b.now, recent: a.recent}
+			*a = appliance{out: a.out, asked: b.now, heard: b.now, credit: b.luck(), creditAt: b.now}
 		}
 		a.Appliance, a.listed = n, n.Standing == agent.Up
 	}
 	kept := b.order[:0]
+	b.up = 0
 	for _, a := range b.order {
+		if a.listed {
+			b.up++
+		}
 		if a.listed || a.out > 0 || a.Standing == agent.Draining {
 			kept = append(kept, a)
 		} else {
