--- a/decide/decide.go
+++ b/decide/decide.go
@@ -82,13 +82,34 @@
 	}
 	b.mostOut = max(b.mostOut, 2*float64(len(b.order))/term(b, "agents", 1.0))
 	b.pollHeld()
-	if term(b, "may.tell", false) && b.arms[1].n > 0 && b.now-b.toldAt > 500*time.Millisecond {
-		b.toldAt = b.now // often against a stage, seldom against its price
-		b.do(agent.Tell{All: true, Data: b.message()})
-	}
+	b.tell()
 	b.judge()
 }
 
+// tell sends this agent's counts to the agents that judge by them: to all where shares of all must stand for
+// a vote, else to six, of whom some live when half of all die. Twice a second is often against a stage;
+// agents with little traffic tell less often, so that all cost a quarter of a full message a transaction at
+// most, however many they are.
+func (b *Balancer) tell() {
+	all, number := int(term(b, "agents", 1.0)), int(term(b, "number", 0.0))
+	hearers := all
+	if term(b, "trial.control", "") == "single" {
+		hearers = min(all, 6)
+	}
+	data := b.message()
+	full := float64(hearers*len(data)) / 256
+	if !term(b, "may.tell", false) || b.arms[1].n == 0 ||
+		(b.now-b.toldAt).Seconds() < max(0.5, full/0.25/b.rate()) {
+		return
+	}
+	b.toldAt = b.now
+	for to := range hearers {
+		if to != number {
+			b.do(agent.Tell{To: agent.PeerNo(to), Data: data})
+		}
+	}
+}
+
 const fillHalf = 400 * time.Millisecond // a few answers long, yet shorter than a burst
 
 // pollHeld tries held transactions again, those with the most payoff for their work first.
@@ -127,7 +148,7 @@
 		b.clear(0)
 		b.clear(1)
 		b.subject, b.arms, b.harmSince = newest, [2]arm{}, b.now
-		b.peers = map[agent.PeerNo][2]arm{}
+		b.peers, b.heard = map[agent.PeerNo][2]arm{}, [2]arm{}
 	}
 }
 
@@ -663,7 +684,8 @@
 // verdict is what the counts say of the build on trial. The threshold is log(2t·n/δ), δ 0.1: a wrong vote
 // costs about as much as ten needless seconds of a trial. Counts that other agents tell are added to this
 // agent's own: it sees sooner what is bad, and has evidence again after a restart. Only one with enough
-// trial traffic of its own votes: ten outcomes, by which it also knows a sick machine from a build.
+// trial traffic of its own votes: ten outcomes, by which it also knows a sick machine from a build; or one
+// that has heard of ten times that, where agents are too many to get ten each.
 func (b *Balancer) verdict() agent.Verdict {
 	early, trial := b.pooled(0), b.pooled(1)
 	phase, wall := b.news.Phase, math.Log(2*max(early.picked+trial.picked, 1)*term(b, "agents", 1.0)/0.1)
@@ -672,7 +694,7 @@
 	}
 	harmed, blamed := b.harmed()
 	const margin, least, wait = 0.03, 10, 3 * time.Second
-	enough := b.arms[1].n >= least
+	enough := b.arms[1].n >= least || trial.n >= 10*least
 	if blamed || enough && trial.mean()+margin < early.mean() && statistic(early, trial, margin) > wall {
 		return agent.Back
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -113,6 +113,7 @@
 	ballot         ballot
 	times          gauge.Mean // of all answers
 	peers          map[agent.PeerNo][2]arm
+	heard          [2]arm // sum over peers
 	toldAt         time.Duration
 	lately, before gauge.Mean // payoffs over both arms, and before the trial
 	harmSince      time.Duration
@@ -364,19 +365,21 @@
 		x[i] = float64(binary.BigEndian.Uint32(e.Data[4*i:])) / 2
 	}
 	if agent.Build(x[0]) == b.subject && b.told {
-		b.peers[e.From] = [2]arm{{picked: x[1], n: x[2], sum: x[3]}, {picked: x[4], n: x[5], sum: x[6]}}
+		told, had := [2]arm{{picked: x[1], n: x[2], sum: x[3]}, {picked: x[4], n: x[5], sum: x[6]}}, b.peers[e.From]
+		for i := range told {
+			h := &b.heard[i]
+			h.picked, h.n = h.picked+told[i].picked-had[i].picked, h.n+told[i].n-had[i].n
+			h.sum += told[i].sum - had[i].sum
+		}
+		b.peers[e.From] = told
 	}
 }
 
-// pooled adds up an arm over this agent and those heard. What is heard comes in halves, so that its order
-// does not matter; this agent's own sum need not, and goes last.
+// pooled adds up an arm over this agent and those heard. What is heard comes in halves, whose sum is exact in
+// any order, and is kept summed up.
 func (b *Balancer) pooled(i int) arm {
-	var sum arm
-	for _, p := range b.peers {
-		sum.picked, sum.n, sum.sum = sum.picked+p[i].picked, sum.n+p[i].n, sum.sum+p[i].sum
-	}
-	own := b.arms[i]
-	return arm{picked: sum.picked + own.picked, n: sum.n + own.n, sum: sum.sum + own.sum}
+	own, h := b.arms[i], b.heard[i]
+	return arm{picked: h.picked + own.picked, n: h.n + own.n, sum: h.sum + own.sum}
 }
 
 func (w *workload) timesOn(k agent.MachineKind) *gauge.Mean {
