--- a/decide/decide.go
+++ b/decide/decide.go
@@ -147,7 +147,7 @@
 	if newest != b.subject && b.told {
 		b.clear(0)
 		b.clear(1)
-		b.subject, b.arms, b.harmSince = newest, [2]arm{}, b.now
+		b.subject, b.arms, b.harmSince, b.ration = newest, [2]arm{}, b.now, b.luck()
 		b.peers, b.heard = map[agent.PeerNo][2]arm{}, [2]arm{}
 	}
 }
@@ -284,6 +284,9 @@
 	b.takes.Add(b.now, window+edge)
 	w.takes.Add(b.now, window+edge)
 	b.demand.Add(b.now, demandHalf, 1)
+	// What the trial may get grows by its machines' share of all, and a seventh more so that the cap is used:
+	// over hundreds of agents the allowance alone would flood them.
+	b.ration = min(b.ration+1.15*b.trialPart(), 2)
 	b.boundIn.Add(b.now, demandHalf, float64(min(b.oneWay(e.Key), 1)))
 	b.further.earned.Add(b.now, furtherHalf, b.furtherShare())
 	// The answer timer runs out a tick before the client's time does, so that the answer is never late.
@@ -381,6 +384,9 @@
 		// A key that the trial answers is bound to it: half of the cap is kept for the bound ones.
 		pick = 0
 	}
+	if trial, _ := b.onTrial(b.subject); trial && b.ration < 1 {
+		pick = 0 // the trial has had its machines' share
+	}
 	if b.abstain || len(t.sends) > 0 && len(ready[0]) > 0 {
 		pick = 0 // a further send goes to the build that is known
 	}
@@ -417,7 +423,9 @@
 		sends.Add(b.now, window+edge)
 	}
 	if len(t.sends) == 0 {
-		b.arms[b.armOf(a)].picked++
+		i := b.armOf(a)
+		b.arms[i].picked++
+		b.ration -= float64(i)
 	} else {
 		b.further.tried.Add(b.now, furtherHalf, 1)
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -109,6 +109,7 @@
 	news           agent.TrialNews
 	told           bool
 	subject        agent.Build
+	ration         float64 // first sends that the trial may get
 	arms           [2]arm
 	ballot         ballot
 	times          gauge.Mean // of all answers
@@ -501,3 +502,14 @@
 	}
 	return sum / max(n, 1)
 }
+
+// trialPart is the share of the trial's machines in what all listed ones can do.
+func (b *Balancer) trialPart() float64 {
+	var part [2]float64
+	for _, a := range b.order {
+		if a.listed {
+			part[b.armOf(a)] += b.warmth(a)
+		}
+	}
+	return part[1] / max(part[0]+part[1], 1)
+}
