--- a/decide/decide.go
+++ b/decide/decide.go
@@ -86,25 +86,23 @@
 	b.judge()
 }
 
-// tell sends this agent's counts to the agents that judge by them: to all where shares of all must stand for
-// a vote, else to six, of whom some live when half of all die. Twice a second is often against a stage;
-// agents with little traffic tell less often, so that all cost a quarter of a full message a transaction at
-// most, however many they are.
+// tell sends what this agent has counted since it last told to the agents that judge by it: to all where
+// shares of all must stand for a vote, else to six, of whom some live when half of all die. Twice a second is
+// often against a stage; agents with little traffic tell less often, so that all cost a quarter of a full
+// message a transaction at most, however many they are. A lost message loses only evidence.
 func (b *Balancer) tell() {
-	all, number := int(term(b, "agents", 1.0)), int(term(b, "number", 0.0))
-	hearers := all
+	hearers := int(term(b, "agents", 1.0))
 	if term(b, "trial.control", "") == "single" {
-		hearers = min(all, 6)
+		hearers = min(hearers, 6)
 	}
-	data := b.message()
-	full := float64(hearers*len(data)) / 256
-	if !term(b, "may.tell", false) || b.arms[1].n == 0 ||
-		(b.now-b.toldAt).Seconds() < max(0.5, full/0.25/b.rate()) {
+	quarter := float64(hearers*b.untold()) / 256 / 0.25 / b.rate()
+	if !term(b, "may.tell", false) || b.untold() == 0 || (b.now-b.toldAt).Seconds() < max(0.5, quarter) {
 		return
 	}
+	data := b.message()
 	b.toldAt = b.now
 	for to := range hearers {
-		if to != number {
+		if to != int(term(b, "number", 0.0)) {
 			b.do(agent.Tell{To: agent.PeerNo(to), Data: data})
 		}
 	}
@@ -148,7 +146,6 @@
 		b.clear(0)
 		b.clear(1)
 		b.subject, b.arms, b.harmSince, b.ration = newest, [2]arm{}, b.now, b.luck()
-		b.peers, b.heard = map[agent.PeerNo][2]arm{}, [2]arm{}
 	}
 }
 
@@ -615,20 +612,18 @@
 	// The arms are compared over the same time only, else a burst or a slowdown of all would count against
 	// the build that had little traffic before: the earlier one is counted from the trial's first outcome
 	// on, and slowness counts only while the earlier one has answers too.
-	if i == 1 && b.arms[1].n == 0 {
-		b.clear(0)
-	}
 	if e.Outcome == agent.Satisfied && b.now-b.arms[1-i].fresh > 2*time.Second {
 		slow = false
 	}
+	worth := good
+	if e.Outcome == agent.Satisfied && slow { // half: load, cold machines and slower kinds slow some, but fail none
+		worth = 0.5
+	}
 	arm := &b.arms[i]
-	arm.n, arm.fresh, s.to.given.n = arm.n+1, b.now, s.to.given.n+1
-	if e.Outcome == agent.Satisfied {
-		worth := 1.0
-		if slow { // half: load, cold machines and slower kinds make some answers slow, but none fail
-			worth = 0.5
-		}
-		arm.sum, s.to.given.sum = arm.sum+worth, s.to.given.sum+worth
+	arm.fresh, arm.own = b.now, arm.own+1
+	b.credit(s.to, 1, worth)
+	if b.arms[1].own > 0 {
+		s.to.untold.n, s.to.untold.sum = s.to.untold.n+1, s.to.untold.sum+worth
 	}
 }
 
@@ -638,8 +633,7 @@
 	if a == nil || b.now-e.Age < a.Started {
 		return
 	}
-	own, wrong := &b.arms[b.armOf(a)], min(1/term(b, "trial.complaints", 1.0), a.given.sum)
-	own.sum, a.given.sum = own.sum-wrong, a.given.sum-wrong
+	b.credit(a, 0, -min(1/term(b, "trial.complaints", 1.0), a.given.sum))
 }
 
 const parHalf = 20 * time.Second // much longer than any burst
@@ -689,21 +683,41 @@
 	return now, b.blamed
 }
 
+// evidence is an arm's counts, less the more its machines differ: a bad build hurts all its machines, a sick
+// machine is one among them. Past what chance gives (chi-square by its degrees of freedom) the spread over
+// machines divides the counts. It could delay blame for a build that turns bad with its machines' age.
+func (b *Balancer) evidence(i int) arm {
+	e, m := b.arms[i], b.arms[i].mean()
+	spread, free := 0.0, -1.0
+	for _, a := range b.order {
+		if g := &a.given; g.n > 0 && b.armOf(a) == i {
+			spread, free = spread+g.n*(g.mean()-m)*(g.mean()-m), free+1
+		}
+	}
+	if free > 0 {
+		unlike := max(1, spread/free/max(m*(1-m), 0.01))
+		e.n, e.sum = e.n/unlike, e.sum/unlike
+	}
+	return e
+}
+
 // verdict is what the counts say of the build on trial. The threshold is log(2t·n/δ), δ 0.1: a wrong vote
-// costs about as much as ten needless seconds of a trial. Counts that other agents tell are added to this
-// agent's own: it sees sooner what is bad, and has evidence again after a restart. Only one with enough
-// trial traffic of its own votes: ten outcomes, by which it also knows a sick machine from a build; or one
-// that has heard of ten times that, where agents are too many to get ten each.
+// costs about as much as ten needless seconds of a trial. Counts that other agents tell are among this
+// agent's: it sees sooner what is bad, and has evidence again after a restart. Only one with enough trial
+// traffic of its own votes: ten outcomes, by which it also knows a sick machine from a build; or one that
+// has heard of ten times that, where agents are too many to get ten each.
 func (b *Balancer) verdict() agent.Verdict {
-	early, trial := b.pooled(0), b.pooled(1)
-	phase, wall := b.news.Phase, math.Log(2*max(early.picked+trial.picked, 1)*term(b, "agents", 1.0)/0.1)
+	early, trial := b.arms[0], b.arms[1]
+	t := max(early.picked+trial.picked, early.n+trial.n, 1)
+	phase, wall := b.news.Phase, math.Log(2*t*term(b, "agents", 1.0)/0.1)
 	if b.subject != b.news.Build || phase == agent.GoingBack || phase == agent.Withdrawn {
 		return agent.NoVote
 	}
 	harmed, blamed := b.harmed()
 	const margin, least, wait = 0.03, 10, 3 * time.Second
-	enough := b.arms[1].n >= least || trial.n >= 10*least
-	if blamed || enough && trial.mean()+margin < early.mean() && statistic(early, trial, margin) > wall {
+	enough := trial.own >= least || trial.n >= 10*least
+	if blamed || enough && trial.mean()+margin < early.mean() &&
+		statistic(b.evidence(0), b.evidence(1), margin) > wall {
 		return agent.Back
 	}
 	// Fallback votes stop at a smaller doubt, but not for a difference that would not matter.
--- a/decide/state.go
+++ b/decide/state.go
@@ -113,8 +113,6 @@
 	arms           [2]arm
 	ballot         ballot
 	times          gauge.Mean // of all answers
-	peers          map[agent.PeerNo][2]arm
-	heard          [2]arm // sum over peers
 	toldAt         time.Duration
 	lately, before gauge.Mean // payoffs over both arms, and before the trial
 	harmSince      time.Duration
@@ -160,6 +158,7 @@
 	backlog  float64
 	reported time.Duration
 	given    arm     // its part of its arm's counts
+	untold   arm     // what other agents have not been told of it
 	credit   float64 // sends that its pace allows
 	creditAt time.Duration
 }
@@ -183,10 +182,11 @@
 	stream agent.SendNo
 }
 
-// arm counts decisions, outcomes and payoffs of one build, as the design has it.
+// arm counts decisions, outcomes and payoffs of one build, as the design has it; own outcomes are those of this
+// agent, the others it has heard of.
 type arm struct {
-	picked, n, sum float64
-	fresh          time.Duration
+	picked, n, sum, own float64
+	fresh               time.Duration
 }
 
 type ballot struct {
@@ -346,43 +346,58 @@
 	return 0
 }
 
-// message holds the build judged and this agent's counts of both arms, in halves, four bytes a number.
+// credit puts outcomes and their payoffs on an appliance and its arm. Both arms start anew at the trial's first.
+func (b *Balancer) credit(a *appliance, n, sum float64) {
+	i := b.armOf(a)
+	if i == 1 && b.arms[1].n == 0 {
+		b.clear(0)
+	}
+	arm := &b.arms[i]
+	arm.n, arm.sum, a.given.n, a.given.sum = arm.n+n, arm.sum+sum, a.given.n+n, a.given.sum+sum
+}
+
+const line = 8 // bytes for one appliance in a message
+
+// untold is the size of the message that tells what has not been told, 0 if nothing.
+func (b *Balancer) untold() int {
+	size := 0
+	for _, a := range b.order {
+		if a.untold.n > 0 && size < 248 {
+			size += line
+		}
+	}
+	return size
+}
+
+// message holds the build judged, then for each appliance its id, its arm (top bit) and outcomes, and twice its
+// payoffs. What does not fit waits for the next.
 func (b *Balancer) message() []byte {
-	var data []byte
-	early, trial := b.arms[0], b.arms[1]
-	for _, x := range []float64{float64(b.subject), early.picked, early.n, early.sum,
-		trial.picked, trial.n, trial.sum} {
-		data = binary.BigEndian.AppendUint32(data, uint32(2*x))
+	data := binary.BigEndian.AppendUint16(nil, uint16(b.subject))
+	for _, a := range b.order {
+		u := &a.untold
+		if n := min(u.n, 1<<14); n > 0 && len(data) <= 248 {
+			data = binary.BigEndian.AppendUint32(data, uint32(a.ID))
+			data = binary.BigEndian.AppendUint16(data, uint16(n)|uint16(b.armOf(a))<<15)
+			data = binary.BigEndian.AppendUint16(data, uint16(2*min(u.sum, n)))
+			*u = arm{}
+		}
 	}
 	return data
 }
 
 func (b *Balancer) hear(e agent.Heard) {
-	var x [7]float64
-	if len(e.Data) < 4*len(x) {
+	if len(e.Data)%line != 2 || agent.Build(binary.BigEndian.Uint16(e.Data)) != b.subject || !b.told {
 		return
 	}
-	for i := range x {
-		x[i] = float64(binary.BigEndian.Uint32(e.Data[4*i:])) / 2
-	}
-	if agent.Build(x[0]) == b.subject && b.told {
-		told, had := [2]arm{{picked: x[1], n: x[2], sum: x[3]}, {picked: x[4], n: x[5], sum: x[6]}}, b.peers[e.From]
-		for i := range told {
-			h := &b.heard[i]
-			h.picked, h.n = h.picked+told[i].picked-had[i].picked, h.n+told[i].n-had[i].n
-			h.sum += told[i].sum - had[i].sum
+	for d := e.Data[2:]; len(d) > 0; d = d[line:] {
+		n, sum := binary.BigEndian.Uint16(d[4:]), float64(binary.BigEndian.Uint16(d[6:]))/2
+		a := b.fleet[agent.ApplianceID(binary.BigEndian.Uint32(d))]
+		if of := float64(n & (1<<15 - 1)); a != nil && b.armOf(a) == int(n>>15) && sum <= of {
+			b.credit(a, of, sum)
 		}
-		b.peers[e.From] = told
 	}
 }
 
-// pooled adds up an arm over this agent and those heard. What is heard comes in halves, whose sum is exact in
-// any order, and is kept summed up.
-func (b *Balancer) pooled(i int) arm {
-	own, h := b.arms[i], b.heard[i]
-	return arm{picked: h.picked + own.picked, n: h.n + own.n, sum: h.sum + own.sum}
-}
-
 func (w *workload) timesOn(k agent.MachineKind) *gauge.Mean {
 	if w.times[k] == nil {
 		w.times[k] = &gauge.Mean{}
@@ -414,10 +429,10 @@
 func (b *Balancer) clear(i int) {
 	for _, a := range b.order {
 		if b.armOf(a) == i {
-			a.given = arm{}
+			a.given, a.untold = arm{}, arm{}
 		}
 	}
-	b.arms[i].n, b.arms[i].sum = 0, 0
+	b.arms[i].n, b.arms[i].sum, b.arms[i].own = 0, 0, 0
 }
 
 // enlist brings the list up to date.
@@ -457,7 +472,7 @@
 
 // note leaves a line in the log on the vote just cast.
 func (b *Balancer) note(o *ballot) {
-	early, trial := b.pooled(0), b.pooled(1)
+	early, trial := b.arms[0], b.arms[1]
 	word := []string{"no vote", "vote on", "vote hold", "vote back"}[o.verdict]
 	if b.blamed {
 		word += ", all harmed,"
@@ -479,8 +494,8 @@
 
 // disown takes what an appliance has given out of its arm.
 func (b *Balancer) disown(a *appliance) {
-	own := &b.arms[b.armOf(a)]
-	own.n, own.sum, a.given = own.n-a.given.n, own.sum-a.given.sum, arm{}
+	b.credit(a, -a.given.n, -a.given.sum)
+	a.given, a.untold = arm{}, arm{}
 }
 
 // unbind forgets keys bound to builds before the one in the news: oneWay passes them over.
