--- a/decide/decide.go
+++ b/decide/decide.go
@@ -86,15 +86,21 @@
 	b.judge()
 }
 
-// tell sends what this agent has counted since it last told to the agents that judge by it: to all where
-// shares of all must stand for a vote, else to six, of whom some live when half of all die. Twice a second is
+// hearers is how many agents, from number 0, hear the counts of all and judge by them: every one where shares
+// of all must stand for a vote, else six, of whom some live when half of all die.
+func (b *Balancer) hearers() int {
+	all := int(term(b, "agents", 1.0))
+	if term(b, "trial.control", "") == "single" && term(b, "may.tell", false) {
+		return min(all, 6)
+	}
+	return all
+}
+
+// tell sends what this agent has counted since it last told to those that judge by it. Twice a second is
 // often against a stage; agents with little traffic tell less often, so that all cost a quarter of a full
 // message a transaction at most, however many they are. A lost message loses only evidence.
 func (b *Balancer) tell() {
-	hearers := int(term(b, "agents", 1.0))
-	if term(b, "trial.control", "") == "single" {
-		hearers = min(hearers, 6)
-	}
+	hearers := b.hearers()
 	quarter := float64(hearers*b.untold()) / 256 / 0.25 / b.rate()
 	if !term(b, "may.tell", false) || b.untold() == 0 || (b.now-b.toldAt).Seconds() < max(0.5, quarter) {
 		return
@@ -710,7 +716,8 @@
 	early, trial := b.arms[0], b.arms[1]
 	t := max(early.picked+trial.picked, early.n+trial.n, 1)
 	phase, wall := b.news.Phase, math.Log(2*t*term(b, "agents", 1.0)/0.1)
-	if b.subject != b.news.Build || phase == agent.GoingBack || phase == agent.Withdrawn {
+	if b.subject != b.news.Build || phase == agent.GoingBack || phase == agent.Withdrawn ||
+		int(term(b, "number", 0.0)) >= b.hearers() {
 		return agent.NoVote
 	}
 	harmed, blamed := b.harmed()
