--- a/decide/decide.go
+++ b/decide/decide.go
@@ -287,9 +287,10 @@
 	b.takes.Add(b.now, window+edge)
 	w.takes.Add(b.now, window+edge)
 	b.demand.Add(b.now, demandHalf, 1)
-	// What the trial may get grows by its machines' share of all, and a seventh more so that the cap is used:
-	// over hundreds of agents the allowance alone would flood them.
-	b.ration = min(b.ration+1.15*b.trialPart(), 2)
+	// What the trial may get grows by its machines' share of all, a little less so that it does not look slow
+	// from load, but fills two thirds of the cap: over hundreds of agents the allowance alone would flood them.
+	_, share := b.onTrial(b.subject)
+	b.ration = min(b.ration+max(0.9*b.trialPart(), 0.67*share), 2)
 	b.boundIn.Add(b.now, demandHalf, float64(min(b.oneWay(e.Key), 1)))
 	b.further.earned.Add(b.now, furtherHalf, b.furtherShare())
 	// The answer timer runs out a tick before the client's time does, so that the answer is never late.
@@ -387,8 +388,8 @@
 		// A key that the trial answers is bound to it: half of the cap is kept for the bound ones.
 		pick = 0
 	}
-	if trial, _ := b.onTrial(b.subject); trial && b.ration < 1 {
-		pick = 0 // the trial has had its machines' share
+	if trial, _ := b.onTrial(b.subject); trial && b.ration < 1 && b.rate() < float64(b.up) {
+		pick = 0 // one that sees each machine less than once a second cannot tell how laden it is
 	}
 	if b.abstain || len(t.sends) > 0 && len(ready[0]) > 0 {
 		pick = 0 // a further send goes to the build that is known
