--- a/decide/decide.go
+++ b/decide/decide.go
@@ -287,10 +287,10 @@
 	b.takes.Add(b.now, window+edge)
 	w.takes.Add(b.now, window+edge)
 	b.demand.Add(b.now, demandHalf, 1)
-	// What the trial may get grows by its machines' share of all, a little less so that it does not look slow
-	// from load, but fills two thirds of the cap: over hundreds of agents the allowance alone would flood them.
+	// The trial gets two thirds of its cap, so that slower kinds and empty caches do not make it look slow from
+	// load, but enough that the others bear a seventh more than their machines' share at most.
 	_, share := b.onTrial(b.subject)
-	b.ration = min(b.ration+max(0.9*b.trialPart(), 0.67*share), 2)
+	b.ration = min(b.ration+max(0.67*share, 1-1.15*(1-b.trialPart())), 2)
 	b.boundIn.Add(b.now, demandHalf, float64(min(b.oneWay(e.Key), 1)))
 	b.further.earned.Add(b.now, furtherHalf, b.furtherShare())
 	// The answer timer runs out a tick before the client's time does, so that the answer is never late.
