--- a/decide/decide.go
+++ b/decide/decide.go
@@ -287,10 +287,11 @@
 	b.takes.Add(b.now, window+edge)
 	w.takes.Add(b.now, window+edge)
 	b.demand.Add(b.now, demandHalf, 1)
-	// The trial gets two thirds of its cap, so that slower kinds and empty caches do not make it look slow from
-	// load, but enough that the others bear a seventh more than their machines' share at most.
+	// The trial gets its machines' share or two thirds of its cap, whichever is less, so that slower kinds and
+	// empty caches do not look like its slowness, but enough that the others bear a seventh more than theirs.
 	_, share := b.onTrial(b.subject)
-	b.ration = min(b.ration+max(0.67*share, 1-1.15*(1-b.trialPart())), 2)
+	part := b.trialPart()
+	b.ration = min(b.ration+max(min(0.67*share, part), 1-1.15*(1-part)), 1.5)
 	b.boundIn.Add(b.now, demandHalf, float64(min(b.oneWay(e.Key), 1)))
 	b.further.earned.Add(b.now, furtherHalf, b.furtherShare())
 	// The answer timer runs out a tick before the client's time does, so that the answer is never late.
