--- a/decide/decide.go
+++ b/decide/decide.go
@@ -421,6 +421,8 @@
 	return (1 + float64(a.out) + 0.5*a.backlog*stale) * slow
 }
 
+const coldFor = 3 * time.Second // the design's: what younger machines do is not counted
+
 func (b *Balancer) sendTo(t *transaction, a *appliance) {
 	if trial, _ := b.onTrial(a.Build); trial {
 		sends, _ := b.lane(a.Build, t.work)
@@ -440,7 +442,7 @@
 	a.out++
 	b.sending++
 	a.credit--
-	s := &send{to: a, at: b.now, cold: b.now-a.Started < 3*time.Second}
+	s := &send{to: a, at: b.now, cold: b.now-a.Started < coldFor}
 	t.sends, t.out = append(t.sends, s), t.out+1
 	b.do(agent.Send{ID: t.ID, Appliance: a.ID})
 	if t.work.effect != "effectful" && len(t.sends) == 1 {
@@ -619,16 +621,23 @@
 	}
 	// The arms are compared over the same time only, else a burst or a slowdown of all would count against
 	// the build that had little traffic before: the earlier one is counted from the trial's first outcome
-	// on, and slowness counts only while the earlier one has answers too.
-	if e.Outcome == agent.Satisfied && b.now-b.arms[1-i].fresh > 2*time.Second {
+	// on, and what was lost to time counts only while both have machines. The last stage in place leaves the
+	// trial all the load, on cold machines.
+	if (slow || silent) && !b.stands(1-i) {
+		if silent {
+			return
+		}
 		slow = false
 	}
-	worth := good
-	if e.Outcome == agent.Satisfied && slow { // half: load, cold machines and slower kinds slow some, but fail none
+	worth := 0.0
+	switch {
+	case e.Outcome == agent.Satisfied && slow: // half: load, cold machines and slower kinds slow some, but fail none
 		worth = 0.5
+	case e.Outcome == agent.Satisfied:
+		worth = 1
 	}
 	arm := &b.arms[i]
-	arm.fresh, arm.own = b.now, arm.own+1
+	arm.own++
 	b.credit(s.to, 1, worth)
 	if b.arms[1].own > 0 {
 		s.to.untold.n, s.to.untold.sum = s.to.untold.n+1, s.to.untold.sum+worth
--- a/decide/state.go
+++ b/decide/state.go
@@ -186,7 +186,6 @@
 // agent, the others it has heard of.
 type arm struct {
 	picked, n, sum, own float64
-	fresh               time.Duration
 }
 
 type ballot struct {
@@ -518,6 +517,16 @@
 	return sum / max(n, 1)
 }
 
+// stands tells whether an arm has a listed machine whose outcomes count.
+func (b *Balancer) stands(i int) bool {
+	for _, a := range b.order {
+		if a.listed && b.armOf(a) == i && b.now-a.Started > coldFor {
+			return true
+		}
+	}
+	return false
+}
+
 // trialPart is the share of the trial's machines in what all listed ones can do.
 func (b *Balancer) trialPart() float64 {
 	var part [2]float64
