--- a/decide/decide.go
+++ b/decide/decide.go
@@ -90,7 +90,8 @@
 // of all must stand for a vote, else six, of whom some live when half of all die.
 func (b *Balancer) hearers() int {
 	all := int(term(b, "agents", 1.0))
-	if term(b, "trial.control", "") == "single" && term(b, "may.tell", false) {
+	shared := term(b, "may.tell", false) || term(b, "tally.every", time.Duration(0)) > 0
+	if term(b, "trial.control", "") == "single" && shared {
 		return min(all, 6)
 	}
 	return all
@@ -151,6 +152,9 @@
 	if newest != b.subject && b.told {
 		b.clear(0)
 		b.clear(1)
+		for _, w := range b.work {
+			w.tally = [2]sums{}
+		}
 		b.subject, b.arms, b.harmSince, b.ration = newest, [2]arm{}, b.now, b.luck()
 	}
 }
@@ -644,6 +648,46 @@
 	}
 }
 
+// count takes what the platform counted of all agents' sends. While there is no trial it is what payoffs and
+// times were before; from then on it counts for the arms where both builds have machines past their cold
+// time, in the same periods for both. Slow is twice the earlier time, as for told service times.
+func (b *Balancer) count(e agent.Tally) {
+	w, i, ok := b.workload(e.Workload), 0, float64(e.Sends-e.Failed)
+	if e.Build == b.subject {
+		i = 1
+	}
+	if e.Sends <= 0 || ok < 0 {
+		return
+	}
+	good := ok / float64(e.Sends)
+	if ref := w.tallied.Read(b.now, parHalf, 0, 0); ref > 0 && e.Mean.Seconds() > 2*ref {
+		good /= 2
+	}
+	b.lately.Add(b.now, time.Second, good)
+	b.pace.Add(b.now, 2*time.Second, ok)
+	begin := b.now - e.Age - term(b, "tally.every", time.Duration(0))
+	switch x := &w.tally[i]; {
+	case !b.stands(1) && i == 0:
+		b.before.Add(b.now, parHalf, good)
+		b.paceWas.Add(b.now, parHalf, b.pace.Read(b.now, 2*time.Second))
+		w.tallied.Add(b.now, parHalf, e.Mean.Seconds())
+	case b.stands(0) && b.stands(1) && begin > b.stageStart()+coldFor:
+		x.n, x.sum, x.time = x.n+float64(e.Sends), x.sum+ok, x.time+ok*e.Mean.Seconds()
+	}
+}
+
+// tallied adds the platform's counts to an arm's: half a payoff where a workload takes twice the other's time.
+func (b *Balancer) tallied(i int, e arm) arm {
+	for _, w := range b.work {
+		x, y := w.tally[i], w.tally[1-i]
+		e.n, e.sum = e.n+x.n, e.sum+x.sum
+		if x.time*y.sum > 2*y.time*x.sum {
+			e.sum -= x.sum / 2
+		}
+	}
+	return e
+}
+
 // complain takes back the payoff of an answer that a client found wrong, and of those that went unreported.
 func (b *Balancer) complain(e agent.Complaint) {
 	a := b.fleet[e.Appliance]
@@ -715,25 +759,27 @@
 		unlike := max(1, spread/free/max(m*(1-m), 0.01))
 		e.n, e.sum = e.n/unlike, e.sum/unlike
 	}
-	return e
+	return b.tallied(i, e)
 }
 
 // verdict is what the counts say of the build on trial. The threshold is log(2t·n/δ), δ 0.1: a wrong vote
 // costs about as much as ten needless seconds of a trial. Counts that other agents tell are among this
 // agent's: it sees sooner what is bad, and has evidence again after a restart. Only one with enough trial
 // traffic of its own votes: ten outcomes, by which it also knows a sick machine from a build; or one that
-// has heard of ten times that, where agents are too many to get ten each.
+// has heard of four times that, where agents are too many to get ten each.
 func (b *Balancer) verdict() agent.Verdict {
-	early, trial := b.arms[0], b.arms[1]
+	early, trial := b.tallied(0, b.arms[0]), b.tallied(1, b.arms[1])
 	t := max(early.picked+trial.picked, early.n+trial.n, 1)
 	phase, wall := b.news.Phase, math.Log(2*t*term(b, "agents", 1.0)/0.1)
-	if b.subject != b.news.Build || phase == agent.GoingBack || phase == agent.Withdrawn ||
-		int(term(b, "number", 0.0)) >= b.hearers() {
+	if b.subject != b.news.Build || phase == agent.GoingBack || phase == agent.Withdrawn {
 		return agent.NoVote
 	}
 	harmed, blamed := b.harmed()
+	if int(term(b, "number", 0.0)) >= b.hearers() {
+		return agent.NoVote
+	}
 	const margin, least, wait = 0.03, 10, 3 * time.Second
-	enough := trial.own >= least || trial.n >= 10*least
+	enough := trial.own >= least || trial.n >= 4*least
 	if blamed || enough && trial.mean()+margin < early.mean() &&
 		statistic(b.evidence(0), b.evidence(1), margin) > wall {
 		return agent.Back
--- a/decide/state.go
+++ b/decide/state.go
@@ -141,8 +141,13 @@
 	takes         gauge.Sliding
 	times         map[agent.MachineKind]*gauge.Mean // of the earlier build
 	all           gauge.Mean
+	tallied       gauge.Mean // the platform's mean time before the trial
+	tally         [2]sums    // what the platform counted, by arm
 }
 
+// sums are the platform's counts of sends and satisfied ones, and these ones' time.
+type sums struct{ n, sum, time float64 }
+
 type appliance struct {
 	agent.Appliance
 	listed   bool
@@ -265,6 +270,8 @@
 		b.hearNews(e)
 	case agent.Complaint:
 		b.complain(e)
+	case agent.Tally:
+		b.count(e)
 	case agent.Heard:
 		b.hear(e)
 	}
@@ -471,7 +478,7 @@
 
 // note leaves a line in the log on the vote just cast.
 func (b *Balancer) note(o *ballot) {
-	early, trial := b.arms[0], b.arms[1]
+	early, trial := b.tallied(0, b.arms[0]), b.tallied(1, b.arms[1])
 	word := []string{"no vote", "vote on", "vote hold", "vote back"}[o.verdict]
 	if b.blamed {
 		word += ", all harmed,"
