--- a/decide/decide.go
+++ b/decide/decide.go
@@ -730,15 +730,12 @@
 func (b *Balancer) harmed() (now, blamed bool) {
 	const half = time.Second
 	gap := b.before.Read(b.now, parHalf, 0, 0) - b.lately.Read(b.now, half, 0, 0)
-	busier := b.pace.Read(b.now, 2*time.Second) > 1.2*b.paceWas.Read(b.now, parHalf, 0, 0)
+	busier := b.pace.Read(b.now, 2*time.Second) > 1.1*b.paceWas.Read(b.now, parHalf, 0, 0)
 	now = gap > 0.15 && !busier && b.lately.Weight(b.now, half) > 6 && b.before.Weight(b.now, parHalf) > 1
 	if b.abstain && gap < 0.08 {
 		b.blamedTill = b.now + 5*time.Second
 	}
-	if now {
-		b.harmSeen = b.now
-	}
-	if b.now-b.harmSeen > time.Second { // a moment's relief ends nothing
+	if !now {
 		b.harmSince = b.now
 	}
 	since := b.now - b.harmSince
--- a/decide/state.go
+++ b/decide/state.go
@@ -116,7 +116,6 @@
 	toldAt         time.Duration
 	lately, before gauge.Mean // payoffs over both arms, and before the trial
 	harmSince      time.Duration
-	harmSeen       time.Duration
 	blamedTill     time.Duration
 	blamed         bool // as last judged
 	abstain        bool // the trial gets nothing, to see what harm goes away
