--- a/decide/decide.go
+++ b/decide/decide.go
@@ -252,6 +252,10 @@
 	return b.demand.Read(b.now, demandHalf) / max(seen, float64(time.Second)) * float64(time.Second)
 }
 
+// sparse tells whether this agent sees each machine less than once a second: too little to tell by itself
+// how laden or how well one is.
+func (b *Balancer) sparse() bool { return b.rate() < float64(b.up) }
+
 // paced tells whether one more send keeps an appliance below times this agent's even share of what one
 // gets. It counts by credit, which starts anywhere below one send: shares far below one send a window still
 // add up, over hundreds of agents, to the whole and no more. A quarter of a second may be saved up.
@@ -393,8 +397,8 @@
 		// A key that the trial answers is bound to it: half of the cap is kept for the bound ones.
 		pick = 0
 	}
-	if trial, _ := b.onTrial(b.subject); trial && b.ration < 1 && b.rate() < float64(b.up) {
-		pick = 0 // one that sees each machine less than once a second cannot tell how laden it is
+	if trial, _ := b.onTrial(b.subject); trial && b.ration < 1 && b.sparse() {
+		pick = 0
 	}
 	if b.abstain || len(t.sends) > 0 && len(ready[0]) > 0 {
 		pick = 0 // a further send goes to the build that is known
@@ -656,8 +660,8 @@
 	if e.Build == b.subject {
 		i = 1
 	}
-	if e.Sends <= 0 || ok < 0 {
-		return
+	if e.Sends <= 0 || ok < 0 || !b.sparse() {
+		return // an agent's own outcomes tell more: which machine, how cold, why
 	}
 	good := ok / float64(e.Sends)
 	if ref := w.tallied.Read(b.now, parHalf, 0, 0); ref > 0 && e.Mean.Seconds() > 2*ref {
