--- a/decide/decide.go
+++ b/decide/decide.go
@@ -750,17 +750,25 @@
 
 // evidence is an arm's counts, less the more its machines differ: a bad build hurts all its machines, a sick
 // machine is one among them. Past what chance gives (chi-square by its degrees of freedom) the spread over
-// machines divides the counts. It could delay blame for a build that turns bad with its machines' age.
+// machines divides the counts. Machines of one stage are set against each other, as a build may turn bad with
+// their age. It could delay blame for a build that hurts one kind of machine.
 func (b *Balancer) evidence(i int) arm {
-	e, m := b.arms[i], b.arms[i].mean()
-	spread, free := 0.0, -1.0
+	e := b.arms[i]
+	var stages [8]struct{ n, sum, squares, machines float64 }
 	for _, a := range b.order {
-		if g := &a.given; g.n > 0 && b.armOf(a) == i {
-			spread, free = spread+g.n*(g.mean()-m)*(g.mean()-m), free+1
+		if g := a.given; g.n > 0 && b.armOf(a) == i {
+			s := &stages[min(a.stage, 7)]
+			s.n, s.sum, s.squares, s.machines = s.n+g.n, s.sum+g.sum, s.squares+g.sum*g.sum/g.n, s.machines+1
 		}
 	}
-	if free > 0 {
-		unlike := max(1, spread/free/max(m*(1-m), 0.01))
+	spread, free := 0.0, 0.0
+	for _, s := range stages {
+		if s.machines > 1 {
+			m := s.sum / s.n
+			spread, free = spread+(s.squares-m*s.sum)/max(m*(1-m), 0.01), free+s.machines-1
+		}
+	}
+	if unlike := spread / max(free, 1); unlike > 1 {
 		e.n, e.sum = e.n/unlike, e.sum/unlike
 	}
 	return b.tallied(i, e)
--- a/decide/state.go
+++ b/decide/state.go
@@ -151,6 +151,7 @@
 type appliance struct {
 	agent.Appliance
 	listed   bool
+	stage    agent.Stage // as told when it was first listed
 	health   health
 	until    time.Duration // end of its rest
 	rests    int
@@ -451,12 +452,12 @@
 	for _, n := range e.Entries {
 		a := b.fleet[n.ID]
 		if a == nil {
-			a = &appliance{credit: b.luck(), creditAt: b.now}
+			a = &appliance{credit: b.luck(), creditAt: b.now, stage: b.news.Stage}
 			b.fleet[n.ID] = a
 			b.order = append(b.order, a)
 		} else if a.Started != n.Started || a.Build != n.Build {
 			// It runs anew: what was known of its health is void, what it still owes is not.
-			*a = appliance{out: a.out, asked: b.now, heard: b.now, credit: b.luck(), creditAt: b.now}
+			*a = appliance{out: a.out, asked: b.now, heard: b.now, credit: b.luck(), creditAt: b.now, stage: b.news.Stage}
 		}
 		a.Appliance, a.listed = n, n.Standing == agent.Up
 	}
