--- a/decide/decide.go
+++ b/decide/decide.go
@@ -748,30 +748,45 @@
 	return now, b.blamed
 }
 
-// evidence is an arm's counts, less the more its machines differ: a bad build hurts all its machines, a sick
-// machine is one among them. Past what chance gives (chi-square by its degrees of freedom) the spread over
-// machines divides the counts. Machines of one stage are set against each other, as a build may turn bad with
-// their age. It could delay blame for a build that hurts one kind of machine.
-func (b *Balancer) evidence(i int) arm {
-	e := b.arms[i]
-	var stages [8]struct{ n, sum, squares, machines float64 }
+// evidence is an arm's counts and those of its machines that came with each stage, less the more machines that
+// came together differ: a bad build hurts all of them, a sick machine is one among them. Past what chance
+// gives (chi-square by its degrees of freedom) the spread over machines divides the counts. It could delay
+// blame for a build that hurts one kind of machine.
+func (b *Balancer) evidence(i int) (all arm, stages [8]arm) {
+	var squares, machines [8]float64
 	for _, a := range b.order {
 		if g := a.given; g.n > 0 && b.armOf(a) == i {
-			s := &stages[min(a.stage, 7)]
-			s.n, s.sum, s.squares, s.machines = s.n+g.n, s.sum+g.sum, s.squares+g.sum*g.sum/g.n, s.machines+1
+			s := min(a.stage, 7)
+			stages[s].n, stages[s].sum = stages[s].n+g.n, stages[s].sum+g.sum
+			squares[s], machines[s] = squares[s]+g.sum*g.sum/g.n, machines[s]+1
 		}
 	}
 	spread, free := 0.0, 0.0
-	for _, s := range stages {
-		if s.machines > 1 {
-			m := s.sum / s.n
-			spread, free = spread+(s.squares-m*s.sum)/max(m*(1-m), 0.01), free+s.machines-1
+	for i := range stages {
+		if s := &stages[i]; machines[i] > 1 {
+			m := s.mean()
+			x, f := (squares[i]-m*s.sum)/max(m*(1-m), 0.01), machines[i]-1
+			s.n, s.sum = s.n/max(x/f, 1), s.sum/max(x/f, 1)
+			spread, free = spread+x, free+f
 		}
 	}
-	if unlike := spread / max(free, 1); unlike > 1 {
-		e.n, e.sum = e.n/unlike, e.sum/unlike
+	all = b.arms[i]
+	unlike := max(spread/max(free, 1), 1)
+	all.n, all.sum = all.n/unlike, all.sum/unlike
+	return b.tallied(i, all), stages
+}
+
+// worse tells whether the trial is behind by more than the margin, and Z past the wall: as a whole, or in the
+// machines of one stage, since a build may turn bad with its machines' age and younger ones hide it.
+func (b *Balancer) worse(margin, wall float64) bool {
+	early, _ := b.evidence(0)
+	trial, stages := b.evidence(1)
+	for _, x := range append(stages[:], trial) {
+		if x.mean()+margin < early.mean() && statistic(early, x, margin) > wall {
+			return true
+		}
 	}
-	return b.tallied(i, e)
+	return false
 }
 
 // verdict is what the counts say of the build on trial. The threshold is log(2t·n/δ), δ 0.1: a wrong vote
@@ -792,8 +807,7 @@
 	}
 	const margin, least, wait = 0.03, 10, 3 * time.Second
 	enough := trial.own >= least || trial.n >= 4*least
-	if blamed || enough && trial.mean()+margin < early.mean() &&
-		statistic(b.evidence(0), b.evidence(1), margin) > wall {
+	if blamed || enough && b.worse(margin, wall) {
 		return agent.Back
 	}
 	// Fallback votes stop at a smaller doubt, but not for a difference that would not matter.
