--- a/decide/decide.go
+++ b/decide/decide.go
@@ -793,7 +793,7 @@
 // costs about as much as ten needless seconds of a trial. Counts that other agents tell are among this
 // agent's: it sees sooner what is bad, and has evidence again after a restart. Only one with enough trial
 // traffic of its own votes: ten outcomes, by which it also knows a sick machine from a build; or one that
-// has heard of four times that, where agents are too many to get ten each.
+// has heard of ten times that, where agents are too many to get ten each.
 func (b *Balancer) verdict() agent.Verdict {
 	early, trial := b.tallied(0, b.arms[0]), b.tallied(1, b.arms[1])
 	t := max(early.picked+trial.picked, early.n+trial.n, 1)
@@ -806,7 +806,7 @@
 		return agent.NoVote
 	}
 	const margin, least, wait = 0.03, 10, 3 * time.Second
-	enough := trial.own >= least || trial.n >= 4*least
+	enough := trial.own >= least || trial.n >= 10*least
 	if blamed || enough && b.worse(margin, wall) {
 		return agent.Back
 	}
