--- a/decide/decide.go
+++ b/decide/decide.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"sagelever/agent"
+	"sagelever/gauge"
 )
 
 var (
@@ -69,18 +70,9 @@
 			run(b, healths, &a.health, rested, a)
 		}
 	}
-	// Time of answers against goals, held at 0.33: what is slower queues at the servers and is late for all,
-	// so fewer are let out at once; what is faster lets the bound grow, but not far past what is used. Two
-	// sends an appliance, over all agents, may always be out.
-	if b.mostOut == 0 { // an agent that starts learns the bound from above
-		b.mostOut = 4 * float64(len(b.order))
+	for _, f := range b.flows {
+		b.bound(f)
 	}
-	if b.fill.Read(b.now, fillHalf, 0, 1) > 0.33 {
-		b.mostOut *= 0.97
-	} else {
-		b.mostOut = min(b.mostOut*1.03, 1.5*float64(b.sending)+2*float64(len(b.order)))
-	}
-	b.mostOut = max(b.mostOut, 2*float64(len(b.order))/term(b, "agents", 1.0))
 	b.pollHeld()
 	b.tell()
 	b.judge()
@@ -102,7 +94,7 @@
 // message a transaction at most, however many they are. A lost message loses only evidence.
 func (b *Balancer) tell() {
 	hearers := b.hearers()
-	quarter := float64(hearers*b.untold()) / 256 / 0.25 / b.rate()
+	quarter := float64(hearers*b.untold()) / 256 / 0.25 / b.rate(&b.demand)
 	if !term(b, "may.tell", false) || b.untold() == 0 || (b.now-b.toldAt).Seconds() < max(0.5, quarter) {
 		return
 	}
@@ -115,6 +107,19 @@
 	}
 }
 
+// bound adapts how many sends of one flow (a workload of one customer) may be out. Time of answers against
+// goals is held at 0.33: what is slower queues at the servers and is late for all, so fewer are let out; what
+// is faster lets the bound grow, but not far past what is used. What waits everywhere but alone, one workload
+// or customer, so chokes only itself. As many may always be out as answers at a quarter of the goal take.
+func (b *Balancer) bound(f *flow) {
+	if f.fill.Read(b.now, fillHalf, 0, 1) > 0.33 {
+		f.most *= 0.97
+	} else {
+		f.most = min(f.most*1.03, 1.5*float64(f.out)+2*float64(len(b.order)))
+	}
+	f.most = max(f.most, b.rate(&f.demand)*f.work.goal.Seconds()/4)
+}
+
 const fillHalf = 400 * time.Millisecond // a few answers long, yet shorter than a burst
 
 // pollHeld tries held transactions again, those with the most payoff for their work first.
@@ -211,7 +216,7 @@
 
 // oneWay tells the lowest build that a key may go to.
 func (b *Balancer) oneWay(k agent.Key) agent.Build {
-	build, ok := b.bound[k]
+	build, ok := b.keys[k]
 	if !ok || build < b.news.Build || build == b.news.Build &&
 		(b.news.Phase == agent.GoingBack || b.news.Phase == agent.Withdrawn) {
 		return 0
@@ -246,22 +251,22 @@
 
 const demandHalf = 5 * time.Second // long enough that a burst does not pass for capacity
 
-// rate is how many transactions a second this agent takes.
-func (b *Balancer) rate() float64 {
+// rate is how many transactions a second make up a demand.
+func (b *Balancer) rate(d *gauge.Decaying) float64 {
 	seen := float64(demandHalf) / math.Ln2 * (1 - math.Exp2(-float64(b.now)/float64(demandHalf)))
-	return b.demand.Read(b.now, demandHalf) / max(seen, float64(time.Second)) * float64(time.Second)
+	return d.Read(b.now, demandHalf) / max(seen, float64(time.Second)) * float64(time.Second)
 }
 
 // sparse tells whether this agent sees each machine less than once a second: too little to tell by itself
 // how laden or how well one is.
-func (b *Balancer) sparse() bool { return b.rate() < float64(b.up) }
+func (b *Balancer) sparse() bool { return b.rate(&b.demand) < float64(b.up) }
 
 // paced tells whether one more send keeps an appliance below times this agent's even share of what one
 // gets. It counts by credit, which starts anywhere below one send: shares far below one send a window still
 // add up, over hundreds of agents, to the whole and no more. A quarter of a second may be saved up.
 func (b *Balancer) paced(a *appliance, times float64) bool {
-	a.credit += times * b.rate() / float64(max(b.up, 1)) * (b.now - a.creditAt).Seconds()
-	a.credit = min(a.credit, max(1, times*b.rate()/float64(max(b.up, 1))/4))
+	a.credit += times * b.rate(&b.demand) / float64(max(b.up, 1)) * (b.now - a.creditAt).Seconds()
+	a.credit = min(a.credit, max(1, times*b.rate(&b.demand)/float64(max(b.up, 1))/4))
 	a.creditAt = b.now
 	return a.credit >= 1
 }
@@ -289,7 +294,8 @@
 
 func (b *Balancer) take(e agent.Taken) {
 	w := b.workload(e.Workload)
-	t := &transaction{Taken: e, work: w, at: b.now, ran: -1}
+	t := &transaction{Taken: e, work: w, flow: b.flow(w, e.Customer), at: b.now, ran: -1}
+	t.flow.demand.Add(b.now, demandHalf, 1)
 	b.open[e.ID] = t
 	window, edge := b.window()
 	b.takes.Add(b.now, window+edge)
@@ -355,7 +361,7 @@
 
 // place sends a held transaction, or keeps it while it could still be satisfied in time.
 func (b *Balancer) place(t *transaction) {
-	if b.mostOut == 0 || float64(b.sending) < b.mostOut {
+	if float64(t.flow.out) < t.flow.most {
 		if a := b.choose(t); a != nil {
 			b.sendTo(t, a)
 			return
@@ -448,7 +454,7 @@
 		a.asked = b.now
 	}
 	a.out++
-	b.sending++
+	t.flow.out++
 	a.credit--
 	s := &send{to: a, at: b.now, cold: b.now-a.Started < coldFor}
 	t.sends, t.out = append(t.sends, s), t.out+1
@@ -506,7 +512,7 @@
 	s.over = true
 	t.out--
 	s.to.out--
-	b.sending--
+	t.flow.out--
 	b.observe(t, s, e)
 	ran := e.Outcome != agent.Rejected && e.Outcome != agent.Unreachable && e.Outcome != agent.NotSent
 	if ran && (t.ran < 0 || s.at < t.ran) {
@@ -514,7 +520,7 @@
 	}
 	oneWay := t.Key != "" && term(b, "trial.oneway", false)
 	if e.Outcome == agent.Satisfied && oneWay && s.to.Build >= b.news.Build {
-		b.bound[t.Key] = max(b.bound[t.Key], s.to.Build)
+		b.keys[t.Key] = max(b.keys[t.Key], s.to.Build)
 	}
 	if e.Closed || e.Outcome == agent.Satisfied {
 		if e.Outcome == agent.Satisfied && e.Send > 0 && t.course != over {
@@ -541,7 +547,7 @@
 	full := min(e.After.Seconds()/w.goal.Seconds(), 2)
 	switch e.Outcome {
 	case agent.Satisfied:
-		b.fill.Add(b.now, fillHalf, full)
+		t.flow.fill.Add(b.now, fillHalf, full)
 		a.heard, a.streak = b.now, 0
 		a.faulty *= 0.8
 		a.slowness.Add(b.now, 3*time.Second, e.After.Seconds()/b.mean(w).Seconds())
@@ -550,13 +556,13 @@
 		run(b, healths, &a.health, well, a)
 	case agent.Fault, agent.Rejected:
 		if e.Outcome == agent.Rejected { // a full machine is as bad as an answer at the goal time
-			b.fill.Add(b.now, fillHalf, 1)
+			t.flow.fill.Add(b.now, fillHalf, 1)
 		}
 		a.heard, a.streak = b.now, 0
 		a.faulty = 0.8*a.faulty + 0.2
 	case agent.TimedOut, agent.Unreachable, agent.Cut:
 		if a.streak++; e.Outcome == agent.TimedOut && a.health == fit {
-			b.fill.Add(b.now, fillHalf, full)
+			t.flow.fill.Add(b.now, fillHalf, full)
 		}
 	}
 	// Three sends in a row without an answer, or most answers faults.
--- a/decide/state.go
+++ b/decide/state.go
@@ -104,7 +104,7 @@
 	takes          gauge.Sliding
 	demand         gauge.Decaying
 	exposure       map[lane]*gauge.Sliding
-	bound          map[agent.Key]agent.Build // one-way keys: the newest build that has answered
+	keys           map[agent.Key]agent.Build // one-way keys: the newest build that has answered
 	boundIn        gauge.Mean                // share of what is taken that is bound to the build on trial
 	news           agent.TrialNews
 	told           bool
@@ -121,9 +121,7 @@
 	abstain        bool // the trial gets nothing, to see what harm goes away
 	pace           gauge.Decaying
 	paceWas        gauge.Mean
-	sending        int        // sends out
-	mostOut        float64    // most sends out at once
-	fill           gauge.Mean // time of answers by their goal
+	flows          map[flowID]*flow
 	further        struct{ earned, tried, won gauge.Decaying }
 }
 
@@ -148,6 +146,30 @@
 // sums are the platform's counts of sends and satisfied ones, and these ones' time.
 type sums struct{ n, sum, time float64 }
 
+// flow is what one customer asks of one workload.
+type flow struct {
+	work   *workload
+	demand gauge.Decaying
+	out    int        // sends out
+	most   float64    // most sends out at once
+	fill   gauge.Mean // time of answers by their goal
+}
+
+type flowID struct {
+	workload agent.Workload
+	customer agent.Customer
+}
+
+// flow gives the flow of one transaction; a new one learns its bound from above.
+func (b *Balancer) flow(w *workload, c agent.Customer) *flow {
+	f := b.flows[flowID{w.name, c}]
+	if f == nil {
+		f = &flow{work: w, most: math.Inf(1)}
+		b.flows[flowID{w.name, c}] = f
+	}
+	return f
+}
+
 type appliance struct {
 	agent.Appliance
 	listed   bool
@@ -179,6 +201,7 @@
 type transaction struct {
 	agent.Taken
 	work   *workload
+	flow   *flow
 	at     time.Duration
 	course course
 	sends  []*send
@@ -417,7 +440,8 @@
 	b := &Balancer{terms: terms, dice: seed*2 + 1, work: map[agent.Workload]*workload{},
 		fleet: map[agent.ApplianceID]*appliance{}, open: map[agent.TransactionID]*transaction{},
 		late: map[agent.TransactionID]*transaction{}, timers: map[agent.TimerID]func(){},
-		exposure: map[lane]*gauge.Sliding{}, bound: map[agent.Key]agent.Build{}}
+		exposure: map[lane]*gauge.Sliding{}, keys: map[agent.Key]agent.Build{},
+		flows: map[flowID]*flow{}}
 	return b
 }
 
@@ -507,9 +531,9 @@
 
 // unbind forgets keys bound to builds before the one in the news: oneWay passes them over.
 func (b *Balancer) unbind() {
-	for k, build := range b.bound {
+	for k, build := range b.keys {
 		if build < b.news.Build {
-			delete(b.bound, k)
+			delete(b.keys, k)
 		}
 	}
 }
