--- a/decide/decide.go
+++ b/decide/decide.go
@@ -110,14 +110,14 @@
 // bound adapts how many sends of one flow (a workload of one customer) may be out. Time of answers against
 // goals is held at 0.33: what is slower queues at the servers and is late for all, so fewer are let out; what
 // is faster lets the bound grow, but not far past what is used. What waits everywhere but alone, one workload
-// or customer, so chokes only itself. As many may always be out as answers at a quarter of the goal take.
+// or customer, so chokes only itself. As many may always be out as answers at a sixth of the goal take.
 func (b *Balancer) bound(f *flow) {
 	if f.fill.Read(b.now, fillHalf, 0, 1) > 0.33 {
 		f.most *= 0.97
 	} else {
 		f.most = min(f.most*1.03, 1.5*float64(f.out)+2*float64(len(b.order)))
 	}
-	f.most = max(f.most, b.rate(&f.demand)*f.work.goal.Seconds()/4)
+	f.most = max(f.most, b.rate(&f.demand)*f.work.goal.Seconds()/6)
 }
 
 const fillHalf = 400 * time.Millisecond // a few answers long, yet shorter than a burst
