--- a/decide/decide.go
+++ b/decide/decide.go
@@ -621,7 +621,7 @@
 		return // a machine that answers nothing is sick, whatever build it runs
 	}
 	if e.Outcome == agent.Satisfied {
-		if b.pace.Add(b.now, 2*time.Second, 1); i == 0 && b.arms[1].n == 0 {
+		if b.served(1, time.Second); i == 0 && b.arms[1].n == 0 {
 			ref.Add(b.now, parHalf, took)
 		}
 	}
@@ -631,7 +631,6 @@
 	}
 	if b.lately.Add(b.now, time.Second, good); b.arms[1].n == 0 && i == 0 {
 		b.before.Add(b.now, parHalf, good)
-		b.paceWas.Add(b.now, parHalf, b.pace.Read(b.now, 2*time.Second))
 	}
 	// The arms are compared over the same time only, else a burst or a slowdown of all would count against
 	// the build that had little traffic before: the earlier one is counted from the trial's first outcome
@@ -674,12 +673,11 @@
 		good /= 2
 	}
 	b.lately.Add(b.now, time.Second, good)
-	b.pace.Add(b.now, 2*time.Second, ok)
+	b.served(ok, term(b, "tally.every", time.Duration(0))/2)
 	begin := b.now - e.Age - term(b, "tally.every", time.Duration(0))
 	switch x := &w.tally[i]; {
 	case !b.stands(1) && i == 0:
 		b.before.Add(b.now, parHalf, good)
-		b.paceWas.Add(b.now, parHalf, b.pace.Read(b.now, 2*time.Second))
 		w.tallied.Add(b.now, parHalf, e.Mean.Seconds())
 	case b.stands(0) && b.stands(1) && begin > b.stageStart()+coldFor:
 		x.n, x.sum, x.time = x.n+float64(e.Sends), x.sum+ok, x.time+ok*e.Mean.Seconds()
@@ -733,6 +731,18 @@
 	return x.n*divergence(m1, m) + y.n*divergence(m2, m)
 }
 
+// served notes answers a second, a span at a time: as they were before the trial, and as they are now.
+func (b *Balancer) served(n float64, span time.Duration) {
+	if took := b.now - b.lap; took > span {
+		b.pace.Add(b.now, 2*time.Second, b.laps/took.Seconds())
+		if b.arms[1].n == 0 && !b.stands(1) {
+			b.paceWas.Add(b.now, parHalf, b.laps/took.Seconds())
+		}
+		b.lap, b.laps = b.now, 0
+	}
+	b.laps += n
+}
+
 // harmed is the exception for builds that slow all machines alike, which Z never blames: payoffs over both
 // arms 0.15 below those before the trial, with no more satisfied a second than then, as in a burst. While it
 // lasts the agent casts no 'on'. After two seconds it sends the trial nothing for three: harm that goes away
@@ -740,7 +750,7 @@
 func (b *Balancer) harmed() (now, blamed bool) {
 	const half = time.Second
 	gap := b.before.Read(b.now, parHalf, 0, 0) - b.lately.Read(b.now, half, 0, 0)
-	busier := b.pace.Read(b.now, 2*time.Second) > 1.1*b.paceWas.Read(b.now, parHalf, 0, 0)
+	busier := b.pace.Read(b.now, 2*time.Second, 0, 0) > 1.1*b.paceWas.Read(b.now, parHalf, 0, 0)
 	now = gap > 0.15 && !busier && b.lately.Weight(b.now, half) > 6 && b.before.Weight(b.now, parHalf) > 1
 	if b.abstain && gap < 0.08 {
 		b.blamedTill = b.now + 5*time.Second
@@ -749,7 +759,11 @@
 		b.harmSince = b.now
 	}
 	since := b.now - b.harmSince
-	b.abstain = since > 2*time.Second && since < 5*time.Second
+	pause := 3 * time.Second
+	if b.sparse() {
+		pause *= 2 // it goes by tallies, which are late
+	}
+	b.abstain = since > 2*time.Second && since < 2*time.Second+pause
 	b.blamed = since > 10*time.Second || b.now < b.blamedTill
 	return now, b.blamed
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -117,10 +117,11 @@
 	lately, before gauge.Mean // payoffs over both arms, and before the trial
 	harmSince      time.Duration
 	blamedTill     time.Duration
-	blamed         bool // as last judged
-	abstain        bool // the trial gets nothing, to see what harm goes away
-	pace           gauge.Decaying
-	paceWas        gauge.Mean
+	blamed         bool          // as last judged
+	abstain        bool          // the trial gets nothing, to see what harm goes away
+	pace, paceWas  gauge.Mean    // answers a second, now and before the trial
+	lap            time.Duration // since when answers are summed up
+	laps           float64
 	flows          map[flowID]*flow
 	further        struct{ earned, tried, won gauge.Decaying }
 }
