--- a/decide/decide.go
+++ b/decide/decide.go
@@ -812,8 +812,8 @@
 // verdict is what the counts say of the build on trial. The threshold is log(2t·n/δ), δ 0.1: a wrong vote
 // costs about as much as ten needless seconds of a trial. Counts that other agents tell are among this
 // agent's: it sees sooner what is bad, and has evidence again after a restart. Only one with enough trial
-// traffic of its own votes: ten outcomes, by which it also knows a sick machine from a build; or one that
-// has heard of ten times that, where agents are too many to get ten each.
+// traffic of its own votes: ten outcomes, by which it also knows a sick machine from a build; or, where
+// agents are too many to get ten each, one that has been told of four times that.
 func (b *Balancer) verdict() agent.Verdict {
 	early, trial := b.tallied(0, b.arms[0]), b.tallied(1, b.arms[1])
 	t := max(early.picked+trial.picked, early.n+trial.n, 1)
@@ -826,7 +826,7 @@
 		return agent.NoVote
 	}
 	const margin, least, wait = 0.03, 10, 3 * time.Second
-	enough := trial.own >= least || trial.n >= 10*least
+	enough := trial.own >= least || b.sparse() && trial.n >= 4*least
 	if blamed || enough && b.worse(margin, wall) {
 		return agent.Back
 	}
