--- a/decide/decide.go
+++ b/decide/decide.go
@@ -301,11 +301,11 @@
 	b.takes.Add(b.now, window+edge)
 	w.takes.Add(b.now, window+edge)
 	b.demand.Add(b.now, demandHalf, 1)
-	// The trial gets its machines' share or two thirds of its cap, whichever is less, so that slower kinds and
+	// The trial gets its machines' share or three quarters of its cap, whichever is less, so that slower kinds and
 	// empty caches do not look like its slowness, but enough that the others bear a seventh more than theirs.
 	_, share := b.onTrial(b.subject)
 	part := b.trialPart()
-	b.ration = min(b.ration+max(min(0.67*share, part), 1-1.15*(1-part)), 1.5)
+	b.ration = min(b.ration+max(min(0.75*share, part), 1-1.15*(1-part)), 1.5)
 	b.boundIn.Add(b.now, demandHalf, float64(min(b.oneWay(e.Key), 1)))
 	b.further.earned.Add(b.now, furtherHalf, b.furtherShare())
 	// The answer timer runs out a tick before the client's time does, so that the answer is never late.
@@ -768,31 +768,27 @@
 	return now, b.blamed
 }
 
-// evidence is an arm's counts and those of its machines that came with each stage, less the more machines that
-// came together differ: a bad build hurts all of them, a sick machine is one among them. Past what chance
-// gives (chi-square by its degrees of freedom) the spread over machines divides the counts. It could delay
-// blame for a build that hurts one kind of machine.
+// evidence is an arm's counts and, of those, each stage's machines', without the worst quarter of the machines
+// that came together: a bad build hurts all of them, sick ones are few. It takes no more from the trial than
+// from the earlier build. It would pass a build over that hurts no more than a quarter of its machines.
 func (b *Balancer) evidence(i int) (all arm, stages [8]arm) {
-	var squares, machines [8]float64
+	var machines [8][]*appliance
 	for _, a := range b.order {
-		if g := a.given; g.n > 0 && b.armOf(a) == i {
-			s := min(a.stage, 7)
-			stages[s].n, stages[s].sum = stages[s].n+g.n, stages[s].sum+g.sum
-			squares[s], machines[s] = squares[s]+g.sum*g.sum/g.n, machines[s]+1
+		if s := min(a.stage, 7); a.given.n > 0 && b.armOf(a) == i {
+			machines[s] = append(machines[s], a)
 		}
 	}
-	spread, free := 0.0, 0.0
-	for i := range stages {
-		if s := &stages[i]; machines[i] > 1 {
-			m := s.mean()
-			x, f := (squares[i]-m*s.sum)/max(m*(1-m), 0.01), machines[i]-1
-			s.n, s.sum = s.n/max(x/f, 1), s.sum/max(x/f, 1)
-			spread, free = spread+x, free+f
+	all = b.arms[i]
+	for s, group := range machines {
+		sort.SliceStable(group, func(i, j int) bool { return group[i].given.mean() < group[j].given.mean() })
+		for k, a := range group {
+			if g := a.given; len(group) > 1 && 4*k < len(group) {
+				all.n, all.sum = all.n-g.n, all.sum-g.sum
+			} else {
+				stages[s].n, stages[s].sum = stages[s].n+g.n, stages[s].sum+g.sum
+			}
 		}
 	}
-	all = b.arms[i]
-	unlike := max(spread/max(free, 1), 1)
-	all.n, all.sum = all.n/unlike, all.sum/unlike
 	return b.tallied(i, all), stages
 }
 
