--- a/decide/decide.go
+++ b/decide/decide.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"sagelever/agent"
-	"sagelever/gauge"
 )
 
 var (
@@ -151,35 +150,6 @@
 	b.newSubject()
 }
 
-// newSubject sees whether a later build than the one judged so far has come; both arms then start anew.
-func (b *Balancer) newSubject() {
-	newest := b.newest()
-	if newest != b.subject && b.told {
-		b.clear(0)
-		b.clear(1)
-		for _, w := range b.work {
-			w.tally = [2]sums{}
-		}
-		b.subject, b.arms, b.harmSince, b.ration = newest, [2]arm{}, b.now, b.luck()
-	}
-}
-
-func (b *Balancer) hearNews(e agent.TrialNews) {
-	took := refused
-	if e.Answer == agent.Counted {
-		took = counted
-	}
-	if e.ToVote {
-		run(b, votes, &b.ballot.state, took, &b.ballot)
-	}
-	if took == counted {
-		b.news, b.told = e, true
-		b.unbind()
-		b.newSubject()
-		b.judge()
-	}
-}
-
 // onTrial tells whether the exposure rule holds for a build, and under which cap.
 func (b *Balancer) onTrial(build agent.Build) (bool, float64) {
 	switch {
@@ -191,11 +161,6 @@
 	return true, b.news.Cap
 }
 
-// window is that of the exposure rule, and the two ticks by which it is stretched and cut.
-func (b *Balancer) window() (whole, edge time.Duration) {
-	return term(b, "trial.window", time.Minute), 2 * term(b, "tick", beat)
-}
-
 // exposable is the exact check of the exposure rule for one more send. The window is stretched by two ticks
 // for sends and cut by two for what was taken, so that its ends never fall against us.
 func (b *Balancer) exposable(t *transaction, a *appliance) bool {
@@ -251,12 +216,6 @@
 
 const demandHalf = 5 * time.Second // long enough that a burst does not pass for capacity
 
-// rate is how many transactions a second make up a demand.
-func (b *Balancer) rate(d *gauge.Decaying) float64 {
-	seen := float64(demandHalf) / math.Ln2 * (1 - math.Exp2(-float64(b.now)/float64(demandHalf)))
-	return d.Read(b.now, demandHalf) / max(seen, float64(time.Second)) * float64(time.Second)
-}
-
 // sparse tells whether this agent sees each machine less than once a second: too little to tell by itself
 // how laden or how well one is.
 func (b *Balancer) sparse() bool { return b.rate(&b.demand) < float64(b.up) }
@@ -438,26 +397,7 @@
 const coldFor = 3 * time.Second // the design's: what younger machines do is not counted
 
 func (b *Balancer) sendTo(t *transaction, a *appliance) {
-	if trial, _ := b.onTrial(a.Build); trial {
-		sends, _ := b.lane(a.Build, t.work)
-		window, edge := b.window()
-		sends.Add(b.now, window+edge)
-	}
-	if len(t.sends) == 0 {
-		i := b.armOf(a)
-		b.arms[i].picked++
-		b.ration -= float64(i)
-	} else {
-		b.further.tried.Add(b.now, furtherHalf, 1)
-	}
-	if a.out == 0 {
-		a.asked = b.now
-	}
-	a.out++
-	t.flow.out++
-	a.credit--
-	s := &send{to: a, at: b.now, cold: b.now-a.Started < coldFor}
-	t.sends, t.out = append(t.sends, s), t.out+1
+	b.noteSend(t, a)
 	b.do(agent.Send{ID: t.ID, Appliance: a.ID})
 	if t.work.effect != "effectful" && len(t.sends) == 1 {
 		b.after(max(3*b.mean(t.work), 50*time.Millisecond), func() { run(b, courses, &t.course, lag, t) })
@@ -482,37 +422,11 @@
 	b.forget(t)
 }
 
-// forget drops a transaction that is over and calls off what is still out for it.
-func (b *Balancer) forget(t *transaction) {
-	delete(b.open, t.ID)
-	if t.out > 0 {
-		b.late[t.ID] = t
-		b.dropCopies(t)
-	}
-}
-
-// dropCopies calls off what is still out, but for a send whose answer has begun.
-func (b *Balancer) dropCopies(t *transaction) {
-	for i, s := range t.sends {
-		if !s.over && term(b, "may.calloff", false) && (t.course != flowing || agent.SendNo(i) != t.stream) {
-			b.do(agent.CallOff{ID: t.ID, Send: agent.SendNo(i)})
-		}
-	}
-}
-
 func (b *Balancer) ended(e agent.Ended) {
-	t := b.open[e.ID]
-	if t == nil {
-		t = b.late[e.ID]
-	}
-	if t == nil || int(e.Send) >= len(t.sends) || t.sends[e.Send].over {
+	t, s := b.settle(e)
+	if s == nil {
 		return
 	}
-	s := t.sends[e.Send]
-	s.over = true
-	t.out--
-	s.to.out--
-	t.flow.out--
 	b.observe(t, s, e)
 	ran := e.Outcome != agent.Rejected && e.Outcome != agent.Unreachable && e.Outcome != agent.NotSent
 	if ran && (t.ran < 0 || s.at < t.ran) {
@@ -522,17 +436,15 @@
 	if e.Outcome == agent.Satisfied && oneWay && s.to.Build >= b.news.Build {
 		b.keys[t.Key] = max(b.keys[t.Key], s.to.Build)
 	}
-	if e.Closed || e.Outcome == agent.Satisfied {
-		if e.Outcome == agent.Satisfied && e.Send > 0 && t.course != over {
+	switch satisfied := e.Outcome == agent.Satisfied; {
+	case satisfied || e.Closed:
+		if satisfied && e.Send > 0 && t.course != over {
 			b.further.won.Add(b.now, furtherHalf, 1)
 		}
 		run(b, courses, &t.course, closed, t)
-	} else if t.out == 0 {
+	case t.out == 0:
 		run(b, courses, &t.course, lost, t)
 	}
-	if t.out == 0 && t.course == over {
-		delete(b.late, t.ID)
-	}
 	if len(b.waiting) > 0 {
 		b.pollHeld()
 	}
@@ -866,12 +778,6 @@
 	}
 }
 
-func (b *Balancer) cast(o *ballot) {
-	o.at = b.now
-	b.do(agent.Vote{Build: o.build, Stage: o.stage, Verdict: o.verdict})
-	b.note(o)
-}
-
 // pause spreads the next try, so that agents together stay within the calls that the platform takes.
 func (b *Balancer) pause(o *ballot) {
 	o.notTill = b.now + 100*time.Millisecond + time.Duration(b.roll(300))*time.Millisecond
--- a/decide/state.go
+++ b/decide/state.go
@@ -570,3 +570,110 @@
 	}
 	return part[1] / max(part[0]+part[1], 1)
 }
+
+// newSubject sees whether a later build than the one judged so far has come; both arms then start anew.
+func (b *Balancer) newSubject() {
+	newest := b.newest()
+	if newest != b.subject && b.told {
+		b.clear(0)
+		b.clear(1)
+		for _, w := range b.work {
+			w.tally = [2]sums{}
+		}
+		b.subject, b.arms, b.harmSince, b.ration = newest, [2]arm{}, b.now, b.luck()
+	}
+}
+
+func (b *Balancer) hearNews(e agent.TrialNews) {
+	took := refused
+	if e.Answer == agent.Counted {
+		took = counted
+	}
+	if e.ToVote {
+		run(b, votes, &b.ballot.state, took, &b.ballot)
+	}
+	if took == counted {
+		b.news, b.told = e, true
+		b.unbind()
+		b.newSubject()
+		b.judge()
+	}
+}
+
+// window is that of the exposure rule, and the two ticks by which it is stretched and cut.
+func (b *Balancer) window() (whole, edge time.Duration) {
+	return term(b, "trial.window", time.Minute), 2 * term(b, "tick", beat)
+}
+
+// rate is how many transactions a second make up a demand.
+func (b *Balancer) rate(d *gauge.Decaying) float64 {
+	seen := float64(demandHalf) / math.Ln2 * (1 - math.Exp2(-float64(b.now)/float64(demandHalf)))
+	return d.Read(b.now, demandHalf) / max(seen, float64(time.Second)) * float64(time.Second)
+}
+
+// forget drops a transaction that is over and calls off what is still out for it.
+func (b *Balancer) forget(t *transaction) {
+	delete(b.open, t.ID)
+	if t.out > 0 {
+		b.late[t.ID] = t
+		b.dropCopies(t)
+	}
+}
+
+// dropCopies calls off what is still out, but for a send whose answer has begun.
+func (b *Balancer) dropCopies(t *transaction) {
+	for i, s := range t.sends {
+		if !s.over && term(b, "may.calloff", false) && (t.course != flowing || agent.SendNo(i) != t.stream) {
+			b.do(agent.CallOff{ID: t.ID, Send: agent.SendNo(i)})
+		}
+	}
+}
+
+func (b *Balancer) cast(o *ballot) {
+	o.at = b.now
+	b.do(agent.Vote{Build: o.build, Stage: o.stage, Verdict: o.verdict})
+	b.note(o)
+}
+
+// noteSend counts one more send wherever sends are counted.
+func (b *Balancer) noteSend(t *transaction, a *appliance) {
+	if trial, _ := b.onTrial(a.Build); trial {
+		sends, _ := b.lane(a.Build, t.work)
+		window, edge := b.window()
+		sends.Add(b.now, window+edge)
+	}
+	if len(t.sends) == 0 {
+		i := b.armOf(a)
+		b.arms[i].picked++
+		b.ration -= float64(i)
+	} else {
+		b.further.tried.Add(b.now, furtherHalf, 1)
+	}
+	if a.out == 0 {
+		a.asked = b.now
+	}
+	a.out++
+	t.flow.out++
+	a.credit--
+	t.sends, t.out = append(t.sends, &send{to: a, at: b.now, cold: b.now-a.Started < coldFor}), t.out+1
+}
+
+// settle finds the send that has ended and counts it as no longer out.
+func (b *Balancer) settle(e agent.Ended) (*transaction, *send) {
+	t := b.open[e.ID]
+	if t == nil {
+		t = b.late[e.ID]
+	}
+	if t == nil || int(e.Send) >= len(t.sends) || t.sends[e.Send].over {
+		return nil, nil
+	}
+	s := t.sends[e.Send]
+	s.over = true
+	t.out--
+	s.to.out--
+	t.flow.out--
+	if t.out == 0 && t.course == over {
+		delete(b.late, t.ID)
+	}
+	return t, s
+}
