--- a/decide/decide.go
+++ b/decide/decide.go
@@ -265,7 +265,6 @@
 	_, share := b.onTrial(b.subject)
 	part := b.trialPart()
 	b.ration = min(b.ration+max(min(0.75*share, part), 1-1.15*(1-part)), 1.5)
-	b.boundIn.Add(b.now, demandHalf, float64(min(b.oneWay(e.Key), 1)))
 	b.further.earned.Add(b.now, furtherHalf, b.furtherShare())
 	// The answer timer runs out a tick before the client's time does, so that the answer is never late.
 	b.after(e.Left-term(b, "tick", beat), func() { run(b, courses, &t.course, lastCall, t) })
@@ -356,12 +355,6 @@
 		}
 	}
 	pick := b.track()
-	if trial, share := b.onTrial(b.subject); trial && pick == 1 && len(ready[0]) > 0 && t.Key != "" &&
-		term(b, "trial.oneway", false) && b.oneWay(t.Key) == 0 &&
-		b.boundIn.Read(b.now, demandHalf, 0, 0) > share/2 {
-		// A key that the trial answers is bound to it: half of the cap is kept for the bound ones.
-		pick = 0
-	}
 	if trial, _ := b.onTrial(b.subject); trial && b.ration < 1 && b.sparse() {
 		pick = 0
 	}
