--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,8 +1,7 @@
 // Package decide holds every decision of one agent, for all deployments. An adapter makes a Balancer with
 // New (seed, and the terms of the deployment as a plain map of names to values), then calls Step with the
 // time since that start and one event, and carries out the actions it gets back, in order. The interface
-// (ids, events, actions) stands in package agent. Nothing here does input or output, reads a clock or shares
-// state.
+// (ids, events, actions) stands in package agent. Nothing here does input or output or shares state.
 //
 // Three tables (state, input, next state, effect) stand first; run reads them.
 package decide
@@ -53,9 +52,7 @@
 	}
 }
 
-// beat is how often held transactions, resting appliances and the vote are looked at: a few ticks of the
-// wire, far below any goal time.
-const beat = 20 * time.Millisecond
+const beat = 20 * time.Millisecond // a few ticks of the wire, far below any goal time
 
 func (b *Balancer) heartbeat() {
 	b.after(beat, b.heartbeat)
@@ -216,8 +213,7 @@
 
 const demandHalf = 5 * time.Second // long enough that a burst does not pass for capacity
 
-// sparse tells whether this agent sees each machine less than once a second: too little to tell by itself
-// how laden or how well one is.
+// sparse tells whether this agent sees each machine less than once a second: too little to tell its load.
 func (b *Balancer) sparse() bool { return b.rate(&b.demand) < float64(b.up) }
 
 // paced tells whether one more send keeps an appliance below times this agent's even share of what one
@@ -260,8 +256,8 @@
 	b.takes.Add(b.now, window+edge)
 	w.takes.Add(b.now, window+edge)
 	b.demand.Add(b.now, demandHalf, 1)
-	// The trial gets its machines' share or three quarters of its cap, whichever is less, so that slower kinds and
-	// empty caches do not look like its slowness, but enough that the others bear a seventh more than theirs.
+	// The trial gets its machines' share or three quarters of its cap if that is less, so that slower kinds and
+	// empty caches do not look like its slowness, but the others bear a seventh more than theirs at most.
 	_, share := b.onTrial(b.subject)
 	part := b.trialPart()
 	b.ration = min(b.ration+max(min(0.75*share, part), 1-1.15*(1-part)), 1.5)
@@ -299,9 +295,8 @@
 	b.place(t)
 }
 
-// copyOut sends a second copy of what takes longer than most do. Where no two may be out, the first is
-// called off instead, but only from an appliance that has answered nothing since it was sent: a busy one
-// will answer.
+// copyOut sends a second copy of what takes longer than most do. Where no two may be out, the first is called
+// off instead, if its appliance has answered nothing since: a busy one will answer.
 func (b *Balancer) copyOut(t *transaction) {
 	if !b.mayFurther(t) || len(b.waiting) > 0 || b.now-t.at > t.work.goal-b.mean(t.work)/2 {
 		return
@@ -325,8 +320,7 @@
 			return
 		}
 	}
-	// A quarter of the goal is kept for waiting here at most: what starts later is late. Then it is
-	// answered.
+	// A quarter of the goal is kept for waiting here at most: what starts later is late, and answered now.
 	if b.now-t.at > min(t.work.goal/4, t.work.goal-b.mean(t.work)) {
 		run(b, courses, &t.course, lastCall, t)
 		return
@@ -337,17 +331,14 @@
 // choose picks the arm by D-Tracking and the server by two random choices.
 func (b *Balancer) choose(t *transaction) *appliance {
 	var ready, spare [2][]*appliance
-	level := -1.0 // of the others, once it is asked for
+	level := b.level()
 	for _, a := range b.order {
 		if t.uses(a) || !b.legal(t, a) {
 			continue
 		}
-		i := b.armOf(a)
-		if i == 1 && level < 0 {
-			level = b.level()
-		}
 		// Few machines carry the trial at first: holding more than the others do, one would be slow from
 		// load alone and be judged for it. A seventh more, so that the cap is still used.
+		i := b.armOf(a)
 		if a.ready() && (i == 0 || level <= 0 || a.out == 0 || b.burden(a) <= 1.15*level) {
 			ready[i] = append(ready[i], a)
 		} else {
@@ -470,7 +461,6 @@
 			t.flow.fill.Add(b.now, fillHalf, full)
 		}
 	}
-	// Three sends in a row without an answer, or most answers faults.
 	if a.failing() {
 		b.disown(a)
 	}
@@ -480,8 +470,8 @@
 	b.weigh(t, s, e)
 }
 
+// rest is half a second at first, doubled up to four: short against any trouble, long against a send.
 func (b *Balancer) rest(a *appliance) {
-	// Half a second at first, doubled up to four: short against any trouble, long against a send.
 	a.until = b.now + 500*time.Millisecond<<min(a.rests, 3)
 	a.rests, a.streak = a.rests+1, 0
 }
@@ -495,9 +485,8 @@
 
 // weigh adds one outcome to its arm. Payoff is 1 for a send satisfied within four times what the earlier
 // build took, before the trial began, for the same workload on the same kind of machine (within the goal
-// where that is not known): a slow build shows there long before its answers miss goals. Four, since one
-// answer in fifty takes that long by chance, while a build at twice the work shows at seven times that
-// share.
+// where that is not known): a slow build shows there long before it misses goals. One answer in fifty takes
+// that long by chance; at twice the work one in seven does.
 func (b *Balancer) weigh(t *transaction, s *send, e agent.Ended) {
 	w, i := t.work, b.armOf(s.to)
 	par, ref := w.goal.Seconds(), w.timesOn(s.to.Kind)
@@ -541,25 +530,16 @@
 	// the build that had little traffic before: the earlier one is counted from the trial's first outcome
 	// on, and what was lost to time counts only while both have machines. The last stage in place leaves the
 	// trial all the load, on cold machines.
-	if (slow || silent) && !b.stands(1-i) {
-		if silent {
-			return
-		}
-		slow = false
+	if slow = slow && b.stands(1-i); silent && !b.stands(1-i) {
+		return
 	}
 	worth := 0.0
-	switch {
-	case e.Outcome == agent.Satisfied && slow: // half: load, cold machines and slower kinds slow some, but fail none
-		worth = 0.5
-	case e.Outcome == agent.Satisfied:
-		worth = 1
-	}
-	arm := &b.arms[i]
-	arm.own++
-	b.credit(s.to, 1, worth)
-	if b.arms[1].own > 0 {
-		s.to.untold.n, s.to.untold.sum = s.to.untold.n+1, s.to.untold.sum+worth
+	if e.Outcome == agent.Satisfied {
+		if worth = 1; slow { // half: load, cold machines and slower kinds make some slow, but none fail
+			worth = 0.5
+		}
 	}
+	b.own(s.to, worth)
 }
 
 // count takes what the platform counted of all agents' sends. While there is no trial it is what payoffs and
@@ -589,7 +569,7 @@
 	}
 }
 
-// tallied adds the platform's counts to an arm's: half a payoff where a workload takes twice the other's time.
+// tallied adds the platform's counts: half a payoff where a workload takes twice the other arm's time.
 func (b *Balancer) tallied(i int, e arm) arm {
 	for _, w := range b.work {
 		x, y := w.tally[i], w.tally[1-i]
@@ -636,17 +616,7 @@
 	return x.n*divergence(m1, m) + y.n*divergence(m2, m)
 }
 
-// served notes answers a second, a span at a time: as they were before the trial, and as they are now.
-func (b *Balancer) served(n float64, span time.Duration) {
-	if took := b.now - b.lap; took > span {
-		b.pace.Add(b.now, 2*time.Second, b.laps/took.Seconds())
-		if b.arms[1].n == 0 && !b.stands(1) {
-			b.paceWas.Add(b.now, parHalf, b.laps/took.Seconds())
-		}
-		b.lap, b.laps = b.now, 0
-	}
-	b.laps += n
-}
+const paceHalf = 2 * time.Second // shorter than a burst
 
 // harmed is the exception for builds that slow all machines alike, which Z never blames: payoffs over both
 // arms 0.15 below those before the trial, with no more satisfied a second than then, as in a burst. While it
@@ -655,7 +625,7 @@
 func (b *Balancer) harmed() (now, blamed bool) {
 	const half = time.Second
 	gap := b.before.Read(b.now, parHalf, 0, 0) - b.lately.Read(b.now, half, 0, 0)
-	busier := b.pace.Read(b.now, 2*time.Second, 0, 0) > 1.1*b.paceWas.Read(b.now, parHalf, 0, 0)
+	busier := b.pace.Read(b.now, paceHalf, 0, 0) > 1.1*b.paceWas.Read(b.now, parHalf, 0, 0)
 	now = gap > 0.15 && !busier && b.lately.Weight(b.now, half) > 6 && b.before.Weight(b.now, parHalf) > 1
 	if b.abstain && gap < 0.08 {
 		b.blamedTill = b.now + 5*time.Second
@@ -673,19 +643,12 @@
 	return now, b.blamed
 }
 
-// evidence is an arm's counts and, of those, each stage's machines', without the worst quarter of the machines
+// evidence is an arm's counts and, of those, each stage's machines', without the worst quarter of machines
 // that came together: a bad build hurts all of them, sick ones are few. It takes no more from the trial than
 // from the earlier build. It would pass a build over that hurts no more than a quarter of its machines.
 func (b *Balancer) evidence(i int) (all arm, stages [8]arm) {
-	var machines [8][]*appliance
-	for _, a := range b.order {
-		if s := min(a.stage, 7); a.given.n > 0 && b.armOf(a) == i {
-			machines[s] = append(machines[s], a)
-		}
-	}
 	all = b.arms[i]
-	for s, group := range machines {
-		sort.SliceStable(group, func(i, j int) bool { return group[i].given.mean() < group[j].given.mean() })
+	for s, group := range b.byStage(i) {
 		for k, a := range group {
 			if g := a.given; len(group) > 1 && 4*k < len(group) {
 				all.n, all.sum = all.n-g.n, all.sum-g.sum
@@ -711,10 +674,9 @@
 }
 
 // verdict is what the counts say of the build on trial. The threshold is log(2t·n/δ), δ 0.1: a wrong vote
-// costs about as much as ten needless seconds of a trial. Counts that other agents tell are among this
-// agent's: it sees sooner what is bad, and has evidence again after a restart. Only one with enough trial
-// traffic of its own votes: ten outcomes, by which it also knows a sick machine from a build; or, where
-// agents are too many to get ten each, one that has been told of four times that.
+// costs about as much as ten needless seconds of a trial. What other agents tell
+// counts too: it shows sooner what is bad, and is there again after a restart. Only an agent with ten trial
+// outcomes of its own votes, or a sparse one that has been told of four times that.
 func (b *Balancer) verdict() agent.Verdict {
 	early, trial := b.tallied(0, b.arms[0]), b.tallied(1, b.arms[1])
 	t := max(early.picked+trial.picked, early.n+trial.n, 1)
@@ -754,11 +716,10 @@
 // judge keeps the agent's vote in step with its verdict: cast, changed, renewed and withdrawn.
 func (b *Balancer) judge() {
 	v, o := b.verdict(), &b.ballot
-	life, wait := term(b, "vote.life", time.Second), term(b, "vote.wait", time.Second)
 	switch {
 	case !b.told || b.now < o.notTill:
 	case o.state == asked:
-		if b.now-o.at > wait+beat {
+		if b.now-o.at > term(b, "vote.wait", time.Second)+beat {
 			run(b, votes, &o.state, lapse, o)
 		}
 	case v == agent.NoVote && (o.state == silent || o.build != b.news.Build):
@@ -766,7 +727,7 @@
 	case v != o.verdict, o.state == silent, o.build != b.subject, o.stage != b.news.Stage:
 		o.verdict, o.build, o.stage = v, b.subject, b.news.Stage
 		run(b, votes, &o.state, wish, o)
-	case o.state == standing && v != agent.NoVote && b.now-o.at > life*6/10:
+	case o.state == standing && v != agent.NoVote && b.now-o.at > term(b, "vote.life", time.Second)*6/10:
 		run(b, votes, &o.state, lapse, o)
 	}
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -676,3 +676,37 @@
 	}
 	return t, s
 }
+
+// own counts one outcome of this agent's own, and keeps it to be told.
+func (b *Balancer) own(a *appliance, worth float64) {
+	b.arms[b.armOf(a)].own++
+	b.credit(a, 1, worth)
+	if b.arms[1].own > 0 {
+		a.untold.n, a.untold.sum = a.untold.n+1, a.untold.sum+worth
+	}
+}
+
+// served notes answers a second, a span at a time: as they were before the trial, and as they are now.
+func (b *Balancer) served(n float64, span time.Duration) {
+	if took := b.now - b.lap; took > span {
+		b.pace.Add(b.now, paceHalf, b.laps/took.Seconds())
+		if b.arms[1].n == 0 && !b.stands(1) {
+			b.paceWas.Add(b.now, parHalf, b.laps/took.Seconds())
+		}
+		b.lap, b.laps = b.now, 0
+	}
+	b.laps += n
+}
+
+// byStage gives an arm's machines with outcomes by the stage they came with, those with the lowest payoffs first.
+func (b *Balancer) byStage(i int) (machines [8][]*appliance) {
+	for _, a := range b.order {
+		if s := min(a.stage, 7); a.given.n > 0 && b.armOf(a) == i {
+			machines[s] = append(machines[s], a)
+		}
+	}
+	for _, group := range machines {
+		sort.SliceStable(group, func(i, j int) bool { return group[i].given.mean() < group[j].given.mean() })
+	}
+	return machines
+}
