--- a/decide/decide.go
+++ b/decide/decide.go
@@ -214,7 +214,7 @@
 const demandHalf = 5 * time.Second // long enough that a burst does not pass for capacity
 
 // sparse tells whether this agent sees each machine less than once a second: too little to tell its load.
-func (b *Balancer) sparse() bool { return b.rate(&b.demand) < float64(b.up) }
+func (b *Balancer) sparse() bool { return b.visit() > time.Second }
 
 // paced tells whether one more send keeps an appliance below times this agent's even share of what one
 // gets. It counts by credit, which starts anywhere below one send: shares far below one send a window still
@@ -374,7 +374,7 @@
 func (b *Balancer) burden(a *appliance) float64 {
 	// A report's worth halves every half second: it is refreshed about as often.
 	stale := math.Exp2(-float64(b.now-a.reported) / float64(500*time.Millisecond))
-	slow := a.slowness.Read(b.now, 3*time.Second, 1, 1) / b.warmth(a)
+	slow := a.slowness.Read(b.now, max(3*time.Second, b.visit()), 1, 1) / b.warmth(a)
 	return (1 + float64(a.out) + 0.5*a.backlog*stale) * slow
 }
 
@@ -446,7 +446,7 @@
 		t.flow.fill.Add(b.now, fillHalf, full)
 		a.heard, a.streak = b.now, 0
 		a.faulty *= 0.8
-		a.slowness.Add(b.now, 3*time.Second, e.After.Seconds()/b.mean(w).Seconds())
+		a.slowness.Add(b.now, max(3*time.Second, b.visit()), e.After.Seconds()/b.mean(w).Seconds())
 		w.all.Add(b.now, timesHalf, e.After.Seconds())
 		b.times.Add(b.now, timesHalf, e.After.Seconds())
 		run(b, healths, &a.health, well, a)
@@ -470,9 +470,10 @@
 	b.weigh(t, s, e)
 }
 
-// rest is half a second at first, doubled up to four: short against any trouble, long against a send.
+// rest is half a second or half a visit's span at first, doubled three times at most: short against any
+// trouble, long against a send, and longer for an agent whose every visit comes to the same sick machine.
 func (b *Balancer) rest(a *appliance) {
-	a.until = b.now + 500*time.Millisecond<<min(a.rests, 3)
+	a.until = b.now + max(500*time.Millisecond, b.visit()/2)<<min(a.rests, 3)
 	a.rests, a.streak = a.rests+1, 0
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -710,3 +710,8 @@
 	}
 	return machines
 }
+
+// visit is the mean time between this agent's sends to one appliance.
+func (b *Balancer) visit() time.Duration {
+	return min(time.Duration(float64(b.up)/b.rate(&b.demand)*float64(time.Second)), time.Hour)
+}
