--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -445,3 +445,71 @@
 		t.Errorf("payoffs %v and %v, want 26 and 6", b.arms[1].sum, a.given.sum)
 	}
 }
+
+// A sparse agent gives the trial no more first sends than its machines' share, whatever the cap allows.
+func TestTrialShareOfSparseAgent(t *testing.T) {
+	b := bench(1, map[string]any{"trial.allowance": 1000.0})
+	for id := agent.ApplianceID(1); id <= 20; id++ {
+		b.join(id, 1).Build = 1 + agent.Build(id)/19 // two run the trial
+	}
+	trial := 0
+	for range 100 {
+		b.now += time.Second
+		b.take(agent.Taken{ID: "x", Workload: "pure", Left: time.Second})
+		if a := b.open["x"].sends[0].to; a.Build == 2 {
+			trial++
+		}
+		b.ended(agent.Ended{ID: "x", Outcome: agent.Satisfied, Closed: true})
+	}
+	if trial < 7 || trial > 13 {
+		t.Errorf("%d of 100 first sends at two machines of twenty, want about ten", trial)
+	}
+}
+
+// One workload that waits everywhere shrinks its own bound and no other's.
+func TestSlowWorkloadChokesItself(t *testing.T) {
+	b := bench(0, nil)
+	slow, quick := b.flow(b.workload("receipted"), ""), b.flow(b.workload("pure"), "")
+	slow.most, quick.most, slow.out, quick.out = 40, 40, 20, 20
+	for range 50 {
+		b.now += beat
+		slow.fill.Add(b.now, fillHalf, 2)
+		quick.fill.Add(b.now, fillHalf, 0.2)
+		b.heartbeat()
+	}
+	if slow.most > 20 || quick.most < 20 {
+		t.Errorf("bounds %v and %v", slow.most, quick.most)
+	}
+}
+
+// Where agents are many, few vote; the platform's counts move a sparse agent's verdict, and bad ones are dropped.
+func TestTallies(t *testing.T) {
+	terms := map[string]any{"agents": 300.0, "trial.control": "single", "tally.every": time.Second}
+	for number, want := range map[float64]agent.Verdict{0: agent.Back, 200: agent.NoVote} {
+		terms["number"] = number
+		b := bench(1, terms)
+		for id := agent.ApplianceID(1); id <= 20; id++ {
+			b.join(id, 1+agent.Build(id)/19)
+		}
+		for range 20 {
+			b.now += time.Second
+			b.count(agent.Tally{Build: 1, Workload: "pure", Sends: 100, Failed: 2, Mean: 50 * time.Millisecond})
+			b.count(agent.Tally{Build: 2, Workload: "pure", Sends: 10, Failed: 4, Mean: 50 * time.Millisecond})
+			b.count(agent.Tally{Build: 2, Workload: "pure", Sends: 1, Failed: 9})
+		}
+		if got := b.verdict(); got != want || b.tallied(1, arm{}).n != 200 {
+			t.Errorf("agent %v: verdict %v, want %v; trial %v", number, got, want, b.tallied(1, arm{}))
+		}
+	}
+}
+
+// A sick machine rests longer with an agent that comes by seldom.
+func TestRestOfSparseAgent(t *testing.T) {
+	b := bench(0, nil)
+	a := b.join(1, 1)
+	b.up = 20
+	b.demand.Add(b.now, demandHalf, 2*demandHalf.Seconds()/math.Ln2) // two a second, each machine every ten
+	if b.rest(a); (a.until - b.now).Round(time.Millisecond) != 5*time.Second {
+		t.Errorf("rests for %v, want 5s", a.until-b.now)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -713,5 +713,5 @@
 
 // visit is the mean time between this agent's sends to one appliance.
 func (b *Balancer) visit() time.Duration {
-	return min(time.Duration(float64(b.up)/b.rate(&b.demand)*float64(time.Second)), time.Hour)
+	return time.Duration(float64(b.up) / max(b.rate(&b.demand), 1e-3) * float64(time.Second))
 }
