--- a/decide/decide.go
+++ b/decide/decide.go
@@ -216,6 +216,16 @@
 // sparse tells whether this agent sees each machine less than once a second: too little to tell its load.
 func (b *Balancer) sparse() bool { return b.visit() > time.Second }
 
+// loose tells whether the allowances add a fifth or more to what the first stage's cap gives this agent: all
+// agents together would then send the trial's few machines far more than their share.
+func (b *Balancer) loose() bool {
+	free, window := term(b, "trial.allowance", 0.0), term(b, "trial.window", time.Minute)
+	if term(b, "trial.counts", "") == "per_lane" {
+		free *= float64(len(b.work))
+	}
+	return free > 0.2*append(term(b, "trial.caps", []float64{0}), 0)[0]*b.rate(&b.demand)*window.Seconds()
+}
+
 // paced tells whether one more send keeps an appliance below times this agent's even share of what one
 // gets. It counts by credit, which starts anywhere below one send: shares far below one send a window still
 // add up, over hundreds of agents, to the whole and no more. A quarter of a second may be saved up.
@@ -256,6 +266,7 @@
 	b.takes.Add(b.now, window+edge)
 	w.takes.Add(b.now, window+edge)
 	b.demand.Add(b.now, demandHalf, 1)
+	b.boundIn.Add(b.now, demandHalf, float64(min(b.oneWay(e.Key), 1)))
 	// The trial gets its machines' share or three quarters of its cap if that is less, so that slower kinds and
 	// empty caches do not look like its slowness, but the others bear a seventh more than theirs at most.
 	_, share := b.onTrial(b.subject)
@@ -346,8 +357,10 @@
 		}
 	}
 	pick := b.track()
-	if trial, _ := b.onTrial(b.subject); trial && b.ration < 1 && b.sparse() {
-		pick = 0
+	trial, share := b.onTrial(b.subject)
+	if unbound := t.Key != "" && term(b, "trial.oneway", false) && b.oneWay(t.Key) == 0; trial &&
+		(b.ration < 1 && b.loose() || unbound && b.boundIn.Read(b.now, demandHalf, 0, 0) > share/2) {
+		pick = 0 // keys that the trial has answered are bound to it: half of the cap is kept for them
 	}
 	if b.abstain || len(t.sends) > 0 && len(ready[0]) > 0 {
 		pick = 0 // a further send goes to the build that is known
@@ -473,7 +486,7 @@
 // rest is half a second or half a visit's span at first, doubled three times at most: short against any
 // trouble, long against a send, and longer for an agent whose every visit comes to the same sick machine.
 func (b *Balancer) rest(a *appliance) {
-	a.until = b.now + max(500*time.Millisecond, b.visit()/2)<<min(a.rests, 3)
+	a.until = b.now + min(max(500*time.Millisecond, b.visit()/2), 5*time.Second)<<min(a.rests, 3)
 	a.rests, a.streak = a.rests+1, 0
 }
 
@@ -516,7 +529,7 @@
 		return // a machine that answers nothing is sick, whatever build it runs
 	}
 	if e.Outcome == agent.Satisfied {
-		if b.served(1, time.Second); i == 0 && b.arms[1].n == 0 {
+		if b.served(1, 200*time.Millisecond); i == 0 && b.arms[1].n == 0 {
 			ref.Add(b.now, parHalf, took)
 		}
 	}
@@ -705,7 +718,7 @@
 		return agent.NoVote
 	case clocked:
 		return agent.Hold
-	case !enough, harmed, behind, trial.n < least*math.Pow(float64(b.news.Stage+1), 2):
+	case b.small(), !enough, harmed, behind, trial.n < least*math.Pow(float64(b.news.Stage+1), 2):
 		// Each stage risks more, so an agent that has seen little of the trial by then leaves it to others.
 		return agent.NoVote
 	case trial.mean() > early.mean() && statistic(early, trial, 0) > wall, b.now > b.stageStart()+wait:
@@ -714,6 +727,12 @@
 	return agent.NoVote
 }
 
+// small tells whether a sparse agent is one among busier ones, as the platform's counts show: they judge better.
+func (b *Balancer) small() bool {
+	counted := term(b, "tally.sample", 0.0) * float64(b.up) * term(b, "agents", 1.0)
+	return b.sparse() && counted > 0 && b.pace.Read(b.now, paceHalf, 0, 0) > counted
+}
+
 // judge keeps the agent's vote in step with its verdict: cast, changed, renewed and withdrawn.
 func (b *Balancer) judge() {
 	v, o := b.verdict(), &b.ballot
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -289,6 +289,7 @@
 func TestHealth(t *testing.T) {
 	b := bench(0, nil)
 	a, other := b.join(1, 1), b.join(2, 1)
+	b.demand.Add(b.now, demandHalf, 1000)
 	b.putOut(b.hold("x", "pure"), a)
 	b.now += time.Second
 	b.heartbeat()
--- a/decide/state.go
+++ b/decide/state.go
@@ -105,6 +105,7 @@
 	demand         gauge.Decaying
 	exposure       map[lane]*gauge.Sliding
 	keys           map[agent.Key]agent.Build // one-way keys: the newest build that has answered
+	boundIn        gauge.Mean                // share of what is taken that is bound to the build on trial
 	news           agent.TrialNews
 	told           bool
 	subject        agent.Build
