--- a/decide/decide.go
+++ b/decide/decide.go
@@ -2,7 +2,6 @@
 // New (seed, and the terms of the deployment as a plain map of names to values), then calls Step with the
 // time since that start and one event, and carries out the actions it gets back, in order. The interface
 // (ids, events, actions) stands in package agent. Nothing here does input or output or shares state.
-//
 // Three tables (state, input, next state, effect) stand first; run reads them.
 package decide
 
@@ -74,8 +73,8 @@
 	b.judge()
 }
 
-// hearers is how many agents, from number 0, hear the counts of all and judge by them: every one where shares
-// of all must stand for a vote, else six, of whom some live when half of all die.
+// hearers is how many agents, from number 0, hear all counts and judge: every one where shares of all must
+// stand for a vote, else six, of whom some live when half of all die.
 func (b *Balancer) hearers() int {
 	all := int(term(b, "agents", 1.0))
 	shared := term(b, "may.tell", false) || term(b, "tally.every", time.Duration(0)) > 0
@@ -226,9 +225,12 @@
 	return free > 0.2*append(term(b, "trial.caps", []float64{0}), 0)[0]*b.rate(&b.demand)*window.Seconds()
 }
 
-// paced tells whether one more send keeps an appliance below times this agent's even share of what one
-// gets. It counts by credit, which starts anywhere below one send: shares far below one send a window still
-// add up, over hundreds of agents, to the whole and no more. A quarter of a second may be saved up.
+// byTally tells whether the platform's counts judge: own outcomes would tell more, but are too few.
+func (b *Balancer) byTally() bool { return b.sparse() && term(b, "tally.every", time.Duration(0)) > 0 }
+
+// paced tells whether one more send keeps an appliance below times this agent's even share. Its credit starts
+// anywhere below one send, so that shares far below one add up, over hundreds of agents, to the whole and no
+// more. A quarter of a second may be saved up.
 func (b *Balancer) paced(a *appliance, times float64) bool {
 	a.credit += times * b.rate(&b.demand) / float64(max(b.up, 1)) * (b.now - a.creditAt).Seconds()
 	a.credit = min(a.credit, max(1, times*b.rate(&b.demand)/float64(max(b.up, 1))/4))
@@ -236,10 +238,9 @@
 	return a.credit >= 1
 }
 
-// warmEnough keeps a cold appliance from being pushed over by all agents together without their agreeing:
-// warm appliances bear at least the even share, so an agent that keeps below its own even share times the
-// warmth adds up, over all agents, to less than the appliance can do. 1.4 because fleets run below 0.7 of
-// their capacity when they have any choice; never more than 0.7 of the multiple at which it falls.
+// warmEnough keeps a cold appliance from being pushed over by all agents together, none asking another: warm
+// ones bear the even share, so even shares times the warmth add up to less than it can do. 1.4 as fleets run
+// below 0.7 of their capacity if they can; never more than 0.7 of the multiple at which it falls.
 func (b *Balancer) warmEnough(a *appliance) bool {
 	warm := b.warmth(a)
 	return warm >= 1 || b.paced(a, min(1.4, 0.7*term(b, "fall.multiple", 2.0))*warm)
@@ -301,9 +302,9 @@
 func (b *Balancer) again(t *transaction) {
 	if t.ran >= 0 && t.work.effect == "effectful" || !b.mayFurther(t) {
 		run(b, courses, &t.course, lastCall, t)
-		return
+	} else {
+		b.place(t)
 	}
-	b.place(t)
 }
 
 // copyOut sends a second copy of what takes longer than most do. Where no two may be out, the first is called
@@ -442,9 +443,7 @@
 	case t.out == 0:
 		run(b, courses, &t.course, lost, t)
 	}
-	if len(b.waiting) > 0 {
-		b.pollHeld()
-	}
+	b.pollHeld()
 }
 
 // observe learns from one outcome: times, health, load and the evidence for an arm.
@@ -490,9 +489,8 @@
 	a.rests, a.streak = a.rests+1, 0
 }
 
-// failing tells whether most of the last few answers were faults; five in a row will do. Its outcomes then
-// do not count for its build: bad builds fail a third of everything or one workload, so a machine that fails
-// most is sick itself, as one or two trial machines may well be.
+// failing tells whether most of the last few answers were faults; five in a row will do. Bad builds fail a
+// third or one workload: a machine that fails most is sick itself, and does not count for its build.
 func (a *appliance) failing() bool { return a.faulty >= 0.6 }
 
 func (b *Balancer) recover(a *appliance) { a.rests, a.faulty = 0, 0 }
@@ -506,8 +504,8 @@
 	par, ref := w.goal.Seconds(), w.timesOn(s.to.Kind)
 	took, times := e.After.Seconds(), 4.0
 	if told := e.Load["latency_ms"]; told > 0 && e.Outcome == agent.Satisfied {
-		// Where machines tell their recent service time without waiting, that is the better measure: a mean,
-		// so twice the usual is no chance, and a burst leaves it alone.
+		// A machine's own recent service time is the better measure: a mean without waiting, which a burst
+		// leaves alone, so twice the usual is no chance.
 		took, times = told/1000, 2
 	}
 	if ref.Weight(b.now, parHalf) > 0.1 {
@@ -529,9 +527,12 @@
 		return // a machine that answers nothing is sick, whatever build it runs
 	}
 	if e.Outcome == agent.Satisfied {
-		if b.served(1, 200*time.Millisecond); i == 0 && b.arms[1].n == 0 {
+		if i == 0 && b.arms[1].n == 0 {
 			ref.Add(b.now, parHalf, took)
 		}
+		if !b.byTally() {
+			b.served(1, 200*time.Millisecond)
+		}
 	}
 	good := 0.0
 	if e.Outcome == agent.Satisfied && !slow {
@@ -540,10 +541,9 @@
 	if b.lately.Add(b.now, time.Second, good); b.arms[1].n == 0 && i == 0 {
 		b.before.Add(b.now, parHalf, good)
 	}
-	// The arms are compared over the same time only, else a burst or a slowdown of all would count against
-	// the build that had little traffic before: the earlier one is counted from the trial's first outcome
-	// on, and what was lost to time counts only while both have machines. The last stage in place leaves the
-	// trial all the load, on cold machines.
+	// Arms are compared over the same time, else a burst or a slowdown of all would count against the one with
+	// little traffic before: the earlier one counts from the trial's first outcome on, and what is lost to time
+	// while both have machines. The last stage in place leaves the trial all the load, on cold machines.
 	if slow = slow && b.stands(1-i); silent && !b.stands(1-i) {
 		return
 	}
@@ -556,16 +556,15 @@
 	b.own(s.to, worth)
 }
 
-// count takes what the platform counted of all agents' sends. While there is no trial it is what payoffs and
-// times were before; from then on it counts for the arms where both builds have machines past their cold
-// time, in the same periods for both. Slow is twice the earlier time, as for told service times.
+// count takes what the platform counted: payoffs and times as they were before the trial, then, while both
+// builds have machines past their cold time, the arms' counts. Slow is twice the earlier time, as in weigh.
 func (b *Balancer) count(e agent.Tally) {
 	w, i, ok := b.workload(e.Workload), 0, float64(e.Sends-e.Failed)
 	if e.Build == b.subject {
 		i = 1
 	}
-	if e.Sends <= 0 || ok < 0 || !b.sparse() {
-		return // an agent's own outcomes tell more: which machine, how cold, why
+	if e.Sends <= 0 || ok < 0 || !b.byTally() {
+		return
 	}
 	good := ok / float64(e.Sends)
 	if ref := w.tallied.Read(b.now, parHalf, 0, 0); ref > 0 && e.Mean.Seconds() > 2*ref {
@@ -597,11 +596,9 @@
 
 // complain takes back the payoff of an answer that a client found wrong, and of those that went unreported.
 func (b *Balancer) complain(e agent.Complaint) {
-	a := b.fleet[e.Appliance]
-	if a == nil || b.now-e.Age < a.Started {
-		return
+	if a := b.fleet[e.Appliance]; a != nil && b.now-e.Age >= a.Started {
+		b.credit(a, 0, -min(1/term(b, "trial.complaints", 1.0), a.given.sum))
 	}
-	b.credit(a, 0, -min(1/term(b, "trial.complaints", 1.0), a.given.sum))
 }
 
 const parHalf = 20 * time.Second // much longer than any burst
@@ -620,24 +617,14 @@
 	return 0
 }
 
-// statistic is Z for the two arms, with extra added to the trial's mean.
-func statistic(x, y arm, extra float64) float64 {
-	if x.n == 0 || y.n == 0 {
-		return 0
-	}
-	m1, m2 := x.mean(), min(y.mean()+extra, 1)
-	m := (x.n*m1 + y.n*m2) / (x.n + y.n)
-	return x.n*divergence(m1, m) + y.n*divergence(m2, m)
-}
-
 const paceHalf = 2 * time.Second // shorter than a burst
 
 // harmed is the exception for builds that slow all machines alike, which Z never blames: payoffs over both
 // arms 0.15 below those before the trial, with no more satisfied a second than then, as in a burst. While it
-// lasts the agent casts no 'on'. After two seconds it sends the trial nothing for three: harm that goes away
+// lasts the agent casts no 'on'. After two seconds it sends the trial nothing for four: harm that goes away
 // with the trial's traffic is the build's, what stays the fleet's own, unless it outlasts ten seconds.
 func (b *Balancer) harmed() (now, blamed bool) {
-	const half = time.Second
+	const half = time.Second // of what is lately
 	gap := b.before.Read(b.now, parHalf, 0, 0) - b.lately.Read(b.now, half, 0, 0)
 	busier := b.pace.Read(b.now, paceHalf, 0, 0) > 1.1*b.paceWas.Read(b.now, parHalf, 0, 0)
 	now = gap > 0.15 && !busier && b.lately.Weight(b.now, half) > 6 && b.before.Weight(b.now, parHalf) > 1
@@ -648,18 +635,13 @@
 		b.harmSince = b.now
 	}
 	since := b.now - b.harmSince
-	pause := 3 * time.Second
-	if b.sparse() {
-		pause *= 2 // it goes by tallies, which are late
-	}
-	b.abstain = since > 2*time.Second && since < 2*time.Second+pause
+	b.abstain = since > 2*time.Second && since < 6*time.Second
 	b.blamed = since > 10*time.Second || b.now < b.blamedTill
 	return now, b.blamed
 }
 
-// evidence is an arm's counts and, of those, each stage's machines', without the worst quarter of machines
-// that came together: a bad build hurts all of them, sick ones are few. It takes no more from the trial than
-// from the earlier build. It would pass a build over that hurts no more than a quarter of its machines.
+// evidence is an arm's counts and, of those, each stage's machines', without the worst quarter that came
+// together: a bad build hurts all, sick ones are few. A build that hurts a quarter at most would pass.
 func (b *Balancer) evidence(i int) (all arm, stages [8]arm) {
 	all = b.arms[i]
 	for s, group := range b.byStage(i) {
@@ -674,8 +656,8 @@
 	return b.tallied(i, all), stages
 }
 
-// worse tells whether the trial is behind by more than the margin, and Z past the wall: as a whole, or in the
-// machines of one stage, since a build may turn bad with its machines' age and younger ones hide it.
+// worse tells whether the trial is behind, as a whole or in the machines of one stage: a build may turn bad
+// with its machines' age, and younger ones hide it.
 func (b *Balancer) worse(margin, wall float64) bool {
 	early, _ := b.evidence(0)
 	trial, stages := b.evidence(1)
@@ -727,10 +709,10 @@
 	return agent.NoVote
 }
 
-// small tells whether a sparse agent is one among busier ones, as the platform's counts show: they judge better.
+// small tells whether an agent is one among busier ones, by the platform's counts: those judge better.
 func (b *Balancer) small() bool {
 	counted := term(b, "tally.sample", 0.0) * float64(b.up) * term(b, "agents", 1.0)
-	return b.sparse() && counted > 0 && b.pace.Read(b.now, paceHalf, 0, 0) > counted
+	return b.byTally() && b.pace.Read(b.now, paceHalf, 0, 0) > counted
 }
 
 // judge keeps the agent's vote in step with its verdict: cast, changed, renewed and withdrawn.
--- a/decide/state.go
+++ b/decide/state.go
@@ -716,3 +716,13 @@
 func (b *Balancer) visit() time.Duration {
 	return time.Duration(float64(b.up) / max(b.rate(&b.demand), 1e-3) * float64(time.Second))
 }
+
+// statistic is Z for the two arms, with extra added to the trial's mean.
+func statistic(x, y arm, extra float64) float64 {
+	if x.n == 0 || y.n == 0 {
+		return 0
+	}
+	m1, m2 := x.mean(), min(y.mean()+extra, 1)
+	m := (x.n*m1 + y.n*m2) / (x.n + y.n)
+	return x.n*divergence(m1, m) + y.n*divergence(m2, m)
+}
