--- a/decide/decide.go
+++ b/decide/decide.go
@@ -482,8 +482,7 @@
 	b.weigh(t, s, e)
 }
 
-// rest is half a second or half a visit's span at first, doubled three times at most: short against any
-// trouble, long against a send, and longer for an agent whose every visit comes to the same sick machine.
+// rest is half a second, or half a visit up to five, doubled thrice at most: short against any trouble.
 func (b *Balancer) rest(a *appliance) {
 	a.until = b.now + min(max(500*time.Millisecond, b.visit()/2), 5*time.Second)<<min(a.rests, 3)
 	a.rests, a.streak = a.rests+1, 0
