--- a/decide/decide.go
+++ b/decide/decide.go
@@ -511,9 +511,6 @@
 		par = times * ref.Read(b.now, parHalf, 0, 0)
 	}
 	slow := took > par
-	if b.warmth(s.to) < 1 && e.Outcome == agent.Satisfied {
-		slow = false // not quite warm yet: only its failures count
-	}
 	silent := e.Outcome == agent.TimedOut || e.Outcome == agent.Cut || e.Outcome == agent.CalledOff
 	switch {
 	case s.to.failing(), s.cold:
@@ -543,7 +540,8 @@
 	// Arms are compared over the same time, else a burst or a slowdown of all would count against the one with
 	// little traffic before: the earlier one counts from the trial's first outcome on, and what is lost to time
 	// while both have machines. The last stage in place leaves the trial all the load, on cold machines.
-	if slow = slow && b.stands(1-i); silent && !b.stands(1-i) {
+	timely := b.stands(1-i) && b.warmth(s.to) >= 1 // not quite warm yet: only its faults count
+	if slow = slow && timely; silent && !timely {
 		return
 	}
 	worth := 0.0
