--- a/decide/decide.go
+++ b/decide/decide.go
@@ -456,8 +456,8 @@
 	switch e.Outcome {
 	case agent.Satisfied:
 		t.flow.fill.Add(b.now, fillHalf, full)
-		a.heard, a.streak = b.now, 0
-		a.faulty *= 0.8
+		a.heard, a.streak, a.faulty = b.now, 0, 0.8*a.faulty
+		b.faults.Add(b.now, timesHalf, 0)
 		a.slowness.Add(b.now, max(3*time.Second, b.visit()), e.After.Seconds()/b.mean(w).Seconds())
 		w.all.Add(b.now, timesHalf, e.After.Seconds())
 		b.times.Add(b.now, timesHalf, e.After.Seconds())
@@ -466,17 +466,17 @@
 		if e.Outcome == agent.Rejected { // a full machine is as bad as an answer at the goal time
 			t.flow.fill.Add(b.now, fillHalf, 1)
 		}
-		a.heard, a.streak = b.now, 0
-		a.faulty = 0.8*a.faulty + 0.2
+		a.heard, a.streak, a.faulty = b.now, 0, 0.8*a.faulty+0.2
+		b.faults.Add(b.now, timesHalf, 1)
 	case agent.TimedOut, agent.Unreachable, agent.Cut:
 		if a.streak++; e.Outcome == agent.TimedOut && a.health == fit {
 			t.flow.fill.Add(b.now, fillHalf, full)
 		}
 	}
-	if a.failing() {
+	if b.failing(a) {
 		b.disown(a)
 	}
-	if a.failing() || a.streak >= 3 || a.health == trying && a.streak > 0 {
+	if b.failing(a) || a.streak >= 3 || a.health == trying && a.streak > 0 {
 		run(b, healths, &a.health, sick, a)
 	}
 	b.weigh(t, s, e)
@@ -489,8 +489,11 @@
 }
 
 // failing tells whether most of the last few answers were faults; five in a row will do. Bad builds fail a
-// third or one workload: a machine that fails most is sick itself, and does not count for its build.
-func (a *appliance) failing() bool { return a.faulty >= 0.6 }
+// third or one workload: a machine that fails most, while the fleet fails less than half as much, is sick
+// itself, and does not count for its build. What fails everywhere, as worthless requests do, is no sickness.
+func (b *Balancer) failing(a *appliance) bool {
+	return a.faulty >= max(0.6, 2*b.faults.Read(b.now, timesHalf, 0, 3))
+}
 
 func (b *Balancer) recover(a *appliance) { a.rests, a.faulty = 0, 0 }
 
@@ -511,9 +514,12 @@
 		par = times * ref.Read(b.now, parHalf, 0, 0)
 	}
 	slow := took > par
+	if b.warmth(s.to) < 1 && e.Outcome == agent.Satisfied {
+		slow = false // not quite warm yet: only its failures count
+	}
 	silent := e.Outcome == agent.TimedOut || e.Outcome == agent.Cut || e.Outcome == agent.CalledOff
 	switch {
-	case s.to.failing(), s.cold:
+	case b.failing(s.to), s.cold:
 		return // sick and cold machines mislead
 	case e.Outcome == agent.Rejected, e.Outcome == agent.Unreachable, e.Outcome == agent.NotSent:
 		return // what never ran says nothing of a build
@@ -540,8 +546,7 @@
 	// Arms are compared over the same time, else a burst or a slowdown of all would count against the one with
 	// little traffic before: the earlier one counts from the trial's first outcome on, and what is lost to time
 	// while both have machines. The last stage in place leaves the trial all the load, on cold machines.
-	timely := b.stands(1-i) && b.warmth(s.to) >= 1 // not quite warm yet: only its faults count
-	if slow = slow && timely; silent && !timely {
+	if slow = slow && b.stands(1-i); silent && !b.stands(1-i) {
 		return
 	}
 	worth := 0.0
--- a/decide/state.go
+++ b/decide/state.go
@@ -113,6 +113,7 @@
 	arms           [2]arm
 	ballot         ballot
 	times          gauge.Mean // of all answers
+	faults         gauge.Mean // share of faults in all answers
 	toldAt         time.Duration
 	lately, before gauge.Mean // payoffs over both arms, and before the trial
 	harmSince      time.Duration
