--- a/decide/decide.go
+++ b/decide/decide.go
@@ -456,8 +456,8 @@
 	switch e.Outcome {
 	case agent.Satisfied:
 		t.flow.fill.Add(b.now, fillHalf, full)
-		a.heard, a.streak, a.faulty = b.now, 0, 0.8*a.faulty
-		b.faults.Add(b.now, timesHalf, 0)
+		a.heard, a.streak = b.now, 0
+		a.faulty *= 0.8
 		a.slowness.Add(b.now, max(3*time.Second, b.visit()), e.After.Seconds()/b.mean(w).Seconds())
 		w.all.Add(b.now, timesHalf, e.After.Seconds())
 		b.times.Add(b.now, timesHalf, e.After.Seconds())
@@ -466,17 +466,17 @@
 		if e.Outcome == agent.Rejected { // a full machine is as bad as an answer at the goal time
 			t.flow.fill.Add(b.now, fillHalf, 1)
 		}
-		a.heard, a.streak, a.faulty = b.now, 0, 0.8*a.faulty+0.2
-		b.faults.Add(b.now, timesHalf, 1)
+		a.heard, a.streak = b.now, 0
+		a.faulty = 0.8*a.faulty + 0.2
 	case agent.TimedOut, agent.Unreachable, agent.Cut:
 		if a.streak++; e.Outcome == agent.TimedOut && a.health == fit {
 			t.flow.fill.Add(b.now, fillHalf, full)
 		}
 	}
-	if b.failing(a) {
+	if a.failing() {
 		b.disown(a)
 	}
-	if b.failing(a) || a.streak >= 3 || a.health == trying && a.streak > 0 {
+	if a.failing() || a.streak >= 3 || a.health == trying && a.streak > 0 {
 		run(b, healths, &a.health, sick, a)
 	}
 	b.weigh(t, s, e)
@@ -489,11 +489,8 @@
 }
 
 // failing tells whether most of the last few answers were faults; five in a row will do. Bad builds fail a
-// third or one workload: a machine that fails most, while the fleet fails less than half as much, is sick
-// itself, and does not count for its build. What fails everywhere, as worthless requests do, is no sickness.
-func (b *Balancer) failing(a *appliance) bool {
-	return a.faulty >= max(0.6, 2*b.faults.Read(b.now, timesHalf, 0, 3))
-}
+// third or one workload: a machine that fails most is sick itself, and does not count for its build.
+func (a *appliance) failing() bool { return a.faulty >= 0.6 }
 
 func (b *Balancer) recover(a *appliance) { a.rests, a.faulty = 0, 0 }
 
@@ -519,7 +516,7 @@
 	}
 	silent := e.Outcome == agent.TimedOut || e.Outcome == agent.Cut || e.Outcome == agent.CalledOff
 	switch {
-	case b.failing(s.to), s.cold:
+	case s.to.failing(), s.cold:
 		return // sick and cold machines mislead
 	case e.Outcome == agent.Rejected, e.Outcome == agent.Unreachable, e.Outcome == agent.NotSent:
 		return // what never ran says nothing of a build
@@ -540,8 +537,8 @@
 	if e.Outcome == agent.Satisfied && !slow {
 		good = 1
 	}
-	if b.lately.Add(b.now, time.Second, good); b.arms[1].n == 0 && i == 0 {
-		b.before.Add(b.now, parHalf, good)
+	if e.Outcome != agent.Fault { // quick faults everywhere, as worthless requests get, slow no machine
+		b.felt(good, i == 0 && b.arms[1].n == 0)
 	}
 	// Arms are compared over the same time, else a burst or a slowdown of all would count against the one with
 	// little traffic before: the earlier one counts from the trial's first outcome on, and what is lost to time
@@ -568,16 +565,15 @@
 	if e.Sends <= 0 || ok < 0 || !b.byTally() {
 		return
 	}
-	good := ok / float64(e.Sends)
-	if ref := w.tallied.Read(b.now, parHalf, 0, 0); ref > 0 && e.Mean.Seconds() > 2*ref {
-		good /= 2
+	good := 1.0
+	if ref := w.tallied.Read(b.now, parHalf, 0, 0); ref > 0 { // up to half more is load
+		good = min(1, 1.5*ref/max(e.Mean.Seconds(), ref))
 	}
-	b.lately.Add(b.now, time.Second, good)
+	b.felt(good, i == 0 && !b.stands(1))
 	b.served(ok, term(b, "tally.every", time.Duration(0))/2)
 	begin := b.now - e.Age - term(b, "tally.every", time.Duration(0))
 	switch x := &w.tally[i]; {
 	case !b.stands(1) && i == 0:
-		b.before.Add(b.now, parHalf, good)
 		w.tallied.Add(b.now, parHalf, e.Mean.Seconds())
 	case b.stands(0) && b.stands(1) && begin > b.stageStart()+coldFor:
 		x.n, x.sum, x.time = x.n+float64(e.Sends), x.sum+ok, x.time+ok*e.Mean.Seconds()
@@ -619,17 +615,16 @@
 	return 0
 }
 
-const paceHalf = 2 * time.Second // shorter than a burst
+const paceHalf, latelyHalf = 2 * time.Second, time.Second // shorter than a burst
 
 // harmed is the exception for builds that slow all machines alike, which Z never blames: payoffs over both
 // arms 0.15 below those before the trial, with no more satisfied a second than then, as in a burst. While it
 // lasts the agent casts no 'on'. After two seconds it sends the trial nothing for four: harm that goes away
 // with the trial's traffic is the build's, what stays the fleet's own, unless it outlasts ten seconds.
 func (b *Balancer) harmed() (now, blamed bool) {
-	const half = time.Second // of what is lately
-	gap := b.before.Read(b.now, parHalf, 0, 0) - b.lately.Read(b.now, half, 0, 0)
+	gap := b.before.Read(b.now, parHalf, 0, 0) - b.lately.Read(b.now, latelyHalf, 0, 0)
 	busier := b.pace.Read(b.now, paceHalf, 0, 0) > 1.1*b.paceWas.Read(b.now, parHalf, 0, 0)
-	now = gap > 0.15 && !busier && b.lately.Weight(b.now, half) > 6 && b.before.Weight(b.now, parHalf) > 1
+	now = gap > 0.15 && !busier && b.lately.Weight(b.now, latelyHalf) > 6 && b.before.Weight(b.now, parHalf) > 1
 	if b.abstain && gap < 0.08 {
 		b.blamedTill = b.now + 5*time.Second
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -113,7 +113,6 @@
 	arms           [2]arm
 	ballot         ballot
 	times          gauge.Mean // of all answers
-	faults         gauge.Mean // share of faults in all answers
 	toldAt         time.Duration
 	lately, before gauge.Mean // payoffs over both arms, and before the trial
 	harmSince      time.Duration
@@ -581,7 +580,8 @@
 		for _, w := range b.work {
 			w.tally = [2]sums{}
 		}
-		b.subject, b.arms, b.harmSince, b.ration = newest, [2]arm{}, b.now, b.luck()
+		b.subject, b.arms, b.ration = newest, [2]arm{}, b.luck()
+		b.harmSince, b.blamedTill, b.abstain = b.now, 0, false
 	}
 }
 
@@ -727,3 +727,11 @@
 	m := (x.n*m1 + y.n*m2) / (x.n + y.n)
 	return x.n*divergence(m1, m) + y.n*divergence(m2, m)
 }
+
+// felt notes a payoff over both arms, as it is lately and as it was before the trial.
+func (b *Balancer) felt(good float64, before bool) {
+	b.lately.Add(b.now, latelyHalf, good)
+	if before {
+		b.before.Add(b.now, parHalf, good)
+	}
+}
