--- a/decide/decide.go
+++ b/decide/decide.go
@@ -566,8 +566,8 @@
 		return
 	}
 	good := 1.0
-	if ref := w.tallied.Read(b.now, parHalf, 0, 0); ref > 0 { // up to half more is load
-		good = min(1, 1.5*ref/max(e.Mean.Seconds(), ref))
+	if ref := w.tallied.Read(b.now, parHalf, 0, 0); ref > 0 { // up to twice may be load
+		good = min(1, 2*ref/max(e.Mean.Seconds(), ref))
 	}
 	b.felt(good, i == 0 && !b.stands(1))
 	b.served(ok, term(b, "tally.every", time.Duration(0))/2)
