--- a/decide/decide.go
+++ b/decide/decide.go
@@ -268,11 +268,15 @@
 	w.takes.Add(b.now, window+edge)
 	b.demand.Add(b.now, demandHalf, 1)
 	b.boundIn.Add(b.now, demandHalf, float64(min(b.oneWay(e.Key), 1)))
-	// The trial gets four fifths of its machines' share, or three quarters of its cap if less, so that slower kinds and
-	// empty caches do not look like its slowness, but the others bear a seventh more than theirs at most.
+	// The trial gets its machines' share, or three quarters of its cap if less, so that slower kinds and empty
+	// caches do not look like its slowness, but the others bear a seventh more than theirs at most. A fleet of
+	// agents that see too little to spread their sends by load gives it a fifth less.
 	_, share := b.onTrial(b.subject)
-	part := b.trialPart()
-	b.ration = min(b.ration+max(min(0.75*share, 0.8*part), 1-1.15*(1-part)), 1.5)
+	part, spread := b.trialPart(), 1.0
+	if b.sparse() && !b.small() {
+		spread = 0.8
+	}
+	b.ration = min(b.ration+max(min(0.75*share, spread*part), 1-1.15*(1-part)), 1.5)
 	b.further.earned.Add(b.now, furtherHalf, b.furtherShare())
 	// The answer timer runs out a tick before the client's time does, so that the answer is never late.
 	b.after(e.Left-term(b, "tick", beat), func() { run(b, courses, &t.course, lastCall, t) })
