--- a/decide/decide.go
+++ b/decide/decide.go
@@ -261,12 +261,7 @@
 func (b *Balancer) take(e agent.Taken) {
 	w := b.workload(e.Workload)
 	t := &transaction{Taken: e, work: w, flow: b.flow(w, e.Customer), at: b.now, ran: -1}
-	t.flow.demand.Add(b.now, demandHalf, 1)
-	b.open[e.ID] = t
-	window, edge := b.window()
-	b.takes.Add(b.now, window+edge)
-	w.takes.Add(b.now, window+edge)
-	b.demand.Add(b.now, demandHalf, 1)
+	b.noteTaken(t)
 	b.boundIn.Add(b.now, demandHalf, float64(min(b.oneWay(e.Key), 1)))
 	// The trial gets its machines' share, or three quarters of its cap if less, so that slower kinds and empty
 	// caches do not look like its slowness, but the others bear a seventh more than theirs at most. A fleet of
--- a/decide/state.go
+++ b/decide/state.go
@@ -735,3 +735,13 @@
 		b.before.Add(b.now, parHalf, good)
 	}
 }
+
+// noteTaken counts one more transaction wherever they are counted.
+func (b *Balancer) noteTaken(t *transaction) {
+	b.open[t.ID] = t
+	window, edge := b.window()
+	b.takes.Add(b.now, window+edge)
+	t.work.takes.Add(b.now, window+edge)
+	b.demand.Add(b.now, demandHalf, 1)
+	t.flow.demand.Add(b.now, demandHalf, 1)
+}
