--- a/decide/decide.go
+++ b/decide/decide.go
@@ -690,7 +690,7 @@
 	if clocked {
 		bar, gap = wall/2, 0
 	}
-	behind := b.worse(gap, bar)
+	behind := trial.mean()+gap < early.mean() && statistic(early, trial, 0) > bar
 	switch {
 	case phase == agent.Released, clocked && !behind:
 		return agent.NoVote
