--- a/decide/decide.go
+++ b/decide/decide.go
@@ -263,12 +263,14 @@
 	t := &transaction{Taken: e, work: w, flow: b.flow(w, e.Customer), at: b.now, ran: -1}
 	b.noteTaken(t)
 	b.boundIn.Add(b.now, demandHalf, float64(min(b.oneWay(e.Key), 1)))
-	// The trial gets its machines' share, or three quarters of its cap if less, so that slower kinds and empty
-	// caches do not look like its slowness, but the others bear a seventh more than theirs at most. A fleet of
-	// agents that see too little to spread their sends by load gives it a fifth less.
+	// The trial gets three quarters of its cap, but no more than its machines' share and a third, else they look
+	// slow from load; from agents that see too little to spread their sends by load the share alone, in a fleet
+	// of such agents a fifth less; but the others never bear more than a seventh above theirs.
 	_, share := b.onTrial(b.subject)
-	part, spread := b.trialPart(), 1.0
-	if b.sparse() && !b.small() {
+	part, spread := b.trialPart(), 1.3
+	if b.small() {
+		spread = 1
+	} else if b.sparse() {
 		spread = 0.8
 	}
 	b.ration = min(b.ration+max(min(0.75*share, spread*part), 1-1.15*(1-part)), 1.5)
