--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -514,3 +514,37 @@
 		t.Errorf("rests for %v, want 5s", a.until-b.now)
 	}
 }
+
+// A build that turns bad with its machines' age is blamed by the oldest ones, though many young ones do well.
+func TestBlameByStage(t *testing.T) {
+	b := bench(1, nil)
+	for id := agent.ApplianceID(0); id < 12; id++ {
+		a := b.join(id, 2)
+		if a.given = (arm{n: 60, sum: 60}); id < 4 {
+			a.given.sum = 45
+		} else {
+			a.stage = 1
+		}
+	}
+	b.arms = [2]arm{{n: 600, sum: 597}, {n: 720, sum: 660, own: 50}}
+	if b.news.Stage = 1; b.verdict() != agent.Back {
+		t.Errorf("verdict %v, want back", b.verdict())
+	}
+}
+
+// Quick faults of all builds are no harm to all, and what a build was blamed for ends with it.
+func TestBlameEndsWithItsBuild(t *testing.T) {
+	b := bench(1, nil)
+	early := b.join(1, 1)
+	x := b.hold("x", "pure")
+	for range 50 {
+		b.weigh(x, &send{to: early, at: b.now}, agent.Ended{Outcome: agent.Fault})
+	}
+	if b.lately.Weight(b.now, latelyHalf) != 0 {
+		t.Error("faults count as harm to all")
+	}
+	b.abstain, b.blamedTill, b.news.Build = true, b.now+time.Minute, 3
+	if b.newSubject(); b.abstain || b.blamedTill > b.now || b.verdict() == agent.Back {
+		t.Error("the next build is blamed for the last one")
+	}
+}
