--- a/decide/decide.go
+++ b/decide/decide.go
@@ -88,9 +88,9 @@
 // often against a stage; agents with little traffic tell less often, so that all cost a quarter of a full
 // message a transaction at most, however many they are. A lost message loses only evidence.
 func (b *Balancer) tell() {
-	hearers := b.hearers()
-	quarter := float64(hearers*b.untold()) / 256 / 0.25 / b.rate(&b.demand)
-	if !term(b, "may.tell", false) || b.untold() == 0 || (b.now-b.toldAt).Seconds() < max(0.5, quarter) {
+	hearers, size := b.hearers(), b.untold()
+	quarter := float64(hearers*size) / 256 / 0.25 / b.rate(&b.demand)
+	if !term(b, "may.tell", false) || size == 0 || (b.now-b.toldAt).Seconds() < max(0.5, quarter) {
 		return
 	}
 	data := b.message()
@@ -232,8 +232,8 @@
 // anywhere below one send, so that shares far below one add up, over hundreds of agents, to the whole and no
 // more. A quarter of a second may be saved up.
 func (b *Balancer) paced(a *appliance, times float64) bool {
-	a.credit += times * b.rate(&b.demand) / float64(max(b.up, 1)) * (b.now - a.creditAt).Seconds()
-	a.credit = min(a.credit, max(1, times*b.rate(&b.demand)/float64(max(b.up, 1))/4))
+	share := times * b.rate(&b.demand) / float64(max(b.up, 1)) // a second
+	a.credit = min(a.credit+share*(b.now-a.creditAt).Seconds(), max(1, share/4))
 	a.creditAt = b.now
 	return a.credit >= 1
 }
