--- /dev/null
+++ b/httpagent/agent.go
@@ -0,0 +1,132 @@
+// Package httpagent is the agent on sockets: it speaks the protocol with clients, appliances, discovery, the
+// platform and other agents, and lets the module decide through package engine. Each file has one job. Several
+// agents may run in one process; a program of a few lines reads a Station and calls New and Run.
+package httpagent
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"sagelever/agent"
+	"sagelever/decide"
+	"sagelever/engine"
+)
+
+// Agent is one agent on sockets.
+type Agent struct {
+	station *Station
+	engine  *engine.Engine
+	links   *links
+	control *http.Transport // to discovery and the platform
+	peers   *peers
+	ctx     context.Context // ends when the agent does
+
+	ready      atomic.Bool // what it knew at the start has reached the module
+	leaving    atomic.Bool // it has been told to stop
+	held       atomic.Int64
+	version    atomic.Int64 // of the list
+	watching   atomic.Bool  // the module wants changes, where they come only when asked for
+	subscribed chan struct{}
+}
+
+// New makes an agent from a station that has been checked.
+func New(s *Station) *Agent {
+	sockets := int64(s.Limits.Sockets)
+	if sockets == 0 {
+		sockets = 1 << 20
+	}
+	dial := term(s, "link.dial", time.Second)
+	a := &Agent{station: s, control: plain(dial), subscribed: make(chan struct{}, 1),
+		links: newLinks(dial, term(s, "link.idle", time.Minute), sockets/2)}
+	a.engine = engine.New(time.Now(), decide.New(uint64(s.Seed), s.terms), a.do)
+	return a
+}
+
+// Run serves until the context ends, and then until what it has taken is answered.
+func (a *Agent) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", a.station.Listen)
+	if err != nil {
+		return err
+	}
+	if a.station.PeerAt != "" {
+		if a.peers, err = openPeers(a.station); err != nil {
+			listener.Close()
+			return fmt.Errorf("peer_listen: %w", err)
+		}
+		defer a.peers.socket.Close()
+	}
+	life, end := context.WithCancel(context.Background())
+	defer end()
+	a.ctx = life
+	go a.engine.Run(life)
+	if err := a.start(); err != nil {
+		listener.Close()
+		return err
+	}
+	if a.peers != nil {
+		go a.peers.send(life)
+		go a.peers.hear(a.engine.Tell)
+	}
+	go a.watch(life)
+	if a.station.Platform.Address != "" {
+		go a.listen(life)
+	}
+	return a.serve(ctx, listener)
+}
+
+// start hands the module what the station knew.
+func (a *Agent) start() error {
+	if len(a.station.Known) > 0 {
+		l, err := readList(a.station.Known, a.engine.Began())
+		if err != nil {
+			return fmt.Errorf("known: %w", err)
+		}
+		l.news.Kind = agent.Remembered
+		a.enlist(l)
+	}
+	if len(a.station.Platform.News) > 0 {
+		news, err := readNews(a.station.Platform.News)
+		if err != nil {
+			return fmt.Errorf("platform.news: %w", err)
+		}
+		a.engine.Tell(news)
+	}
+	a.ready.Store(true)
+	log.Printf("event=started name=%s listen=%s", a.station.Name, a.station.Listen)
+	return nil
+}
+
+// do carries out an action that belongs to no transaction. It runs on the engine's goroutine and returns at once.
+func (a *Agent) do(action agent.Action) {
+	switch x := action.(type) {
+	case agent.Probe:
+		go a.probe(a.ctx, x.Appliance)
+	case agent.FreeLinks:
+		if l := a.links.to(x.Appliance); l != nil {
+			go l.transport.CloseIdleConnections()
+		}
+	case agent.Tell:
+		if a.peers != nil {
+			a.peers.tell(x)
+		}
+	case agent.Vote:
+		go a.vote(a.ctx, x)
+	case agent.Subscribe:
+		a.watching.Store(x.On)
+		select {
+		case a.subscribed <- struct{}{}:
+		default:
+		}
+	case agent.Fetch:
+		go a.fetch(a.ctx)
+	case agent.Log:
+		log.Printf("event=module text=%q", x.Text)
+	default:
+		log.Printf("event=unknown_action action=%T", action)
+	}
+}
--- /dev/null
+++ b/httpagent/clients.go
@@ -0,0 +1,244 @@
+package httpagent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"sagelever/agent"
+)
+
+// asked is a transaction as a client has written it: the bytes that go on unchanged, and what the module needs.
+type asked struct {
+	agent.Taken
+	request *http.Request
+	body    []byte
+	until   time.Time
+}
+
+// badRequest is a request that gets a 4xx and goes no further.
+type badRequest struct {
+	status int
+	why    string
+}
+
+func (b badRequest) Error() string { return b.why }
+
+// readAsked takes out of a request what the module needs.
+func (a *Agent) readAsked(w http.ResponseWriter, r *http.Request) (*asked, error) {
+	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	effect := term(a.station, "workload."+name+".effect", "")
+	if effect == "" || strings.HasPrefix(r.RequestURI, "//") || !strings.HasPrefix(r.RequestURI, "/") {
+		return nil, badRequest{http.StatusNotFound, "no such workload"}
+	}
+	x := &asked{Taken: agent.Taken{ID: agent.TransactionID(r.Header.Get("Request-Id")), Workload: agent.Workload(name)},
+		request: r}
+	if x.ID == "" {
+		return nil, badRequest{http.StatusBadRequest, "Request-Id is missing"}
+	}
+	method := http.MethodPost
+	if effect == "pure" {
+		method = http.MethodGet
+	}
+	if r.Method != method {
+		return nil, badRequest{http.StatusMethodNotAllowed, "this workload uses " + method}
+	}
+	if effect == "receipted" && r.Header.Get("Idempotency-Key") == "" {
+		return nil, badRequest{http.StatusBadRequest, "Idempotency-Key is missing"}
+	}
+	x.Left = term(a.station, "workload."+name+".abandon", time.Second)
+	if text := r.Header.Get("Request-Timeout"); text != "" {
+		left, err := readTimeout(text)
+		if err != nil {
+			return nil, badRequest{http.StatusBadRequest, err.Error()}
+		}
+		x.Left = left
+	}
+	if hint := r.Header.Get("Work-Hint"); hint != "" {
+		micros, err := strconv.ParseFloat(hint, 64)
+		if err != nil {
+			return nil, badRequest{http.StatusBadRequest, "Work-Hint is no number"}
+		}
+		x.Cost = time.Duration(micros * float64(time.Microsecond))
+		x.CostKnown = x.Cost > 0
+	}
+	if k, err := r.Cookie("k"); err == nil {
+		x.Key = agent.Key(k.Value)
+	}
+	x.Repeat = r.Header.Get("Client-Retry") == "1"
+	for _, pair := range strings.Split(r.Header.Get("Request-Info"), ",") {
+		switch name, value, _ := strings.Cut(strings.TrimSpace(pair), "="); name {
+		case "customer":
+			x.Customer = agent.Customer(value)
+		case "write":
+			x.Write = value == "1"
+		}
+	}
+	var err error
+	if x.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody)); err != nil {
+		var long *http.MaxBytesError
+		if errors.As(err, &long) {
+			return nil, badRequest{http.StatusRequestEntityTooLarge, "the body is too long"}
+		}
+		return nil, badRequest{http.StatusBadRequest, "the body cannot be read"}
+	}
+	x.until = time.Now().Add(x.Left)
+	return x, nil
+}
+
+// readTimeout reads a number and its unit, m for milliseconds, u for microseconds.
+func readTimeout(text string) (time.Duration, error) {
+	unit := time.Duration(0)
+	switch {
+	case strings.HasSuffix(text, "m"):
+		unit = time.Millisecond
+	case strings.HasSuffix(text, "u"):
+		unit = time.Microsecond
+	}
+	v, err := strconv.ParseFloat(strings.TrimRight(text, "mu"), 64)
+	if err != nil || unit == 0 || !(v > 0 && v < 1e10) {
+		return 0, fmt.Errorf("Request-Timeout cannot be read: %.40q", text)
+	}
+	return time.Duration(v * float64(unit)), nil
+}
+
+// ServeHTTP answers the health check and takes everything else for a transaction.
+func (a *Agent) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if a.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if r.URL.Path == "/_health" {
+		if !a.ready.Load() {
+			http.Error(w, "starting", http.StatusServiceUnavailable)
+		}
+		return
+	}
+	a.transact(w, r)
+}
+
+// ended is how one send has ended, with the answer if there is one.
+type ended struct {
+	agent.Ended
+	answer *answer
+}
+
+// transact is the life of one transaction, from its request to its one final answer.
+func (a *Agent) transact(w http.ResponseWriter, r *http.Request) {
+	x, err := a.readAsked(w, r)
+	var bad badRequest
+	if errors.As(err, &bad) {
+		log.Printf("event=bad_request status=%d why=%q", bad.status, bad.why)
+		http.Error(w, bad.why, bad.status)
+		return
+	}
+	t, err := a.engine.Take(x.Taken)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
+	defer t.Close()
+	a.held.Add(1)
+	defer a.held.Add(-1)
+	answers := make(chan ended)
+	overdue := time.NewTimer(x.Left) // the module answers before that; this is for when it cannot
+	defer overdue.Stop()
+	for {
+		select {
+		case <-t.Ready():
+			for _, order := range t.Orders() {
+				switch order := order.(type) {
+				case agent.Send:
+					// What the module calls off, or what runs out of time, ends by this context's cause.
+					off, callOff := context.WithCancelCause(context.Background())
+					no := t.Begin(func() { callOff(errCalledOff) })
+					go func() {
+						defer callOff(nil)
+						e := ended{Ended: agent.Ended{Appliance: order.Appliance, Send: no}}
+						began := time.Now()
+						got, err := a.carry(off, x, order)
+						e.answer, e.Outcome, e.After = got, outcome(got, err), time.Since(began)
+						if got != nil {
+							e.Load = readLoad(got.head.Get("Server-Load"))
+						}
+						if e.Outcome == agent.Satisfied {
+							select {
+							case answers <- e:
+								return
+							case <-t.Over():
+							}
+						}
+						t.Ended(e.Ended)
+					}()
+				case agent.Defer:
+					if order.Wait > 0 {
+						w.Header().Set("Retry-After", strconv.FormatFloat(order.Wait.Seconds(), 'f', 3, 64))
+					}
+					w.WriteHeader(http.StatusServiceUnavailable)
+					return
+				case agent.BreakOff:
+					w.WriteHeader(http.StatusInternalServerError)
+					return
+				}
+			}
+		case e := <-answers:
+			if kind := e.answer.head["Content-Type"]; kind != nil {
+				w.Header()["Content-Type"] = kind
+			}
+			w.Header().Set("Content-Length", strconv.Itoa(len(e.answer.body)))
+			w.Write(e.answer.body)
+			e.Closed = true
+			t.Ended(e.Ended)
+			return
+		case <-overdue.C:
+			log.Printf("event=overdue transaction=%s", x.ID)
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// hopByHop are the headers that belong to one connection.
+var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Content-Length", "Request-Timeout"}
+
+// carry carries out one order to send. A panic in it ends this send only.
+func (a *Agent) carry(off context.Context, x *asked, order agent.Send) (got *answer, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			log.Printf("event=send_panic transaction=%s panic=%q", x.ID, fmt.Sprint(p))
+			got, err = nil, &sendError{written, fmt.Errorf("%v", p)}
+		}
+	}()
+	l := a.links.to(order.Appliance)
+	if l == nil {
+		return nil, &sendError{unconnected, errors.New("the appliance has left the list")}
+	}
+	left := time.Until(x.until)
+	if order.TimeOut > 0 {
+		left = min(left, order.TimeOut)
+	}
+	off, cancel := context.WithTimeoutCause(off, left, errTimedOut)
+	defer cancel()
+	req := &http.Request{Method: x.request.Method, Host: x.request.Host, Header: x.request.Header.Clone(),
+		URL: &url.URL{Scheme: "http", Host: l.address, Opaque: x.request.RequestURI}, Body: noBody{}}
+	for _, name := range hopByHop {
+		req.Header.Del(name)
+	}
+	if req.Header["User-Agent"] == nil {
+		req.Header["User-Agent"] = []string{""}
+	}
+	req.Header.Set("Request-Timeout", fmt.Sprintf("%du", max(left.Microseconds(), 1)))
+	if len(x.body) > 0 || x.request.Method == http.MethodPost {
+		req.Body, req.ContentLength = onceBody{strings.NewReader(string(x.body))}, int64(len(x.body))
+	}
+	return l.send(off, req)
+}
--- /dev/null
+++ b/httpagent/peers.go
@@ -0,0 +1,96 @@
+package httpagent
+
+import (
+	"context"
+	"errors"
+	"log"
+	"net"
+	"net/netip"
+
+	"sagelever/agent"
+)
+
+const mostMessage = 256 // bytes that a message between agents may have
+
+// peers is the datagram side of an agent.
+type peers struct {
+	socket  *net.UDPConn
+	numbers map[netip.AddrPort]agent.PeerNo
+	others  []netip.AddrPort
+	all     netip.AddrPort
+	out     chan agent.Tell
+}
+
+func openPeers(s *Station) (*peers, error) {
+	at, err := netip.ParseAddrPort(s.PeerAt)
+	if err != nil {
+		return nil, err
+	}
+	p := &peers{numbers: map[netip.AddrPort]agent.PeerNo{}, out: make(chan agent.Tell, 64)}
+	for i, address := range s.Peers {
+		other, err := netip.ParseAddrPort(address)
+		if err != nil {
+			return nil, err
+		}
+		p.numbers[other] = agent.PeerNo(i)
+		p.others = append(p.others, other)
+	}
+	if s.AllPeers != "" {
+		if p.all, err = netip.ParseAddrPort(s.AllPeers); err != nil {
+			return nil, err
+		}
+	}
+	p.socket, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+	return p, err
+}
+
+// tell queues a message; like any datagram it may be lost, so a full queue drops it.
+func (p *peers) tell(t agent.Tell) {
+	select {
+	case p.out <- t:
+	default:
+	}
+}
+
+// send writes what is queued.
+func (p *peers) send(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case t := <-p.out:
+			to := p.all
+			if !t.All {
+				if int(t.To) < 0 || int(t.To) >= len(p.others) {
+					continue
+				}
+				to = p.others[t.To]
+			}
+			if len(t.Data) > mostMessage || !to.IsValid() {
+				log.Printf("event=message_dropped bytes=%d to=%s", len(t.Data), to)
+				continue
+			}
+			if _, err := p.socket.WriteToUDPAddrPort(t.Data, to); err != nil {
+				log.Printf("event=message_failed to=%s error=%q", to, err)
+			}
+		}
+	}
+}
+
+// hear reads messages until the socket is closed. One that is too long or from nobody known is dropped.
+func (p *peers) hear(tell func(agent.Event)) {
+	buffer := make([]byte, 2*mostMessage)
+	for {
+		n, from, err := p.socket.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		} else if err != nil {
+			continue
+		}
+		number, known := p.numbers[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
+		if !known || n > mostMessage {
+			continue
+		}
+		tell(agent.Heard{From: number, Data: append([]byte(nil), buffer[:n]...)})
+	}
+}
--- /dev/null
+++ b/httpagent/sends.go
@@ -0,0 +1,312 @@
+package httpagent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sagelever/agent"
+)
+
+const mostBody = 64 << 10 // no body of the protocol is longer
+
+// reach is how far a send had come.
+type reach int
+
+const (
+	unconnected reach = iota // no connection came up
+	unwritten                // a connection was there, the last byte was not written
+	written                  // it may have run
+	answering                // an answer had begun
+)
+
+func (r reach) String() string {
+	return [...]string{"unconnected", "unwritten", "written", "answering"}[r]
+}
+
+// sendError says why a send has no answer, and how far it had come.
+type sendError struct {
+	reach reach
+	cause error
+}
+
+func (e *sendError) Error() string { return fmt.Sprintf("%s: %v", e.reach, e.cause) }
+func (e *sendError) Unwrap() error { return e.cause }
+
+var (
+	errCalledOff = errors.New("called off")
+	errTimedOut  = errors.New("timed out")
+	errCrowded   = errors.New("no descriptor is left for a connection")
+)
+
+// answer is what an appliance has answered, read whole.
+type answer struct {
+	status int
+	head   http.Header
+	body   []byte
+}
+
+// outcome tells the module's word for how a send ended. Only what is certain counts as never run.
+func outcome(got *answer, err error) agent.Outcome {
+	var e *sendError
+	switch {
+	case err == nil && got.status == http.StatusOK:
+		return agent.Satisfied
+	case err == nil && got.head.Get("Not-Started") == "1" &&
+		(got.status == http.StatusServiceUnavailable || got.status == http.StatusGatewayTimeout):
+		return agent.Rejected
+	case err == nil:
+		return agent.Fault
+	case errors.As(err, &e) && e.reach < written && errors.Is(err, errCalledOff):
+		return agent.NotSent
+	case errors.As(err, &e) && e.reach < written:
+		return agent.Unreachable
+	case errors.Is(err, errCalledOff):
+		return agent.CalledOff
+	case errors.Is(err, errTimedOut):
+		return agent.TimedOut
+	}
+	return agent.Cut
+}
+
+// readLoad reads a load report, name=value parts set apart by commas; what cannot be read is passed over.
+func readLoad(text string) map[string]float64 {
+	if text == "" {
+		return nil
+	}
+	load := map[string]float64{}
+	for _, part := range strings.Split(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if v, err := strconv.ParseFloat(strings.TrimSpace(value), 64); err == nil {
+			load[name] = v
+		}
+	}
+	return load
+}
+
+// links holds the connections to the appliances, a Transport for each, so that one's can be closed alone.
+type links struct {
+	mu     sync.Mutex
+	byID   map[agent.ApplianceID]*link
+	dial   time.Duration
+	idle   time.Duration
+	open   atomic.Int64 // connections up or coming up
+	most   int64
+	opened atomic.Int64 // of all time
+}
+
+// link is the way to one appliance.
+type link struct {
+	address   string
+	transport *http.Transport
+}
+
+// newLinks takes the connect time-out, the idle time after which appliances close, and the most connections at once.
+func newLinks(dial, idle time.Duration, most int64) *links {
+	return &links{byID: map[agent.ApplianceID]*link{}, dial: dial, idle: idle, most: most}
+}
+
+// list takes up the addresses of a list. An appliance with a new address gets new connections.
+func (ls *links) list(l *list) {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	for id, address := range l.addresses {
+		if old := ls.byID[id]; old != nil && old.address == address {
+			continue
+		} else if old != nil {
+			old.transport.CloseIdleConnections()
+		}
+		ls.byID[id] = &link{address: address, transport: ls.transport()}
+	}
+	for _, x := range l.news.Entries {
+		if x.Standing == agent.Gone {
+			ls.drop(x.ID)
+		}
+	}
+	if l.news.Kind != agent.Changes {
+		for id := range ls.byID {
+			if _, listed := l.addresses[id]; !listed {
+				ls.drop(id)
+			}
+		}
+	}
+}
+
+func (ls *links) drop(id agent.ApplianceID) {
+	if old := ls.byID[id]; old != nil {
+		old.transport.CloseIdleConnections()
+		delete(ls.byID, id)
+	}
+}
+
+func (ls *links) to(id agent.ApplianceID) *link {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	return ls.byID[id]
+}
+
+// transport makes the connections of one appliance. A connection is given up an eighth before the appliance would
+// close it, so that no request meets the close.
+func (ls *links) transport() *http.Transport {
+	dialer := net.Dialer{Timeout: ls.dial, KeepAlive: -1}
+	return &http.Transport{
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: 1 << 16, // as many as are open
+		IdleConnTimeout:     ls.idle - ls.idle/8,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			if ls.open.Add(1) > ls.most {
+				ls.open.Add(-1)
+				return nil, errCrowded
+			}
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				ls.open.Add(-1)
+				return nil, err
+			}
+			ls.opened.Add(1)
+			return &wire{TCPConn: conn.(*net.TCPConn), links: ls}, nil
+		},
+	}
+}
+
+// wire is a connection that knows whether anything has been written for the request that has it.
+type wire struct {
+	*net.TCPConn
+	links  *links
+	wrote  atomic.Bool
+	closed atomic.Bool
+}
+
+func (w *wire) Write(p []byte) (int, error) {
+	w.wrote.Store(true)
+	return w.TCPConn.Write(p)
+}
+
+func (w *wire) Close() error {
+	if !w.closed.Swap(true) {
+		w.links.open.Add(-1)
+	}
+	return w.TCPConn.Close()
+}
+
+// noBody is a body that is there and empty: http.Transport resends what has no body by itself, and this has one.
+type noBody struct{}
+
+func (noBody) Read([]byte) (int, error) { return 0, io.EOF }
+func (noBody) Close() error             { return nil }
+
+// onceBody is a body that cannot be rewound, for the same reason.
+type onceBody struct{ io.Reader }
+
+func (onceBody) Close() error { return nil }
+
+// crossing is how long an answer that is already on its way may take to arrive once a send is given up: a few
+// times what a network takes between machines of one site.
+const crossing = 50 * time.Millisecond
+
+// send carries one request to an appliance and reads the answer whole. It is given up when off ends, whose cause
+// says why. Giving up ends only our sending: an answer that was written before that is still read, as the
+// appliance did carry the request out.
+func (l *link) send(off context.Context, req *http.Request) (*answer, error) {
+	hard, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var (
+		mu    sync.Mutex
+		conn  *wire
+		whole atomic.Bool // the last byte was written
+		short atomic.Bool // it was not, for certain
+	)
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			mu.Lock()
+			defer mu.Unlock()
+			conn = info.Conn.(*wire)
+			conn.wrote.Store(false)
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if info.Err == nil {
+				whole.Store(true)
+			} else {
+				short.Store(true)
+			}
+		},
+	}
+	stop := context.AfterFunc(off, func() {
+		mu.Lock()
+		up := conn
+		mu.Unlock()
+		if up == nil || up.TCPConn.CloseWrite() != nil {
+			cancel()
+			return
+		}
+		time.AfterFunc(crossing, cancel)
+	})
+	defer stop()
+	failed := func(r reach, err error) (*answer, error) {
+		if off.Err() != nil {
+			err = context.Cause(off)
+		}
+		return nil, &sendError{r, err}
+	}
+	resp, err := l.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(hard, trace)))
+	if err != nil {
+		mu.Lock()
+		up := conn
+		mu.Unlock()
+		switch {
+		case up == nil:
+			return failed(unconnected, err)
+		case short.Load(), !whole.Load() && !up.wrote.Load():
+			return failed(unwritten, err)
+		}
+		return failed(written, err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, mostBody+1))
+	if err == nil && len(body) > mostBody {
+		err = errors.New("the answer is too long")
+	}
+	if err != nil {
+		return failed(answering, err)
+	}
+	if off.Err() != nil { // it is half closed and must not be used again
+		mu.Lock()
+		conn.Close()
+		mu.Unlock()
+	}
+	return &answer{resp.StatusCode, resp.Header, body}, nil
+}
+
+// probe asks an appliance how it is.
+func (a *Agent) probe(ctx context.Context, id agent.ApplianceID) {
+	path := "/ping"
+	if fields := term(a.station, "load.fields", []string(nil)); len(fields) > 0 {
+		path = "/_load"
+	}
+	began := time.Now()
+	l := a.links.to(id)
+	if l == nil {
+		a.engine.Tell(agent.Probed{Appliance: id, Outcome: agent.Unreachable})
+		return
+	}
+	ctx, cancel := context.WithTimeoutCause(ctx, term(a.station, "link.dial", time.Second), errTimedOut)
+	defer cancel()
+	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: l.address, Path: path},
+		Host: l.address, Header: http.Header{}, Body: noBody{}}
+	got, err := l.send(ctx, req)
+	probed := agent.Probed{Appliance: id, Outcome: outcome(got, err), After: time.Since(began)}
+	if err == nil && got.status == http.StatusOK && path == "/_load" {
+		probed.Load = readLoad(string(got.body))
+	}
+	a.engine.Tell(probed)
+}
--- /dev/null
+++ b/httpagent/shutdown.go
@@ -0,0 +1,48 @@
+package httpagent
+
+import (
+	"context"
+	"errors"
+	"log"
+	"net"
+	"net/http"
+	"time"
+)
+
+// lingering is how long clients may still come after the word to stop: the front needs some tenths of a second
+// to learn of it.
+const lingering = 700 * time.Millisecond
+
+// serve answers clients until the context ends, goes on for the lingering time with answers that close their
+// connections, and then finishes what it holds.
+func (a *Agent) serve(ctx context.Context, listener net.Listener) error {
+	server := &http.Server{Handler: a, ReadTimeout: 30 * time.Second, IdleTimeout: 5 * time.Minute}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	a.leaving.Store(true)
+	log.Printf("event=leaving held=%d", a.held.Load())
+	time.Sleep(lingering)
+	last, cancel := context.WithTimeout(context.Background(), a.longest())
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- server.Shutdown(last) }()
+	if err := <-done; err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	log.Printf("event=left held=%d", a.held.Load())
+	return nil
+}
+
+// longest is the longest that anything held can take: the longest abandon time and the slack for its answer.
+func (a *Agent) longest() time.Duration {
+	longest := time.Second
+	for _, w := range term(a.station, "workloads", []string(nil)) {
+		longest = max(longest, term(a.station, "workload."+w+".abandon", time.Duration(0)))
+	}
+	return longest + term(a.station, "answer.slack", time.Duration(0))
+}
--- /dev/null
+++ b/httpagent/station.go
@@ -0,0 +1,128 @@
+package httpagent
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"sagelever/terms"
+)
+
+// Station is what one agent is told when it starts: who it is, where everybody is, what it may use.
+type Station struct {
+	Name      string   `json:"name"`
+	Listen    string   `json:"listen"`
+	Discovery string   `json:"discovery"`
+	Seed      seed     `json:"seed"`
+	Limits    Limits   `json:"limits"`
+	PeerAt    string   `json:"peer_listen"`
+	Peers     []string `json:"peers"`
+	AllPeers  string   `json:"peers_all"`
+	Platform  struct {
+		Address string          `json:"address"`
+		News    json.RawMessage `json:"news"`
+	} `json:"platform"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+
+	terms map[string]any
+}
+
+// Limits are what the process may use; 0 is no limit.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int64   `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// seed is written as hexadecimal digits.
+type seed uint64
+
+func (s *seed) UnmarshalJSON(text []byte) error {
+	var digits string
+	if err := json.Unmarshal(text, &digits); err != nil {
+		return err
+	}
+	v, err := strconv.ParseUint(digits, 16, 64)
+	if err != nil {
+		return fmt.Errorf("seed %q is not hexadecimal", digits)
+	}
+	*s = seed(v)
+	return nil
+}
+
+// ReadStation reads and checks a configuration file. The environment fills in name, listen and discovery where the
+// file leaves them out.
+func ReadStation(file string) (*Station, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	s := &Station{}
+	if err := json.Unmarshal(text, s); err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	for name, field := range map[string]*string{"GW_NAME": &s.Name, "GW_LISTEN": &s.Listen, "GW_DISCOVERY": &s.Discovery} {
+		if *field == "" {
+			*field = os.Getenv(name)
+		}
+	}
+	if err := s.Check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return s, nil
+}
+
+// Check tells what is wrong with a station, and reads its settings.
+func (s *Station) Check() error {
+	addresses := map[string]string{"listen": s.Listen, "discovery": s.Discovery}
+	for name, address := range map[string]string{"peer_listen": s.PeerAt, "peers_all": s.AllPeers,
+		"platform.address": s.Platform.Address} {
+		if address != "" {
+			addresses[name] = address
+		}
+	}
+	for i, peer := range s.Peers {
+		addresses[fmt.Sprintf("peers[%d]", i)] = peer
+	}
+	for name, address := range addresses {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return fmt.Errorf("%s is no address with a port: %q", name, address)
+		}
+	}
+	if s.Limits.Cores < 0 || s.Limits.MemoryMB < 0 || s.Limits.Sockets < 0 {
+		return fmt.Errorf("limits are below 0: %+v", s.Limits)
+	}
+	if len(s.Settings) == 0 {
+		return fmt.Errorf("settings are missing")
+	}
+	var err error
+	if s.terms, err = terms.Read(s.Settings); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	if w, _ := s.terms["workloads"].([]string); len(w) == 0 {
+		return fmt.Errorf("settings name no workload (classes)")
+	}
+	if len(s.Known) > 0 {
+		if _, err := readList(s.Known, time.Now()); err != nil {
+			return fmt.Errorf("known: %w", err)
+		}
+	}
+	if len(s.Platform.News) > 0 {
+		if _, err := readNews(s.Platform.News); err != nil {
+			return fmt.Errorf("platform.news: %w", err)
+		}
+	}
+	return nil
+}
+
+// term reads one of the deployment's terms, or gives what holds where it names none.
+func term[T any](s *Station, name string, otherwise T) T {
+	if v, ok := s.terms[name].(T); ok {
+		return v
+	}
+	return otherwise
+}
