--- a/httpagent/agent.go
+++ b/httpagent/agent.go
@@ -29,20 +29,28 @@
 	ready      atomic.Bool // what it knew at the start has reached the module
 	leaving    atomic.Bool // it has been told to stop
 	held       atomic.Int64
+	doors      doors
 	version    atomic.Int64 // of the list
 	watching   atomic.Bool  // the module wants changes, where they come only when asked for
 	subscribed chan struct{}
 }
 
+// reserve is the descriptors kept for discovery, the platform, other agents and the log.
+const reserve = 64
+
 // New makes an agent from a station that has been checked.
 func New(s *Station) *Agent {
 	sockets := int64(s.Limits.Sockets)
 	if sockets == 0 {
 		sockets = 1 << 20
+	} else if sockets < 4*reserve {
+		log.Printf("event=few_descriptors sockets=%d", sockets)
+		sockets = 4 * reserve
 	}
 	dial := term(s, "link.dial", time.Second)
 	a := &Agent{station: s, control: plain(dial), subscribed: make(chan struct{}, 1),
 		links: newLinks(dial, term(s, "link.idle", time.Minute), sockets/2)}
+	a.doors.most = int(sockets/2 - reserve)
 	a.engine = engine.New(time.Now(), decide.New(uint64(s.Seed), s.terms), a.do)
 	return a
 }
@@ -81,7 +89,7 @@
 
 // start hands the module what the station knew.
 func (a *Agent) start() error {
-	if len(a.station.Known) > 0 {
+	if given(a.station.Known) {
 		l, err := readList(a.station.Known, a.engine.Began())
 		if err != nil {
 			return fmt.Errorf("known: %w", err)
@@ -89,7 +97,7 @@
 		l.news.Kind = agent.Remembered
 		a.enlist(l)
 	}
-	if len(a.station.Platform.News) > 0 {
+	if given(a.station.Platform.News) {
 		news, err := readNews(a.station.Platform.News)
 		if err != nil {
 			return fmt.Errorf("platform.news: %w", err)
--- a/httpagent/clients.go
+++ b/httpagent/clients.go
@@ -201,7 +201,7 @@
 			w.WriteHeader(http.StatusInternalServerError)
 			return
 		case <-r.Context().Done():
-			return
+			panic(http.ErrAbortHandler) // the client has left: nothing may look like an answer
 		}
 	}
 }
@@ -229,7 +229,8 @@
 	off, cancel := context.WithTimeoutCause(off, left, errTimedOut)
 	defer cancel()
 	req := &http.Request{Method: x.request.Method, Host: x.request.Host, Header: x.request.Header.Clone(),
-		URL: &url.URL{Scheme: "http", Host: l.address, Opaque: x.request.RequestURI}, Body: noBody{}}
+		URL: &url.URL{Scheme: "http", Host: l.address, Opaque: x.request.RequestURI}}
+	carryBody(req, x.body)
 	for _, name := range hopByHop {
 		req.Header.Del(name)
 	}
@@ -237,8 +238,5 @@
 		req.Header["User-Agent"] = []string{""}
 	}
 	req.Header.Set("Request-Timeout", fmt.Sprintf("%du", max(left.Microseconds(), 1)))
-	if len(x.body) > 0 || x.request.Method == http.MethodPost {
-		req.Body, req.ContentLength = onceBody{strings.NewReader(string(x.body))}, int64(len(x.body))
-	}
 	return l.send(off, req)
 }
--- a/httpagent/platform.go
+++ b/httpagent/platform.go
@@ -1,7 +1,6 @@
 package httpagent
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -162,8 +161,8 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { written = true }})
 	req := (&http.Request{Method: http.MethodPost, Host: a.station.Platform.Address,
 		URL:    &url.URL{Scheme: "http", Host: a.station.Platform.Address, Path: "/api/opinions"},
-		Header: http.Header{"Content-Type": {"application/json"}},
-		Body:   io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body))}).WithContext(ctx)
+		Header: http.Header{"Content-Type": {"application/json"}}}).WithContext(ctx)
+	carryBody(req, body)
 	resp, err := a.control.RoundTrip(req)
 	if err != nil {
 		if !written {
--- a/httpagent/sends.go
+++ b/httpagent/sends.go
@@ -1,6 +1,7 @@
 package httpagent
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -96,13 +97,12 @@
 
 // links holds the connections to the appliances, a Transport for each, so that one's can be closed alone.
 type links struct {
-	mu     sync.Mutex
-	byID   map[agent.ApplianceID]*link
-	dial   time.Duration
-	idle   time.Duration
-	open   atomic.Int64 // connections up or coming up
-	most   int64
-	opened atomic.Int64 // of all time
+	mu   sync.Mutex
+	byID map[agent.ApplianceID]*link
+	dial time.Duration
+	idle time.Duration
+	open atomic.Int64 // connections up or coming up
+	most int64
 }
 
 // link is the way to one appliance.
@@ -149,6 +149,14 @@
 	}
 }
 
+func (ls *links) closeIdle() {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	for _, l := range ls.byID {
+		l.transport.CloseIdleConnections()
+	}
+}
+
 func (ls *links) to(id agent.ApplianceID) *link {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
@@ -165,6 +173,9 @@
 		IdleConnTimeout:     ls.idle - ls.idle/8,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			if ls.open.Add(1) > ls.most {
+				ls.closeIdle() // some may be kept for others
+			}
+			if ls.open.Load() > ls.most {
 				ls.open.Add(-1)
 				return nil, errCrowded
 			}
@@ -173,7 +184,6 @@
 				ls.open.Add(-1)
 				return nil, err
 			}
-			ls.opened.Add(1)
 			return &wire{TCPConn: conn.(*net.TCPConn), links: ls}, nil
 		},
 	}
@@ -199,16 +209,14 @@
 	return w.TCPConn.Close()
 }
 
-// noBody is a body that is there and empty: http.Transport resends what has no body by itself, and this has one.
-type noBody struct{}
-
-func (noBody) Read([]byte) (int, error) { return 0, io.EOF }
-func (noBody) Close() error             { return nil }
-
-// onceBody is a body that cannot be rewound, for the same reason.
-type onceBody struct{ io.Reader }
-
-func (onceBody) Close() error { return nil }
+// carryBody gives a request a body that cannot be rewound, an empty one too: http.Transport resends by itself what
+// has no body or a body that can be had again, and every resend is a send that nobody has decided.
+func carryBody(req *http.Request, body []byte) {
+	req.Body, req.GetBody, req.ContentLength = io.NopCloser(bytes.NewReader(body)), nil, int64(len(body))
+	if len(body) == 0 {
+		req.TransferEncoding = []string{"identity"} // else it would be sent in chunks
+	}
+}
 
 // crossing is how long an answer that is already on its way may take to arrive once a send is given up: a few
 // times what a network takes between machines of one site.
@@ -302,7 +310,8 @@
 	ctx, cancel := context.WithTimeoutCause(ctx, term(a.station, "link.dial", time.Second), errTimedOut)
 	defer cancel()
 	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: l.address, Path: path},
-		Host: l.address, Header: http.Header{}, Body: noBody{}}
+		Host: l.address, Header: http.Header{}}
+	carryBody(req, nil)
 	got, err := l.send(ctx, req)
 	probed := agent.Probed{Appliance: id, Outcome: outcome(got, err), After: time.Since(began)}
 	if err == nil && got.status == http.StatusOK && path == "/_load" {
--- /dev/null
+++ b/httpagent/sends_test.go
@@ -0,0 +1,202 @@
+package httpagent
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"sagelever/agent"
+)
+
+// appliance accepts connections and gives each request, with its connection, to serve.
+func appliance(t *testing.T, serve func(c *net.TCPConn, r *http.Request)) string {
+	t.Helper()
+	at, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { at.Close() })
+	go func() {
+		for {
+			c, err := at.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for in := bufio.NewReader(c); ; {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+					serve(c.(*net.TCPConn), r)
+				}
+			}()
+		}
+	}()
+	return at.Addr().String()
+}
+
+func linkTo(address string) *link {
+	ls := newLinks(time.Second, time.Minute, 8)
+	return &link{address, ls.transport()}
+}
+
+func request(l *link, method, body string) *http.Request {
+	r := &http.Request{Method: method, Host: "backend.local", Header: http.Header{"Idempotency-Key": {"k"}},
+		URL: &url.URL{Scheme: "http", Host: l.address, Opaque: "/c?x=%2F"}}
+	carryBody(r, []byte(body))
+	return r
+}
+
+const fine = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// What http.Transport would send again on its own arrives once.
+func TestNoResend(t *testing.T) {
+	for _, x := range []struct{ method, body string }{{"GET", ""}, {"POST", ""}, {"POST", "some"}} {
+		arrived := make(chan *http.Request, 8)
+		l := linkTo(appliance(t, func(c *net.TCPConn, r *http.Request) {
+			arrived <- r
+			if len(arrived) == 1 {
+				io.WriteString(c, fine)
+			} else {
+				c.Close()
+			}
+		}))
+		got, err := l.send(context.Background(), request(l, x.method, x.body))
+		if outcome(got, err) != agent.Satisfied || string(got.body) != "ok" {
+			t.Fatalf("%v: %v", x, err)
+		}
+		if got, err = l.send(context.Background(), request(l, x.method, x.body)); outcome(got, err) != agent.Cut {
+			t.Errorf("%v: outcome %v after %v", x, outcome(got, err), err)
+		}
+		if len(arrived) != 2 {
+			t.Errorf("%v: %d requests arrived, want 2", x, len(arrived))
+		}
+		if r := <-arrived; r.RequestURI != "/c?x=%2F" || len(r.TransferEncoding) > 0 || r.ContentLength > 4 {
+			t.Errorf("%v: arrived as %s %v %d", x, r.RequestURI, r.TransferEncoding, r.ContentLength)
+		}
+	}
+}
+
+func TestOutcomes(t *testing.T) {
+	for answer, want := range map[string]agent.Outcome{
+		fine: agent.Satisfied,
+		"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n":                                     agent.Fault,
+		"HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n":                     agent.Rejected,
+		"HTTP/1.1 504 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n":                     agent.Rejected,
+		"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n":                                       agent.Fault,
+		"HTTP/1.1 500 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n":                     agent.Fault,
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok":                                     agent.Cut,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nok":                       agent.Cut,
+		"HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", mostBody+1): agent.Cut,
+		"nonsense\r\n\r\n": agent.Cut,
+		"":                 agent.Cut,
+	} {
+		l := linkTo(appliance(t, func(c *net.TCPConn, r *http.Request) {
+			io.WriteString(c, answer)
+			c.Close()
+		}))
+		got, err := l.send(context.Background(), request(l, "GET", ""))
+		if outcome(got, err) != want {
+			t.Errorf("%.60q: outcome %v after %v, want %v", answer, outcome(got, err), err, want)
+		}
+	}
+	closed, _ := net.Listen("tcp", "127.0.0.1:0")
+	closed.Close()
+	l := linkTo(closed.Addr().String())
+	if got, err := l.send(context.Background(), request(l, "GET", "")); outcome(got, err) != agent.Unreachable {
+		t.Errorf("refused: outcome %v after %v", outcome(got, err), err)
+	}
+	l.transport = newLinks(time.Second, time.Minute, 0).transport()
+	if _, err := l.send(context.Background(), request(l, "GET", "")); !errors.Is(err, errCrowded) {
+		t.Errorf("crowded: %v", err)
+	}
+}
+
+// An answer that was on its way when the send was given up is still read; without one it counts as given up.
+func TestGivingUp(t *testing.T) {
+	for _, x := range []struct {
+		answer string
+		cause  error
+		want   agent.Outcome
+	}{{fine, errCalledOff, agent.Satisfied}, {"", errCalledOff, agent.CalledOff}, {"", errTimedOut, agent.TimedOut}} {
+		off, giveUp := context.WithCancelCause(context.Background())
+		l := linkTo(appliance(t, func(c *net.TCPConn, r *http.Request) {
+			giveUp(x.cause)
+			c.Read(make([]byte, 1)) // until the other side ends its sending
+			io.WriteString(c, x.answer)
+			c.Close()
+		}))
+		if got, err := l.send(off, request(l, "GET", "")); outcome(got, err) != x.want {
+			t.Errorf("%v: outcome %v after %v", x, outcome(got, err), err)
+		}
+	}
+	off, giveUp := context.WithCancelCause(context.Background())
+	giveUp(errCalledOff)
+	l := linkTo(appliance(t, func(c *net.TCPConn, r *http.Request) { t.Error("what was called off before it began arrives") }))
+	if got, err := l.send(off, request(l, "GET", "")); outcome(got, err) != agent.NotSent && outcome(got, err) != agent.CalledOff {
+		t.Errorf("called off at once: outcome %v after %v", outcome(got, err), err)
+	}
+}
+
+func TestLists(t *testing.T) {
+	began := time.UnixMilli(100_000)
+	l, err := readList([]byte(`{"generation":41,"reset":true,"instances":[{"instanceId":"s-1","hostPort":"127.0.0.1:9",
+		"zone":"a","machineType":"m2","cell":3,"lifecycle":"terminating","weight":1.5,"startedAtMs":99000,"build":41},
+		{"instanceId":"s-2","hostPort":"127.0.0.1:8","lifecycle":"in_service","startedAtMs":0}]}`), began)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := agent.Appliance{ID: applianceID("s-1"), Build: 41, Group: 3, Kind: "m2", Place: "a",
+		Standing: agent.Draining, Started: -time.Second, Share: 1.5}
+	if l.news.Kind != agent.Whole || l.news.Version != 41 || l.news.Entries[0] != want ||
+		l.news.Entries[1].Started != agent.LongAgo || l.addresses[want.ID] != "127.0.0.1:9" {
+		t.Errorf("got %+v", l)
+	}
+	for _, bad := range []string{``, `{"instances":[{"instanceId":"s","lifecycle":"odd"}]}`,
+		`{"instances":[{"instanceId":"s","lifecycle":"in_service","hostPort":"x"}]}`} {
+		if _, err := readList([]byte(bad), began); err == nil {
+			t.Errorf("%s passes", bad)
+		}
+	}
+	ls := newLinks(time.Second, time.Minute, 1)
+	ls.list(l)
+	kept := ls.to(applianceID("s-2"))
+	l.addresses[want.ID] = "127.0.0.1:7"
+	ls.list(l)
+	if ls.to(want.ID).address != "127.0.0.1:7" || ls.to(applianceID("s-2")) != kept {
+		t.Error("a new address does not bring new connections, or an old one does")
+	}
+	delete(l.addresses, want.ID)
+	if ls.list(l); ls.to(want.ID) != nil || ls.to(applianceID("s-2")) != kept {
+		t.Error("what is absent from a whole list is still there")
+	}
+}
+
+func TestPlatformLines(t *testing.T) {
+	for line, want := range map[string]agent.Event{
+		`{"type":"ROLLOUT","object":{"image":42,"ring":1,"progress":"rolling_back","ceiling":0.28,"lag_ms":310}}`: agent.TrialNews{
+			Build: 42, Stage: 1, Phase: agent.GoingBack, Cap: 0.28, Age: 310 * time.Millisecond},
+		`{"type":"DISPUTE","object":{"host":"s-1","type":"lookup","lag_ms":1200}}`: agent.Complaint{
+			Appliance: applianceID("s-1"), Workload: "lookup", Age: 1200 * time.Millisecond},
+		`{}`: nil,
+	} {
+		if got, err := readTold([]byte(line)); err != nil || got != want {
+			t.Errorf("%s: %+v, %v", line, got, err)
+		}
+	}
+	for _, bad := range []string{`{`, `{"type":"ROLLOUT","object":{"image":42,"progress":"new"}}`, `{"type":"ROLLOUT"}`} {
+		if got, err := readTold([]byte(bad)); err == nil {
+			t.Errorf("%s passes as %+v", bad, got)
+		}
+	}
+}
--- a/httpagent/shutdown.go
+++ b/httpagent/shutdown.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log"
 	"net"
 	"net/http"
@@ -16,7 +15,8 @@
 // serve answers clients until the context ends, goes on for the lingering time with answers that close their
 // connections, and then finishes what it holds.
 func (a *Agent) serve(ctx context.Context, listener net.Listener) error {
-	server := &http.Server{Handler: a, ReadTimeout: 30 * time.Second, IdleTimeout: 5 * time.Minute}
+	server := &http.Server{Handler: a, ReadTimeout: a.longest() + 30*time.Second, IdleTimeout: 5 * time.Minute,
+		ConnState: a.doors.note, ErrorLog: log.New(log.Writer(), "event=http ", log.Flags()|log.Lmsgprefix)}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	select {
@@ -29,20 +29,18 @@
 	time.Sleep(lingering)
 	last, cancel := context.WithTimeout(context.Background(), a.longest())
 	defer cancel()
-	done := make(chan error, 1)
-	go func() { done <- server.Shutdown(last) }()
-	if err := <-done; err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		return err
-	}
-	log.Printf("event=left held=%d", a.held.Load())
+	listener.Close()
+	a.doors.closeUnused()
+	err := server.Shutdown(last)
+	log.Printf("event=left held=%d unfinished=%v", a.held.Load(), err != nil)
 	return nil
 }
 
-// longest is the longest that anything held can take: the longest abandon time and the slack for its answer.
+// longest is the longest that anything held can take: the longest abandon time.
 func (a *Agent) longest() time.Duration {
 	longest := time.Second
 	for _, w := range term(a.station, "workloads", []string(nil)) {
 		longest = max(longest, term(a.station, "workload."+w+".abandon", time.Duration(0)))
 	}
-	return longest + term(a.station, "answer.slack", time.Duration(0))
+	return longest
 }
--- a/httpagent/station.go
+++ b/httpagent/station.go
@@ -96,7 +96,7 @@
 	if s.Limits.Cores < 0 || s.Limits.MemoryMB < 0 || s.Limits.Sockets < 0 {
 		return fmt.Errorf("limits are below 0: %+v", s.Limits)
 	}
-	if len(s.Settings) == 0 {
+	if !given(s.Settings) {
 		return fmt.Errorf("settings are missing")
 	}
 	var err error
@@ -106,12 +106,12 @@
 	if w, _ := s.terms["workloads"].([]string); len(w) == 0 {
 		return fmt.Errorf("settings name no workload (classes)")
 	}
-	if len(s.Known) > 0 {
+	if given(s.Known) {
 		if _, err := readList(s.Known, time.Now()); err != nil {
 			return fmt.Errorf("known: %w", err)
 		}
 	}
-	if len(s.Platform.News) > 0 {
+	if given(s.Platform.News) {
 		if _, err := readNews(s.Platform.News); err != nil {
 			return fmt.Errorf("platform.news: %w", err)
 		}
@@ -119,6 +119,9 @@
 	return nil
 }
 
+// given tells whether a part of the configuration is there.
+func given(part json.RawMessage) bool { return len(part) > 0 && string(part) != "null" }
+
 // term reads one of the deployment's terms, or gives what holds where it names none.
 func term[T any](s *Station, name string, otherwise T) T {
 	if v, ok := s.terms[name].(T); ok {
