--- /dev/null
+++ b/httpagent/agent_test.go
@@ -0,0 +1,370 @@
+package httpagent
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"sagelever/agent"
+	"sagelever/engine"
+)
+
+const settings = `{"balancers":2,"position":0,"tick":5,"registryMode":"automatic","classes":[
+	{"name":"look","semantics":"free","goalTime":300,"giveUp":750},
+	{"name":"keep","semantics":"guarded","group":"all","keyTtl":2000,"goalTime":600,"giveUp":2000},
+	{"name":"once","semantics":"single_shot","goalTime":600,"giveUp":2000}],
+	"permissions":{"connIdle":30000,"dialTimeout":250,"maxAttempts":3,"mayCancel":true,"maxRetryAfter":500,"retryAfter":true},
+	"familyInfo":{"voteWait":1000,"mostShares":[1]},"telemetry":{"fields":["queue"],"source":"answers"}}`
+
+// station names nobody but what the test sets.
+func station(t *testing.T, known string) *Station {
+	t.Helper()
+	s := &Station{Name: "n0", Listen: "127.0.0.1:0", Discovery: "127.0.0.1:1", Settings: json.RawMessage(settings),
+		Known: json.RawMessage(known)}
+	s.Platform.News = json.RawMessage(`{"image":7,"ring":0,"progress":"released","ceiling":1,"lag_ms":0}`)
+	if err := s.Check(); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func listOf(generation int, reset bool, addresses ...string) string {
+	m := members{Generation: int64(generation), Reset: reset}
+	for i, address := range addresses {
+		m.Instances = append(m.Instances, member{InstanceID: fmt.Sprintf("s-%d", i), HostPort: address, Lifecycle: "in_service",
+			Build: 7, Weight: 1})
+	}
+	text, _ := json.Marshal(m)
+	return string(text)
+}
+
+// scripted is a module that answers each event by a function.
+type scripted func(event agent.Event) []agent.Action
+
+func (s scripted) Step(_ time.Duration, event agent.Event) []agent.Action { return s(event) }
+
+// serving runs an agent's client side alone, with a module of the test's.
+func serving(t *testing.T, s *Station, step scripted) (*Agent, string) {
+	t.Helper()
+	a := New(s)
+	a.engine = engine.New(time.Now(), step, a.do)
+	ctx, stop := context.WithCancel(context.Background())
+	a.ctx = ctx
+	go a.engine.Run(ctx)
+	if err := a.start(); err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(a)
+	t.Cleanup(func() { server.Close(); stop() })
+	return a, server.URL
+}
+
+func ask(t *testing.T, method, url, body string, headers ...string) (*http.Response, string) {
+	t.Helper()
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, string(text)
+}
+
+// What passes is what came, and the module is told what it needs.
+func TestTransaction(t *testing.T) {
+	arrived := make(chan *http.Request, 1)
+	at := appliance(t, func(c *net.TCPConn, r *http.Request) {
+		arrived <- r
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: a/b\r\nServer-Load: queue=2, util=0.6,odd\r\nContent-Length: 3\r\n\r\n\x00\xff\n")
+	})
+	taken, ended := make(chan agent.Taken, 1), make(chan agent.Ended, 1)
+	_, url := serving(t, station(t, listOf(1, true, at)), func(event agent.Event) []agent.Action {
+		switch event := event.(type) {
+		case agent.Taken:
+			taken <- event
+			return []agent.Action{agent.Send{ID: event.ID, Appliance: applianceID("s-0")}}
+		case agent.Ended:
+			ended <- event
+		}
+		return nil
+	})
+	resp, body := ask(t, "POST", url+"/keep/x%2Fy?q=%20", "a\x00b", "Request-Id", "r1", "Idempotency-Key", "i1", "Cookie", "k=key",
+		"Request-Timeout", "480m", "Work-Hint", "1500", "Client-Retry", "1", "Request-Info", "write=1,customer=c", "X-Other", "o")
+	if resp.StatusCode != 200 || body != "\x00\xff\n" || resp.Header.Get("Content-Type") != "a/b" {
+		t.Errorf("answer %v %q", resp, body)
+	}
+	r, got := <-arrived, <-taken
+	if left, err := readTimeout(r.Header.Get("Request-Timeout")); err != nil || left > 480*time.Millisecond {
+		t.Errorf("the appliance is told %v, %v", left, err)
+	}
+	if r.RequestURI != "/keep/x%2Fy?q=%20" || r.Header.Get("Request-Id") != "r1" || r.Header.Get("Idempotency-Key") != "i1" ||
+		r.Header.Get("X-Other") != "o" || r.ContentLength != 3 {
+		t.Errorf("arrived as %s %v", r.RequestURI, r.Header)
+	}
+	if left := got.Left; left > 480*time.Millisecond || left <= 0 {
+		t.Errorf("left %v", left)
+	}
+	got.Left = 0
+	if want := (agent.Taken{ID: "r1", Workload: "keep", Cost: 1500 * time.Microsecond, CostKnown: true, Key: "key", Repeat: true,
+		Write: true, Customer: "c"}); got != want {
+		t.Errorf("taken %+v", got)
+	}
+	if e := <-ended; e.Outcome != agent.Satisfied || !e.Closed || e.Load["queue"] != 2 || len(e.Load) != 2 || e.After <= 0 {
+		t.Errorf("ended %+v", e)
+	}
+}
+
+func TestFinalAnswers(t *testing.T) {
+	_, url := serving(t, station(t, ""), func(event agent.Event) []agent.Action {
+		switch taken, _ := event.(agent.Taken); taken.ID {
+		case "later":
+			return []agent.Action{agent.Defer{ID: taken.ID, Wait: 250 * time.Millisecond}}
+		case "now":
+			return []agent.Action{agent.Defer{ID: taken.ID}}
+		case "failed":
+			return []agent.Action{agent.BreakOff{ID: taken.ID}}
+		case "broken":
+			panic("broken")
+		}
+		return nil
+	})
+	for id, want := range map[string]string{"later": "503 0.250", "now": "503 ", "failed": "500 ", "broken": "500 ", "forgotten": "500 "} {
+		resp, _ := ask(t, "GET", url+"/look", "", "Request-Id", id, "Request-Timeout", "20m")
+		if got := fmt.Sprint(resp.StatusCode, " ", resp.Header.Get("Retry-After")); got != want {
+			t.Errorf("%s: %q, want %q", id, got, want)
+		}
+	}
+}
+
+// What a client writes wrong is answered at once and never reaches the module.
+func TestBadRequests(t *testing.T) {
+	_, url := serving(t, station(t, ""), func(event agent.Event) []agent.Action {
+		if taken, ok := event.(agent.Taken); ok {
+			t.Errorf("%+v reaches the module", taken)
+			return []agent.Action{agent.BreakOff{ID: taken.ID}}
+		}
+		return nil
+	})
+	for _, x := range []struct {
+		method, path, body string
+		headers            []string
+		want               int
+	}{
+		{"GET", "/", "", []string{"Request-Id", "r"}, 404},
+		{"GET", "/unknown", "", []string{"Request-Id", "r"}, 404},
+		{"GET", "//look", "", []string{"Request-Id", "r"}, 404},
+		{"GET", "/look", "", nil, 400},
+		{"POST", "/look", "", []string{"Request-Id", "r"}, 405},
+		{"GET", "/once", "", []string{"Request-Id", "r"}, 405},
+		{"POST", "/keep", "", []string{"Request-Id", "r"}, 400},
+		{"GET", "/look", "", []string{"Request-Id", "r", "Request-Timeout", "480"}, 400},
+		{"GET", "/look", "", []string{"Request-Id", "r", "Request-Timeout", "-1m"}, 400},
+		{"GET", "/look", "", []string{"Request-Id", "r", "Request-Timeout", "NaNm"}, 400},
+		{"GET", "/look", "", []string{"Request-Id", "r", "Work-Hint", "much"}, 400},
+		{"POST", "/once", strings.Repeat("x", mostBody+1), []string{"Request-Id", "r"}, 413},
+	} {
+		if resp, _ := ask(t, x.method, url+x.path, x.body, x.headers...); resp.StatusCode != x.want {
+			t.Errorf("%s %s %v: %d, want %d", x.method, x.path, x.headers, resp.StatusCode, x.want)
+		}
+	}
+}
+
+// A client that leaves ends its transaction, and what is out for it can be called off.
+func TestClientLeaves(t *testing.T) {
+	out, ended := make(chan bool, 1), make(chan agent.Ended, 1)
+	at := appliance(t, func(c *net.TCPConn, r *http.Request) {
+		out <- true
+		c.Read(make([]byte, 1))
+		c.Close()
+	})
+	_, url := serving(t, station(t, listOf(1, true, at)), func(event agent.Event) []agent.Action {
+		switch event := event.(type) {
+		case agent.Taken:
+			return []agent.Action{agent.Send{ID: event.ID, Appliance: applianceID("s-0")}}
+		case agent.ClientLeft:
+			return []agent.Action{agent.CallOff{ID: event.ID}}
+		case agent.Ended:
+			ended <- event
+		}
+		return nil
+	})
+	c, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(c, "GET /look HTTP/1.1\r\nHost: x\r\nRequest-Id: r\r\nRequest-Timeout: 700m\r\n\r\n")
+	<-out
+	c.Close()
+	if e := <-ended; e.Outcome != agent.CalledOff || !e.Closed {
+		t.Errorf("ended %+v", e)
+	}
+}
+
+// The whole agent, with the real module: it follows a watch over a broken line, serves, and leaves when told.
+func TestServesAndLeaves(t *testing.T) {
+	at := appliance(t, func(c *net.TCPConn, r *http.Request) { io.WriteString(c, fine) })
+	asked := make(chan string, 8)
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.RawQuery
+		if r.URL.Query().Get("from") == "3" {
+			fmt.Fprintf(w, "\n%s\n{broken\n", listOf(4, true, at))
+			return
+		}
+		http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	defer discovery.Close()
+	s := station(t, listOf(3, true))
+	s.Discovery = discovery.Listener.Addr().String()
+	free, _ := net.Listen("tcp", "127.0.0.1:0")
+	s.Listen = free.Addr().String()
+	free.Close()
+	ctx, stop := context.WithCancel(context.Background())
+	left := make(chan error, 1)
+	go func() { left <- New(s).Run(ctx) }()
+	if first, second := <-asked, <-asked; first != "watch=1&from=3" || second != "watch=1&from=4" {
+		t.Errorf("asked for %q, then %q", first, second)
+	}
+	if resp, _ := ask(t, "GET", "http://"+s.Listen+"/_health", ""); resp.StatusCode != 200 {
+		t.Errorf("health %d", resp.StatusCode)
+	}
+	if resp, body := ask(t, "GET", "http://"+s.Listen+"/look", "", "Request-Id", "r1", "Request-Timeout", "700m"); body != "ok" || resp.Close {
+		t.Errorf("answer %v %q", resp, body)
+	}
+	stop()
+	for closing := false; !closing; { // soon every answer closes its connection, while clients are still answered
+		resp, body := ask(t, "GET", "http://"+s.Listen+"/look", "", "Request-Id", "r2", "Request-Timeout", "700m")
+		if closing = resp.Close; body != "ok" {
+			t.Fatalf("answer while leaving: %v %q", resp, body)
+		}
+	}
+	if err := <-left; err != nil {
+		t.Error(err)
+	}
+	if _, err := net.Dial("tcp", s.Listen); err == nil {
+		t.Error("it still listens")
+	}
+}
+
+func TestVotes(t *testing.T) {
+	var status int
+	var answer string
+	platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if text, _ := io.ReadAll(r.Body); r.URL.Path != "/api/opinions" || string(text) != `{"image":42,"opinion":"back","ring":1}` {
+			t.Errorf("%s %s", r.URL.Path, text)
+		}
+		if status == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(status)
+		io.WriteString(w, answer)
+	}))
+	defer platform.Close()
+	s := station(t, "")
+	s.Platform.Address = platform.Listener.Addr().String()
+	a := New(s)
+	const state = `{"image":42,"ring":1,"progress":"trial","ceiling":0.28,"lag_ms":310}`
+	for _, x := range []struct {
+		status int
+		answer string
+		want   agent.Answer
+	}{{200, state, agent.Counted}, {200, "{", agent.Unanswered}, {429, "{}", agent.TooMany}, {409, "{}", agent.Moot},
+		{500, "{}", agent.Erred}, {400, "{}", agent.Erred}, {0, "", agent.Unanswered}} {
+		status, answer = x.status, x.answer
+		if got, _ := a.castVote(context.Background(), agent.Vote{Build: 42, Stage: 1, Verdict: agent.Back}); got.Answer != x.want {
+			t.Errorf("%d %s: %+v", x.status, x.answer, got)
+		}
+	}
+	platform.Close()
+	if got, _ := a.castVote(context.Background(), agent.Vote{}); got.Answer != agent.Erred {
+		t.Errorf("refused: %+v", got)
+	}
+}
+
+func TestPeers(t *testing.T) {
+	open := func(others ...string) *peers {
+		p, err := openPeers(&Station{PeerAt: "127.0.0.1:0", Peers: others})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { p.socket.Close() })
+		return p
+	}
+	one, three := open(), open()
+	two := open(one.socket.LocalAddr().String(), three.socket.LocalAddr().String())
+	three.numbers[two.socket.LocalAddr().(*net.UDPAddr).AddrPort()] = 4
+	heard := make(chan agent.Event, 4)
+	go one.hear(func(e agent.Event) { heard <- e })
+	go three.hear(func(e agent.Event) { heard <- e })
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go two.send(ctx)
+	two.tell(agent.Tell{To: 5, Data: []byte("nobody")})
+	two.tell(agent.Tell{To: 0, Data: []byte("from a stranger")})
+	two.tell(agent.Tell{To: 1, Data: make([]byte, mostMessage+1)})
+	two.tell(agent.Tell{To: 1, Data: []byte("hi")})
+	if got := (<-heard).(agent.Heard); got.From != 4 || !bytes.Equal(got.Data, []byte("hi")) {
+		t.Errorf("heard %+v", got)
+	}
+}
+
+func TestStations(t *testing.T) {
+	good := `{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964","known":null,
+		"settings":{"classes":[{"name":"c"}],"strange":1},"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"more":[]}`
+	for change, want := range map[string]string{
+		"": "", `"listen":"127.0.0.1:1"=>"listen":"x"`: "listen is no address", `"8c1=>"zz`: "seed", `{"name"=>{{`: "invalid",
+		`[{"name":"c"}]=>[]`: "no workload", `"known":null=>"known":{"instances":[{}]}`: "known:",
+		`"settings"=>"settling"`: "settings are missing", `"cores":1.0=>"cores":-1`: "limits",
+	} {
+		from, to, _ := strings.Cut(change, "=>")
+		file := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(file, []byte(strings.Replace(good, from, to, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s, err := ReadStation(file)
+		if want == "" && (err != nil || uint64(s.Seed) != 0x8c1f30d27a5be964 || s.Limits.Sockets != 1024) {
+			t.Errorf("%v, %+v", err, s)
+		} else if want != "" && (err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n")) {
+			t.Errorf("%s: %v, want %q", change, err, want)
+		}
+	}
+}
+
+// A connection between transactions makes room for one that comes; the others stay.
+func TestDoors(t *testing.T) {
+	d := doors{most: 2}
+	var ends [3]net.Conn
+	var far [3]net.Conn
+	for i := range ends {
+		ends[i], far[i] = net.Pipe()
+	}
+	d.note(ends[0], http.StateNew)
+	d.note(ends[0], http.StateActive)
+	d.note(ends[1], http.StateNew)
+	d.note(ends[1], http.StateIdle)
+	d.note(ends[2], http.StateNew)
+	if _, err := bufio.NewReader(far[1]).ReadByte(); err != io.EOF || len(d.open) != 2 || d.open[ends[0]] != http.StateActive {
+		t.Errorf("%v, %v", err, d.open)
+	}
+}
