--- a/cmd/sagelever/commands.go
+++ b/cmd/sagelever/commands.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"math"
 	"os"
 	"os/signal"
@@ -73,6 +74,10 @@
 	if cores := station.Limits.Cores; cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(cores)))
 	}
+	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more ends no agent
+	lines := startLog(os.Stderr)
+	defer lines.flush()
+	log.SetOutput(lines)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	return httpagent.New(station).Run(ctx)
--- a/cmd/sagelever/commands_test.go
+++ b/cmd/sagelever/commands_test.go
@@ -33,3 +33,33 @@
 		}
 	}
 }
+
+// slowReader takes one line and then nothing until it is let go.
+type slowReader struct {
+	began chan bool
+	let   chan bool
+	got   strings.Builder
+}
+
+func (s *slowReader) Write(p []byte) (int, error) {
+	if s.got.Len() == 0 {
+		s.began <- true
+		<-s.let
+	}
+	return s.got.Write(p)
+}
+
+func TestLogHoldsNothingUp(t *testing.T) {
+	r := &slowReader{began: make(chan bool), let: make(chan bool)}
+	l := startLog(r)
+	l.Write([]byte("first\n"))
+	<-r.began
+	for range mostLines + 5 {
+		l.Write([]byte("more\n")) // would never return if it waited
+	}
+	close(r.let)
+	l.flush()
+	if got := strings.Count(r.got.String(), "more"); got != mostLines || !strings.HasPrefix(r.got.String(), "first") {
+		t.Errorf("%d lines after the first, want %d", got, mostLines)
+	}
+}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -29,8 +29,14 @@
 	done   chan struct{}
 	open   map[agent.TransactionID]*Transaction
 	due    timers
+
+	toldLate time.Time
 }
 
+// tooLate is when a timer's lateness is worth a line, at most one a second: the module keeps a tick, five
+// milliseconds as a rule, between its last word and the client's.
+const tooLate = 3 * time.Millisecond
+
 // item is an event and what goes with it.
 type item struct {
 	event agent.Event
@@ -69,7 +75,12 @@
 		case <-alarm.C:
 		}
 		for len(e.due) > 0 && e.due[0].at <= time.Since(e.began) {
-			e.step(agent.Due{Timer: heap.Pop(&e.due).(timer).id})
+			next := heap.Pop(&e.due).(timer)
+			if late := time.Since(e.began) - next.at; late > tooLate && time.Since(e.toldLate) > time.Second {
+				e.toldLate = time.Now()
+				log.Printf("event=late_timer by=%s waiting_events=%d open=%d", late, len(e.events), len(e.open))
+			}
+			e.step(agent.Due{Timer: next.id})
 		}
 	}
 }
--- a/httpagent/clients.go
+++ b/httpagent/clients.go
@@ -147,7 +147,8 @@
 	a.held.Add(1)
 	defer a.held.Add(-1)
 	answers := make(chan ended)
-	overdue := time.NewTimer(x.Left) // the module answers before that; this is for when it cannot
+	// The module answers before the client's time is up. This is for when it cannot: half of what the rule allows after.
+	overdue := time.NewTimer(x.Left + term(a.station, "answer.slack", time.Duration(0))/2)
 	defer overdue.Stop()
 	for {
 		select {
--- a/httpagent/sends.go
+++ b/httpagent/sends.go
@@ -170,7 +170,9 @@
 	return &http.Transport{
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 1 << 16, // as many as are open
-		IdleConnTimeout:     ls.idle - ls.idle/8,
+		// An answer's head has no bound of its own in the protocol; that of a body is ample.
+		MaxResponseHeaderBytes: mostBody,
+		IdleConnTimeout:        ls.idle - ls.idle/8,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			if ls.open.Add(1) > ls.most {
 				ls.closeIdle() // some may be kept for others
@@ -218,9 +220,9 @@
 	}
 }
 
-// crossing is how long an answer that is already on its way may take to arrive once a send is given up: a few
+// crossing is how long an answer that is already on its way may take to arrive once a send is given up: several
 // times what a network takes between machines of one site.
-const crossing = 50 * time.Millisecond
+const crossing = 10 * time.Millisecond
 
 // send carries one request to an appliance and reads the answer whole. It is given up when off ends, whose cause
 // says why. Giving up ends only our sending: an answer that was written before that is still read, as the
