--- a/decide/decide.go
+++ b/decide/decide.go
@@ -585,7 +585,7 @@
 func (b *Balancer) tallied(i int, e arm) arm {
 	for _, w := range b.work {
 		x, y := w.tally[i], w.tally[1-i]
-		e = e.plus(arm{n: x.n, sum: x.sum, answered: x.sum})
+		e.n, e.sum = e.n+x.n, e.sum+x.sum
 		if x.time*y.sum > 2*y.time*x.sum {
 			e.sum -= x.sum / 2
 		}
@@ -596,8 +596,7 @@
 // complain takes back the payoff of an answer that a client found wrong, and of those that went unreported.
 func (b *Balancer) complain(e agent.Complaint) {
 	if a := b.fleet[e.Appliance]; a != nil && b.now-e.Age >= a.Started {
-		wrong := min(1/term(b, "trial.complaints", 1.0), a.given.sum)
-		b.credit(a, arm{sum: -wrong, answered: -wrong})
+		b.credit(a, 0, -min(1/term(b, "trial.complaints", 1.0), a.given.sum))
 	}
 }
 
@@ -646,9 +645,9 @@
 	for s, group := range b.byStage(i) {
 		for k, a := range group {
 			if g := a.given; len(group) > 1 && 4*k < len(group) {
-				all = all.minus(g)
+				all.n, all.sum = all.n-g.n, all.sum-g.sum
 			} else {
-				stages[s] = stages[s].plus(g)
+				stages[s].n, stages[s].sum = stages[s].n+g.n, stages[s].sum+g.sum
 			}
 		}
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -212,10 +212,10 @@
 	stream agent.SendNo
 }
 
-// arm counts decisions, outcomes and payoffs of one build, as the design has it, and the answers among the outcomes,
-// however slow; own outcomes are those of this agent, the others it has heard of.
+// arm counts decisions, outcomes and payoffs of one build, as the design has it; own outcomes are those of this
+// agent, the others it has heard of.
 type arm struct {
-	picked, n, sum, answered, own float64
+	picked, n, sum, own float64
 }
 
 type ballot struct {
@@ -363,7 +363,7 @@
 	return (lo + hi) / 2
 }
 
-func (a arm) mean() float64 {
+func (a *arm) mean() float64 {
 	if a.n == 0 {
 		return 0.5
 	}
@@ -377,53 +377,39 @@
 	return 0
 }
 
-// plus and minus put outcomes together and apart.
-func (a arm) plus(x arm) arm {
-	a.n, a.sum, a.answered = a.n+x.n, a.sum+x.sum, a.answered+x.answered
-	return a
-}
-
-func (a arm) minus(x arm) arm { return a.plus(arm{n: -x.n, sum: -x.sum, answered: -x.answered}) }
-
-// plain is the arm with payoff 1 for every answer, however slow.
-func (a arm) plain() arm {
-	a.sum = a.answered
-	return a
-}
-
 // credit puts outcomes and their payoffs on an appliance and its arm. Both arms start anew at the trial's first.
-func (b *Balancer) credit(a *appliance, x arm) {
+func (b *Balancer) credit(a *appliance, n, sum float64) {
 	i := b.armOf(a)
 	if i == 1 && b.arms[1].n == 0 {
 		b.clear(0)
 	}
-	b.arms[i], a.given = b.arms[i].plus(x), a.given.plus(x)
+	arm := &b.arms[i]
+	arm.n, arm.sum, a.given.n, a.given.sum = arm.n+n, arm.sum+sum, a.given.n+n, a.given.sum+sum
 }
 
-const line = 10 // bytes for one appliance in a message
+const line = 8 // bytes for one appliance in a message
 
 // untold is the size of the message that tells what has not been told, 0 if nothing.
 func (b *Balancer) untold() int {
 	size := 0
 	for _, a := range b.order {
-		if a.untold.n > 0 && size+line+2 <= 256 {
+		if a.untold.n > 0 && size < 248 {
 			size += line
 		}
 	}
 	return size
 }
 
-// message holds the build judged, then for each appliance its id, its arm (top bit) and outcomes, twice its payoffs
-// and its answers. What does not fit waits for the next.
+// message holds the build judged, then for each appliance its id, its arm (top bit) and outcomes, and twice its
+// payoffs. What does not fit waits for the next.
 func (b *Balancer) message() []byte {
 	data := binary.BigEndian.AppendUint16(nil, uint16(b.subject))
 	for _, a := range b.order {
 		u := &a.untold
-		if n := min(u.n, 1<<14); n > 0 && len(data)+line <= 256 {
+		if n := min(u.n, 1<<14); n > 0 && len(data) <= 248 {
 			data = binary.BigEndian.AppendUint32(data, uint32(a.ID))
 			data = binary.BigEndian.AppendUint16(data, uint16(n)|uint16(b.armOf(a))<<15)
 			data = binary.BigEndian.AppendUint16(data, uint16(2*min(u.sum, n)))
-			data = binary.BigEndian.AppendUint16(data, uint16(min(u.answered, n)))
 			*u = arm{}
 		}
 	}
@@ -436,10 +422,9 @@
 	}
 	for d := e.Data[2:]; len(d) > 0; d = d[line:] {
 		n, sum := binary.BigEndian.Uint16(d[4:]), float64(binary.BigEndian.Uint16(d[6:]))/2
-		x := arm{n: float64(n & (1<<15 - 1)), sum: sum, answered: float64(binary.BigEndian.Uint16(d[8:]))}
 		a := b.fleet[agent.ApplianceID(binary.BigEndian.Uint32(d))]
-		if a != nil && b.armOf(a) == int(n>>15) && sum <= x.n && x.answered <= x.n {
-			b.credit(a, x)
+		if of := float64(n & (1<<15 - 1)); a != nil && b.armOf(a) == int(n>>15) && sum <= of {
+			b.credit(a, of, sum)
 		}
 	}
 }
@@ -479,7 +464,7 @@
 			a.given, a.untold = arm{}, arm{}
 		}
 	}
-	b.arms[i] = arm{picked: b.arms[i].picked}
+	b.arms[i].n, b.arms[i].sum, b.arms[i].own = 0, 0, 0
 }
 
 // enlist brings the list up to date.
@@ -524,9 +509,8 @@
 	if b.blamed {
 		word += ", all harmed,"
 	}
-	b.do(agent.Log{Text: fmt.Sprintf("%s: build %d stage %d: %.3f of %.0f, %.3f of %.0f, Z %.1f; answered %.3f, %.3f, Z %.1f", word,
-		o.build, o.stage, early.mean(), early.n, trial.mean(), trial.n, statistic(early, trial, 0),
-		early.plain().mean(), trial.plain().mean(), statistic(early.plain(), trial.plain(), 0))})
+	b.do(agent.Log{Text: fmt.Sprintf("%s: build %d stage %d: %.3f of %.0f, %.3f of %.0f, Z %.1f", word,
+		o.build, o.stage, early.mean(), early.n, trial.mean(), trial.n, statistic(early, trial, 0))})
 }
 
 // newest is the highest build that the news or the list names.
@@ -542,7 +526,7 @@
 
 // disown takes what an appliance has given out of its arm.
 func (b *Balancer) disown(a *appliance) {
-	b.credit(a, arm{}.minus(a.given))
+	b.credit(a, -a.given.n, -a.given.sum)
 	a.given, a.untold = arm{}, arm{}
 }
 
@@ -698,10 +682,9 @@
 // own counts one outcome of this agent's own, and keeps it to be told.
 func (b *Balancer) own(a *appliance, worth float64) {
 	b.arms[b.armOf(a)].own++
-	x := arm{n: 1, sum: worth, answered: math.Ceil(worth)}
-	b.credit(a, x)
+	b.credit(a, 1, worth)
 	if b.arms[1].own > 0 {
-		a.untold = a.untold.plus(x)
+		a.untold.n, a.untold.sum = a.untold.n+1, a.untold.sum+worth
 	}
 }
 
