--- a/decide/decide.go
+++ b/decide/decide.go
@@ -688,7 +688,7 @@
 		return agent.Back
 	}
 	// Fallback votes stop at a smaller doubt, but not for a difference that would not matter.
-	clocked, bar, gap := term(b, "trial.control", "") == "clocked", wall/4, margin/2
+	clocked, bar, gap := term(b, "trial.control", "") == "clocked", wall/8, margin/2
 	if clocked {
 		bar, gap = wall/2, 0
 	}
