--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -68,6 +68,9 @@
 	check("going back already", agent.NoVote)
 	set(95, agent.OnTrial)
 	check("level, stage long started", agent.On)
+	set(90, agent.OnTrial) // Z 1.4: above an eighth of the threshold, below a quarter
+	check("a doubt", agent.NoVote)
+	set(95, agent.OnTrial)
 	b.join(9, 2).Started = b.now - 2*time.Second
 	check("level, machines just started", agent.NoVote)
 	b.arms[1] = arm{picked: 9, n: 9, sum: 9, own: 9}
