--- a/decide/decide.go
+++ b/decide/decide.go
@@ -687,8 +687,8 @@
 	if blamed || enough && b.worse(margin, wall) {
 		return agent.Back
 	}
-	// Fallback votes stop at a smaller doubt, as one moment of one agent moves a stage and the last leaves nothing
-	// to compare with: an eighth, as good builds stay under it. But not for a difference that would not matter.
+	// Fallback votes stop at a smaller doubt, as one moment of one agent moves a stage and the last leaves
+	// nothing to compare with: an eighth, as good builds stay under it. But not for what would not matter.
 	clocked, bar, gap := term(b, "trial.control", "") == "clocked", wall/8, margin/2
 	if clocked {
 		bar, gap = wall/2, 0
--- a/httpagent/clients.go
+++ b/httpagent/clients.go
@@ -144,6 +144,12 @@
 		return
 	}
 	defer t.Close()
+	taken := time.Now()
+	defer func() {
+		if took := time.Since(taken); took > x.Left {
+			log.Printf("event=probe_late transaction=%s took=%s left=%s context=%v", x.ID, took, x.Left, r.Context().Err())
+		}
+	}()
 	a.held.Add(1)
 	defer a.held.Add(-1)
 	answers := make(chan ended)
@@ -202,6 +208,7 @@
 			w.WriteHeader(http.StatusInternalServerError)
 			return
 		case <-r.Context().Done():
+			log.Printf("event=probe_left transaction=%s after=%s left=%s cause=%v", x.ID, time.Since(taken), x.Left, context.Cause(r.Context()))
 			panic(http.ErrAbortHandler) // the client has left: nothing may look like an answer
 		}
 	}
--- a/httpagent/shutdown.go
+++ b/httpagent/shutdown.go
@@ -15,8 +15,10 @@
 // serve answers clients until the context ends, goes on for the lingering time with answers that close their
 // connections, and then finishes what it holds.
 func (a *Agent) serve(ctx context.Context, listener net.Listener) error {
-	server := &http.Server{Handler: a, ReadTimeout: a.longest() + 30*time.Second, IdleTimeout: 5 * time.Minute,
-		ConnState: a.doors.note, ErrorLog: log.New(log.Writer(), "event=http ", log.Flags()|log.Lmsgprefix)}
+	stuck := a.longest() + 30*time.Second // no client that still waits needs longer to write or to read
+	server := &http.Server{Handler: a, ReadTimeout: stuck, WriteTimeout: stuck, IdleTimeout: 5 * time.Minute,
+		MaxHeaderBytes: mostBody, ConnState: a.doors.note,
+		ErrorLog: log.New(log.Writer(), "event=http ", log.Flags()|log.Lmsgprefix)}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	select {
