--- a/httpagent/clients.go
+++ b/httpagent/clients.go
@@ -81,6 +81,11 @@
 			x.Write = value == "1"
 		}
 	}
+	if r.ContentLength != 0 {
+		slow := http.NewResponseController(w)
+		slow.SetReadDeadline(time.Now().Add(stuck))
+		defer slow.SetReadDeadline(time.Time{})
+	}
 	var err error
 	if x.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody)); err != nil {
 		var long *http.MaxBytesError
--- a/httpagent/shutdown.go
+++ b/httpagent/shutdown.go
@@ -12,11 +12,15 @@
 // to learn of it.
 const lingering = 700 * time.Millisecond
 
+// stuck is how long a client may take to write or to read: no client that still waits needs as long.
+const stuck = 30 * time.Second
+
 // serve answers clients until the context ends, goes on for the lingering time with answers that close their
 // connections, and then finishes what it holds.
 func (a *Agent) serve(ctx context.Context, listener net.Listener) error {
-	stuck := a.longest() + 30*time.Second // no client that still waits needs longer to write or to read
-	server := &http.Server{Handler: a, ReadTimeout: stuck, WriteTimeout: stuck, IdleTimeout: 5 * time.Minute,
+	// No ReadTimeout: the server counts it from the last answer or the connection's start, and where it runs out
+	// under a transaction it passes for a client that has left.
+	server := &http.Server{Handler: a, ReadHeaderTimeout: stuck, WriteTimeout: stuck + a.longest(), IdleTimeout: 5 * time.Minute,
 		MaxHeaderBytes: mostBody, ConnState: a.doors.note,
 		ErrorLog: log.New(log.Writer(), "event=http ", log.Flags()|log.Lmsgprefix)}
 	failed := make(chan error, 1)
