--- a/httpagent/clients.go
+++ b/httpagent/clients.go
@@ -149,12 +149,6 @@
 		return
 	}
 	defer t.Close()
-	taken := time.Now()
-	defer func() {
-		if took := time.Since(taken); took > x.Left {
-			log.Printf("event=probe_late transaction=%s took=%s left=%s context=%v", x.ID, took, x.Left, r.Context().Err())
-		}
-	}()
 	a.held.Add(1)
 	defer a.held.Add(-1)
 	answers := make(chan ended)
@@ -213,7 +207,10 @@
 			w.WriteHeader(http.StatusInternalServerError)
 			return
 		case <-r.Context().Done():
-			log.Printf("event=probe_left transaction=%s after=%s left=%s cause=%v", x.ID, time.Since(taken), x.Left, context.Cause(r.Context()))
+			// A client that waited till its time was up and got nothing means that its request came late to us.
+			if left := time.Until(x.until); left < x.Left/10 {
+				log.Printf("event=client_gave_up transaction=%s left=%s of=%s", x.ID, left, x.Left)
+			}
 			panic(http.ErrAbortHandler) // the client has left: nothing may look like an answer
 		}
 	}
