--- a/cmd/sagelever/commands.go
+++ b/cmd/sagelever/commands.go
@@ -70,7 +70,6 @@
 func serve(station *httpagent.Station) error {
 	if mb := station.Limits.MemoryMB; mb > 0 {
 		debug.SetMemoryLimit(mb << 20 * 3 / 4) // the rest is for what the runtime does not count
-		debug.SetGCPercent(400)                // far from that limit, collecting seldom keeps timers on time
 	}
 	if cores := station.Limits.Cores; cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(cores)))
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -31,6 +31,7 @@
 	due    timers
 
 	toldLate time.Time
+	slowest  time.Duration // step since the last line on a late timer
 }
 
 // tooLate is when a timer's lateness is worth a line, at most one a second: the module keeps a tick, five
@@ -78,7 +79,8 @@
 			next := heap.Pop(&e.due).(timer)
 			if late := time.Since(e.began) - next.at; late > tooLate && time.Since(e.toldLate) > time.Second {
 				e.toldLate = time.Now()
-				log.Printf("event=late_timer by=%s waiting_events=%d open=%d", late, len(e.events), len(e.open))
+				log.Printf("event=late_timer by=%s slowest_step=%s waiting_events=%d open=%d", late, e.slowest, len(e.events), len(e.open))
+				e.slowest = 0
 			}
 			e.step(agent.Due{Timer: next.id})
 		}
@@ -170,7 +172,9 @@
 			log.Printf("event=module_panic input=%T panic=%q stack=%q", event, fmt.Sprint(p), debug.Stack())
 		}
 	}()
-	actions := e.decide.Step(time.Since(e.began), event)
+	now := time.Since(e.began)
+	actions := e.decide.Step(now, event)
+	e.slowest = max(e.slowest, time.Since(e.began)-now)
 	for _, a := range actions {
 		switch a := a.(type) {
 		case agent.Wake:
