--- a/cmd/sagelever/commands.go
+++ b/cmd/sagelever/commands.go
@@ -72,14 +72,17 @@
 		debug.SetMemoryLimit(mb << 20 * 3 / 4) // the rest is for what the runtime does not count
 	}
 	if cores := station.Limits.Cores; cores > 0 {
-		// One more than cores: when handlers crowd, the system lets the engine run between them; with one it waited
-		// for all of them, 27 ms on a day of bursts against 7.
-		runtime.GOMAXPROCS(int(math.Ceil(cores)) + 1)
+		runtime.GOMAXPROCS(int(math.Ceil(cores)))
 	}
 	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more ends no agent
 	lines := startLog(os.Stderr)
 	defer lines.flush()
 	log.SetOutput(lines)
+	if most := station.Limits.Sockets; most > 0 {
+		if err := growDescriptors(most); err != nil {
+			log.Printf("event=descriptors_not_grown error=%q", err)
+		}
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	return httpagent.New(station).Run(ctx)
