--- a/engine/engine.go
+++ b/engine/engine.go
@@ -34,8 +34,8 @@
 	slowest  time.Duration // step since the last line on a late timer
 }
 
-// tooLate is when a timer's lateness is worth a line, at most one a second: the module keeps a tick, five
-// milliseconds as a rule, between its last word and the client's.
+// tooLate is when a timer's lateness is worth a line, at most one a second: the module keeps no
+// more than a tick, some milliseconds, between its last word and the client's.
 const tooLate = 3 * time.Millisecond
 
 // item is an event and what goes with it.
@@ -44,7 +44,6 @@
 	at    time.Time
 	of    *Transaction
 	taken chan error // set where a transaction is handed in
-	over  bool       // the transaction has ended at the side that serves it
 }
 
 // New makes an engine for a module whose life began at a moment. Actions that belong to no transaction go to do,
--- a/httpagent/follow.go
+++ b/httpagent/follow.go
@@ -21,7 +21,7 @@
 	}
 }
 
-// get asks for a page with a deadline for the head of its answer; the caller closes the body.
+// get asks for a page; the caller closes the body of its answer.
 func get(ctx context.Context, by *http.Transport, address, path string) (*http.Response, error) {
 	u, err := url.Parse("http://" + address + path)
 	if err != nil {
--- a/httpagent/platform.go
+++ b/httpagent/platform.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"sagelever/agent"
+	"sagelever/terms"
 )
 
 // rollout is the state of the newest build, as written.
@@ -41,8 +42,6 @@
 
 var opinions = map[agent.Verdict]string{agent.NoVote: "none", agent.On: "on", agent.Hold: "hold", agent.Back: "back"}
 
-func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
-
 func readNews(text []byte) (agent.TrialNews, error) {
 	var r rollout
 	if err := json.Unmarshal(text, &r); err != nil {
@@ -53,7 +52,7 @@
 		return agent.TrialNews{}, fmt.Errorf("state of a build cannot be read: %.200q", text)
 	}
 	return agent.TrialNews{Answer: agent.Counted, Stage: agent.Stage(r.Ring), Build: agent.Build(*r.Image),
-		Age: millis(r.LagMs), Cap: r.Ceiling, Phase: phase}, nil
+		Age: terms.Millis(r.LagMs), Cap: r.Ceiling, Phase: phase}, nil
 }
 
 // readTold reads one line of the stream; a sign of life is no event.
@@ -74,7 +73,7 @@
 		if err := json.Unmarshal(t.Object, &d); err != nil {
 			return nil, err
 		}
-		return agent.Complaint{Appliance: applianceID(d.Host), Workload: agent.Workload(d.Type), Age: millis(d.LagMs)}, nil
+		return agent.Complaint{Appliance: applianceID(d.Host), Workload: agent.Workload(d.Type), Age: terms.Millis(d.LagMs)}, nil
 	}
 	return nil, nil
 }
--- a/httpagent/sends.go
+++ b/httpagent/sends.go
@@ -120,17 +120,13 @@
 func (ls *links) list(l *list) {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
-	for id, address := range l.addresses {
-		if old := ls.byID[id]; old != nil && old.address == address {
+	for _, x := range l.news.Entries {
+		old, address := ls.byID[x.ID], l.addresses[x.ID]
+		if x.Standing != agent.Gone && old != nil && old.address == address {
 			continue
-		} else if old != nil {
-			old.transport.CloseIdleConnections()
 		}
-		ls.byID[id] = &link{address: address, transport: ls.transport()}
-	}
-	for _, x := range l.news.Entries {
-		if x.Standing == agent.Gone {
-			ls.drop(x.ID)
+		if ls.drop(x.ID); x.Standing != agent.Gone {
+			ls.byID[x.ID] = &link{address: address, transport: ls.transport()}
 		}
 	}
 	if l.news.Kind != agent.Changes {
@@ -191,16 +187,21 @@
 	}
 }
 
-// wire is a connection that knows whether anything has been written for the request that has it.
+// wire is a connection that knows which send has it.
 type wire struct {
 	*net.TCPConn
 	links  *links
-	wrote  atomic.Bool
+	by     atomic.Pointer[use]
 	closed atomic.Bool
 }
 
+// use is one send's use of a connection.
+type use struct{ wrote atomic.Bool } // anything has been written for it
+
 func (w *wire) Write(p []byte) (int, error) {
-	w.wrote.Store(true)
+	if u := w.by.Load(); u != nil {
+		u.wrote.Store(true)
+	}
 	return w.TCPConn.Write(p)
 }
 
@@ -231,30 +232,23 @@
 	hard, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var (
-		mu    sync.Mutex
-		conn  *wire
-		whole atomic.Bool // the last byte was written
-		short atomic.Bool // it was not, for certain
+		ours  use
+		conn  atomic.Pointer[wire]
+		short atomic.Bool // the last byte was not written, for certain
 	)
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			mu.Lock()
-			defer mu.Unlock()
-			conn = info.Conn.(*wire)
-			conn.wrote.Store(false)
-		},
-		WroteRequest: func(info httptrace.WroteRequestInfo) {
-			if info.Err == nil {
-				whole.Store(true)
-			} else {
-				short.Store(true)
-			}
+			up := info.Conn.(*wire)
+			up.by.Store(&ours)
+			conn.Store(up)
 		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) { short.Store(info.Err != nil) },
 	}
 	stop := context.AfterFunc(off, func() {
-		mu.Lock()
-		up := conn
-		mu.Unlock()
+		up := conn.Load()
+		if up != nil && up.by.Load() != &ours {
+			return // the answer has just come whole, and the connection carries the next send
+		}
 		if up == nil || up.TCPConn.CloseWrite() != nil {
 			cancel()
 			return
@@ -270,13 +264,10 @@
 	}
 	resp, err := l.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(hard, trace)))
 	if err != nil {
-		mu.Lock()
-		up := conn
-		mu.Unlock()
 		switch {
-		case up == nil:
+		case conn.Load() == nil:
 			return failed(unconnected, err)
-		case short.Load(), !whole.Load() && !up.wrote.Load():
+		case short.Load(), !ours.wrote.Load():
 			return failed(unwritten, err)
 		}
 		return failed(written, err)
@@ -289,10 +280,8 @@
 	if err != nil {
 		return failed(answering, err)
 	}
-	if off.Err() != nil { // it is half closed and must not be used again
-		mu.Lock()
-		conn.Close()
-		mu.Unlock()
+	if up := conn.Load(); off.Err() != nil && up.by.Load() == &ours {
+		up.Close() // it is half closed and must not be used again
 	}
 	return &answer{resp.StatusCode, resp.Header, body}, nil
 }
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -51,7 +51,7 @@
 	switch v := v.(type) {
 	case float64:
 		if isTime {
-			out[name] = millis(v)
+			out[name] = Millis(v)
 		} else {
 			out[name] = v
 		}
@@ -116,4 +116,5 @@
 	"telemetry.fields": "load.fields", "telemetry.source": "load.source",
 	"scoringMix.tail": "goal.tail", "scoringMix.tailSlack": "goal.tail.slack"}
 
-func millis(ms float64) time.Duration { return time.Duration(math.Round(ms*1000)) * time.Microsecond }
+// Millis is a time that the wires write in milliseconds, to the microsecond.
+func Millis(ms float64) time.Duration { return time.Duration(math.Round(ms*1000)) * time.Microsecond }
