--- a/decide/decide.go
+++ b/decide/decide.go
@@ -179,7 +179,15 @@
 	return float64(used+1) <= term(b, "trial.allowance", 0.0)+share*float64(took)
 }
 
-const unseen = 100 * time.Millisecond // an answer binds its key 150 ms after it was written, seen or not
+const unseen = 100 * time.Millisecond // where an answer not seen counts, it does so 150 ms after it was written
+
+// feared tells whether a key may count as answered by an answer that this agent never had. The simulator's wire
+// counts those that it had; a network counts what was written, so a front on sockets fears, and so does any that
+// says nothing. Fear is dear: a slow send binds its own key, its copy can then only go to the trial's few cold
+// machines, and good builds look slow. It acts nowhere that the rule does not ask for it.
+func (b *Balancer) feared() bool {
+	return term(b, "trial.oneway", false) && term(b, "trial.unseen", true)
+}
 
 // legal tells whether the rules let this transaction go to this appliance now.
 func (b *Balancer) legal(t *transaction, a *appliance) bool {
@@ -423,8 +431,8 @@
 	if mayHaveRun(e.Outcome) && (t.ran < 0 || s.at < t.ran) {
 		t.ran, t.ranAt = s.at, s.to
 	}
-	// What may have been answered binds its key: an answer counts as written whether or not it reached us.
-	if t.Key != "" && term(b, "trial.oneway", false) && mayBeAnswered(e.Outcome) && s.to.Build >= b.oldest() {
+	binds := e.Outcome == agent.Satisfied || b.feared() && mayBeAnswered(e.Outcome)
+	if t.Key != "" && term(b, "trial.oneway", false) && binds && s.to.Build >= b.oldest() {
 		b.keys[t.Key] = max(b.keys[t.Key], s.to.Build)
 	}
 	switch satisfied := e.Outcome == agent.Satisfied; {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -370,6 +370,28 @@
 	}
 }
 
+// Where only answers that were had bind, a slow send at the trial leaves its key free: its copy goes to the build
+// that is known, and so does what was called off. Without this good builds of large fleets went back.
+func TestOnlyAnswersHadBind(t *testing.T) {
+	b := bench(1, map[string]any{"trial.oneway": true, "trial.unseen": false, "trial.allowance": 99.0})
+	early, trial := b.join(1, 1), b.join(2, 2)
+	b.join(3, 2)
+	for outcome, bound := range map[agent.Outcome]bool{agent.Satisfied: true, agent.TimedOut: false,
+		agent.CalledOff: false, agent.Cut: false} {
+		x := b.hold("x", "pure")
+		x.Key = "k"
+		b.putOut(x, trial)
+		if b.now += 2 * unseen; !b.legal(x, early) || b.choose(x) != early {
+			t.Error("the copy of a slow send may not go to the earlier build")
+		}
+		b.ended(agent.Ended{ID: "x", Appliance: 2, Outcome: outcome, Closed: true})
+		if (b.oneWay("k") == 2) != bound {
+			t.Errorf("after outcome %v the key is bound: %v", outcome, !bound)
+		}
+		delete(b.keys, "k")
+	}
+}
+
 // Silent appliances are left in peace, tried with one send, and trusted again.
 func TestHealth(t *testing.T) {
 	b := bench(0, nil)
--- a/decide/state.go
+++ b/decide/state.go
@@ -755,7 +755,7 @@
 	a.credit--
 	s := &send{to: a, at: b.now, cold: b.now-a.Started < coldFor}
 	t.sends, t.out = append(t.sends, s), t.out+1
-	if t.Key != "" && term(b, "trial.oneway", false) && a.Build >= b.oldest() {
+	if t.Key != "" && b.feared() && a.Build >= b.oldest() {
 		b.unsure[t.Key] = append(b.unsure[t.Key], s)
 	}
 }
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -164,6 +164,8 @@
 		if err != nil {
 			return ev, r.wrong("HELLO config: %v", err)
 		}
+		// The wire's page words the rule on keys by answers that the agent has had.
+		terms["trial.unseen"] = false
 		ev.Start.Terms, r.starts[ev.Instance], known = terms, clock, true
 	case "TEARDOWN":
 		ev.Stop = true
