--- /dev/null
+++ b/tools/figures/main_test.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"bytes"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// A fall, a broken rule and a module that was not scored are each told; what was played on other days is no best.
+func TestFindings(t *testing.T) {
+	run := func(site, days, module, rules string, score float64) figure {
+		return figure{date: "d", site: site, bench: "simulated", kind: "quick", score: score, days: days, module: module, rules: rules}
+	}
+	record := []figure{run("a", "old", "m", "kept", 0.99), run("a", "new", "m", "kept", 0.50), run("a", "new", "m", "kept", 0.46),
+		run("b", "new", "m", "kept", 0.50), run("b", "new", "m", "kept", 0.48), run("c", "new", "before", "day own", 0.7)}
+	got := findings(record, "m")
+	if len(got) != 3 {
+		t.Fatalf("%d lines: %q", len(got), got)
+	}
+	for i, want := range []string{"FALLEN by 0.040 from 0.500", "", "RULES: day own  not scored since"} {
+		if !strings.Contains(got[i], want) || want == "" && strings.ContainsAny(got[i], "FRn") {
+			t.Errorf("line %d is %q, %q wanted", i, got[i], want)
+		}
+	}
+}
+
+// What is written is read back, and a line that is cut is refused.
+func TestRecord(t *testing.T) {
+	zero := 0.0
+	s := snapshot{ID: "x", Cmd: "real-score", Site: "s", Panel: "real:1:quick", Head: "0123456789", Dirty: true, Sim: true, OK: true,
+		At: []string{"d"}}
+	s.Policy = append(s.Policy, struct{ Sha256 string }{"0123456789abcdef"})
+	s.Figures.Real = &zero
+	f, ok := scored(s)
+	if !ok || f.kind != "quick" || f.bench != "sockets" || f.commit != "0123456+" {
+		t.Errorf("%v %+v", ok, f)
+	}
+	if s.Sim = false; func() bool { _, ok := scored(s); return ok }() {
+		t.Error("another's adapter is in the record")
+	}
+	var text bytes.Buffer
+	if err := write(&text, []figure{f}); err != nil {
+		t.Fatal(err)
+	}
+	got, err := read(bytes.NewReader(text.Bytes()))
+	if err != nil || !reflect.DeepEqual(got, []figure{f}) {
+		t.Errorf("%+v, %v", got, err)
+	}
+	if _, err := read(strings.NewReader("date\nd\n")); err == nil {
+		t.Error("a line of one column was read")
+	}
+}
