--- /dev/null
+++ b/match/bench_test.go
@@ -0,0 +1,152 @@
+package match
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"cel.dev/cel-go/cel"
+)
+
+var boolType = cel.BoolType
+
+// dear holds conditions of each kind that cost much, near what one may cost.
+var dear = []string{
+	`path.matches("^/a{3,9}b")`,
+	`path.matches("x$")`,
+	`segments.all(s, s != "none")`,
+	`segments.all(s, segments.exists(t, t == s))`,
+	`headers.all(n, headers[n].size() > 0)`,
+	`header.all(n, header[n] != "none")`,
+	`query.exists(n, query[n].startsWith("zzz"))`,
+	`path.contains("aaaaaaaaaaaaaaaaaaaaaaab")`,
+	`path.contains("b")`,
+	`lower(path) != "x"`,
+	`(path + path + path).size() > 3`,
+	`before(path, "zzz") != after(path, "zzz")`,
+	`bucket(path, 100) >= 0`,
+	`path != header["h0"] && header["h0"] != header["h1"]`,
+	`header[?"h3"].orValue("").endsWith("vv")`,
+	`int(header[?"h3"].orValue("7") == "x" ? "1" : "2") > 0`,
+	`whole(path).orValue(3) == 3 && number(path).orValue(1.5) > 1.0 && span(path).orValue(hint) == hint`,
+	`segments.map(s, s + "/").filter(s, s.size() > 2).size() > 0`,
+	`method == "GET" && size > 3 && path.startsWith("/aaa")`,
+}
+
+// worstMessage is as large as a message may be.
+func worstMessage() *message {
+	m := get("/" + strings.Repeat("a", MostText-1))
+	m.segments = nil
+	m.size = 1 << 16
+	for i := range MostSegments {
+		m.segments = append(m.segments, fmt.Sprintf("%0*d", MostText/MostSegments-1, i))
+	}
+	for _, name := range []string{"header", "query", "cookie"} {
+		m.tables[name] = map[string][]string{}
+		for i := range MostNames {
+			m.tables[name][fmt.Sprint("h", i)] = []string{strings.Repeat("v", MostText)}
+		}
+	}
+	return m
+}
+
+// BenchmarkUnits gives the time of each kind of dear condition beside its bound: what unitTime and evalTime rest on. It
+// shows ns for each unit spent, and the share of its bound that it took.
+func BenchmarkUnits(b *testing.B) {
+	m := worstMessage()
+	for _, text := range dear {
+		f, fault := compile(text, boolType)
+		if fault != nil {
+			b.Fatal(fault)
+		}
+		b.Run(text, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				f.eval(&view{Subject: m})
+			}
+			per := float64(b.Elapsed()) / float64(b.N)
+			b.ReportMetric(float64(f.units), "units")
+			b.ReportMetric(per/float64(f.units), "ns/unit")
+			b.ReportMetric(per/float64(f.bound()), "of-bound")
+		})
+	}
+}
+
+func ordinary(n int) (rules []Rule) {
+	for i := range n {
+		rules = append(rules, Rule{Name: fmt.Sprint("r", i), Key: `header[?"x-user"].orValue("none")`,
+			When: fmt.Sprintf(`path.startsWith("/api/v%d/") && method == "GET" && header[?"x-tier"].orValue("") != "t%d"`, i, i)})
+	}
+	return rules
+}
+
+// BenchmarkSets judges an ordinary message by sets of several sizes, and the largest message by the dearest set that
+// the default budget lets through.
+func BenchmarkSets(b *testing.B) {
+	m := get("/api/v7/flags/f3", "x-user", "u1", "x-tier", "gold", "accept", "*/*", "user-agent", "app")
+	for _, n := range []int{10, 100, 1000, 10000} {
+		s := set(b, 0, ordinary(n)...)
+		b.Run(fmt.Sprint("ordinary-", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Judge(m)
+			}
+		})
+	}
+	s := dearest(b)
+	large := worstMessage()
+	b.Run("dearest", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			s.Judge(large)
+		}
+		b.ReportMetric(float64(s.Bound()), "bound-ns")
+	})
+}
+
+// dearest fills the default budget with dear conditions that never match the largest message.
+func dearest(t testing.TB) *Set {
+	var rules []Rule
+	var last *Set
+	for round := range 40 {
+		for _, text := range dear {
+			r := Rule{Name: fmt.Sprint(round, text), When: `!(` + text + `) && size < 0`, Key: `"k"`}
+			if s, err := Compile(append(rules[:len(rules):len(rules)], r), shop, DefaultBudget); err == nil {
+				rules, last = append(rules, r), s
+			}
+		}
+		if DefaultBudget-last.Bound() < 2*time.Microsecond {
+			break
+		}
+	}
+	return last
+}
+
+// FuzzCompile: whatever is written is refused or keeps its bound, and nothing panics.
+func FuzzCompile(f *testing.F) {
+	for _, text := range dear {
+		f.Add(text, "/a/b", "v")
+	}
+	for _, text := range []string{`path.matches("(a+)+$")`, `[1,2,3].map(x, x*2)[5] == 3`, `duration("1h") > hint`, "\xff", `"\xff" == path`,
+		`header[?"h0"].optMap(x, x + x).orValue("") == path`, `timestamp("2020-01-01T00:00:00Z") > timestamp(0)`, `size / 0 == 1`,
+		`has(header.h0) && !has(query.nope)`, `path[0] == "a"`, `type(path) == string`, `dyn(path) == 3`} {
+		f.Add(text, "/", "")
+	}
+	f.Fuzz(func(t *testing.T, text, path, value string) {
+		c, fault := compile(text, boolType)
+		if fault != nil {
+			if fault.Line < 1 || fault.Column < 1 || fault.Text == "" {
+				t.Errorf("%q: %+v", text, fault)
+			}
+			return
+		}
+		m := get(path, "h0", value)
+		if _, ok := Within(m); !ok || c.bound() > time.Second {
+			return
+		}
+		if got, err := spends(c, m); got > c.units {
+			t.Errorf("%q cost %d, its bound is %d, %v", text, got, c.units, err)
+		}
+	})
+}
