--- a/match/index.go
+++ b/match/index.go
@@ -28,13 +28,13 @@
 func (a attribute) read(v *view) (text string, ok bool) {
 	switch a.of {
 	case "method", "path", "peer":
-		return v.Text(a.of), true
+		return v.text(a.of), true
 	case "segments":
-		if s := v.Segments(); a.at < len(s) {
+		if s := v.segments(); a.at < len(s) {
 			return s[a.at], true
 		}
 	default:
-		if x := v.Table(a.of)[a.name]; len(x) == 1 {
+		if x := v.tableNo(tableOf(a.of, ""))[a.name]; len(x) == 1 {
 			return x[0], true
 		}
 	}
--- a/match/language.go
+++ b/match/language.go
@@ -205,7 +205,7 @@
 	if asks {
 		return nil
 	}
-	v, err := f.eval(&view{Subject: nobody{}})
+	v, err := f.eval(&view{of: nobody{}})
 	if err != nil {
 		return nil
 	}
--- a/match/set.go
+++ b/match/set.go
@@ -115,6 +115,7 @@
 	Customer string
 	Cost     time.Duration // 0 if not decided
 	Refused  error         // not to be taken, and why
+	Trouble  error         // the first error of a rule that was tried, whether or not it mattered
 }
 
 // Compile checks rules, in the order in which they are tried, and makes a set of them. Errors are a *RuleFault or a
@@ -337,10 +338,7 @@
 
 // judge runs the rules that are marked, in order.
 func (s *Set) judge(of Subject, mark func(*view, []uint64), note func(Step)) Judgement {
-	if what, ok := Within(of); !ok {
-		return Judgement{Refused: errors.New(what)}
-	}
-	v := &view{Subject: of}
+	v := &view{of: of}
 	var few [4]uint64 // on the stack, for sets of up to 256 rules
 	marks := few[:]
 	if len(s.index.always) > len(few) {
@@ -348,6 +346,8 @@
 	}
 	marks = marks[:len(s.index.always)]
 	mark(v, marks)
+	var said Judgement
+	var trouble error
 	for i := next(marks, 0); i >= 0; i = next(marks, i+1) {
 		r := s.rules[i]
 		j, matched, err := s.try(r, v)
@@ -356,12 +356,20 @@
 		}
 		if err != nil {
 			r.wrong.Add(1)
+			if trouble == nil {
+				trouble = fmt.Errorf("rule %s: %w", r.Name, err)
+			}
 		}
 		if matched {
-			return j
+			said = j
+			break
 		}
 	}
-	return Judgement{}
+	if v.over != "" {
+		said = Judgement{Refused: errors.New(v.over)}
+	}
+	said.Trouble = trouble
+	return said
 }
 
 // try runs one rule. An error of a condition means that it is not known whether the rule is meant; a value can then
@@ -399,7 +407,7 @@
 	if j.Workload == "" {
 		return j
 	}
-	if becomes, sent := RepeatableBy(s.deployment.Effects[j.Workload]), v.Sent(); becomes > sent {
+	if becomes, sent := RepeatableBy(s.deployment.Effects[j.Workload]), v.of.Sent(); becomes > sent {
 		return Judgement{Rule: j.Rule, Refused: fmt.Errorf("rule %s makes %s (%s) of what was sent as %s", j.Rule, j.Workload, becomes, sent)}
 	}
 	return j
--- a/match/subject.go
+++ b/match/subject.go
@@ -37,8 +37,8 @@
 	Sent() Repeatable                      // by the protocol's own words
 }
 
-// What is longer or more than this is refused before any rule sees it (Within): the bounds on cost are computed with
-// these sizes. An ordinary head has a third of each.
+// What is longer or more than this no rule sees: the bounds on cost are computed with these sizes, and a message whose
+// larger part a rule asks for is refused. An ordinary head has a third of each.
 const (
 	MostText     = 512 // bytes of a path, and of any value
 	MostName     = 64  // bytes of a header's, parameter's or cookie's name
@@ -48,40 +48,70 @@
 	MostKey      = 256 // bytes of a key or customer that a rule computes
 )
 
-// Within tells whether a subject keeps the sizes that the bounds on cost were computed with, and else what does not.
-func Within(s Subject) (what string, ok bool) {
-	for _, name := range []string{"method", "path", "peer"} {
-		if len(s.Text(name)) > MostText {
-			return name + " is too long", false
-		}
-	}
-	if len(s.Segments()) > MostSegments {
-		return "path has too many segments", false
+// view is a subject as expressions see it. Each part is asked for at most once, and only if a rule asks. A part that is
+// larger than the bounds on cost were computed with is seen as empty, and the message is refused in the end (over).
+type view struct {
+	of            Subject
+	over          string
+	segs          []string
+	table         [len(tables)]map[string][]string
+	had           [1 + len(tables)]bool
+	list          ref.Val
+	single, whole [len(tables)]ref.Val
+}
+
+// text gives the method, the path or the peer.
+func (v *view) text(name string) string {
+	t := v.of.Text(name)
+	if len(t) > MostText {
+		v.over = name + " is too long"
+		return ""
 	}
-	for _, name := range []string{"header", "query", "cookie"} {
-		t := s.Table(name)
-		if len(t) > MostNames {
-			return name + " has too many names", false
+	return t
+}
+
+func (v *view) segments() []string {
+	if !v.had[len(tables)] {
+		v.had[len(tables)] = true
+		if v.segs = v.of.Segments(); len(v.segs) > MostSegments {
+			v.over, v.segs = "path has too many segments", nil
 		}
-		for k, values := range t {
-			if len(k) > MostName || len(values) > MostValues {
-				return name + " has too long a name, or too many values of one", false
-			}
-			for _, v := range values {
-				if len(v) > MostText {
-					return name + " has too long a value", false
-				}
+		for _, s := range v.segs {
+			if len(s) > MostText {
+				v.over, v.segs = "path has too long a segment", nil
 			}
 		}
 	}
-	return "", true
+	return v.segs
 }
 
-// view is a subject as expressions see it. Each variable is made at most once, when it is first asked for.
-type view struct {
-	Subject
-	segments      ref.Val
-	single, whole [len(tables)]ref.Val
+// tableNo gives a table that keeps the sizes, empty if it does not.
+func (v *view) tableNo(i int) map[string][]string {
+	if !v.had[i] {
+		v.had[i] = true
+		v.table[i] = v.of.Table(tables[i].single)
+		if what := tooLarge(v.table[i]); what != "" {
+			v.over, v.table[i] = tables[i].single+what, nil
+		}
+	}
+	return v.table[i]
+}
+
+func tooLarge(t map[string][]string) string {
+	if len(t) > MostNames {
+		return " has too many names"
+	}
+	for k, values := range t {
+		if len(k) > MostName || len(values) > MostValues {
+			return " has too long a name, or too many values of one"
+		}
+		for _, v := range values {
+			if len(v) > MostText {
+				return " has too long a value"
+			}
+		}
+	}
+	return ""
 }
 
 // tables are the variables for what has names: those that come once, and all.
@@ -94,32 +124,31 @@
 func (v *view) ResolveName(name string) (any, bool) {
 	switch name {
 	case "method", "path", "peer":
-		return types.String(v.Text(name)), true
+		return types.String(v.text(name)), true
 	case "size":
-		return types.Int(v.Size()), true
+		return types.Int(v.of.Size()), true
 	case "hint":
-		return types.Duration{Duration: v.Hint()}, true
+		return types.Duration{Duration: v.of.Hint()}, true
 	case "segments":
-		if v.segments == nil {
-			v.segments = types.NewStringList(types.DefaultTypeAdapter, v.Segments())
+		if v.list == nil {
+			v.list = types.NewStringList(types.DefaultTypeAdapter, v.segments())
 		}
-		return v.segments, true
+		return v.list, true
 	}
-	for i, t := range tables {
-		switch name {
-		case t.single:
-			if v.single[i] == nil {
-				v.single[i] = &once{of: v.Table(t.single)}
-			}
-			return v.single[i], true
-		case t.whole:
-			if v.whole[i] == nil {
-				v.whole[i] = types.DefaultTypeAdapter.NativeToValue(v.Table(t.single))
-			}
-			return v.whole[i], true
+	i := tableOf(name, name)
+	switch {
+	case i < 0:
+		return nil, false
+	case name == tables[i].single:
+		if v.single[i] == nil {
+			v.single[i] = &once{of: v.tableNo(i)}
 		}
+		return v.single[i], true
+	}
+	if v.whole[i] == nil {
+		v.whole[i] = types.DefaultTypeAdapter.NativeToValue(v.tableNo(i))
 	}
-	return nil, false
+	return v.whole[i], true
 }
 
 // once is a table as a map of what comes exactly once: a name that comes twice has no one value, and somebody behind
