--- a/cmd/sagelever/log.go
+++ b/cmd/sagelever/log.go
@@ -1,10 +1,29 @@
 package main
 
 import (
+	"fmt"
 	"io"
+	"log/slog"
 	"time"
 )
 
+// newLogger writes lines of key=value, or of JSON. What has happened stands under "event".
+func newLogger(to io.Writer, format string) (*slog.Logger, error) {
+	o := &slog.HandlerOptions{ReplaceAttr: func(groups []string, a slog.Attr) slog.Attr {
+		if len(groups) == 0 && a.Key == slog.MessageKey {
+			a.Key = "event"
+		}
+		return a
+	}}
+	switch format {
+	case "text":
+		return slog.New(slog.NewTextHandler(to, o)), nil
+	case "json":
+		return slog.New(slog.NewJSONHandler(to, o)), nil
+	}
+	return nil, fmt.Errorf("no such log format: %q", format)
+}
+
 // logLines writes a log on a goroutine of its own: a reader that stands still must not hold up an agent. Lines that
 // find no room are lost.
 type logLines struct {
--- a/cmd/sagelever/main.go
+++ b/cmd/sagelever/main.go
@@ -1,14 +1,11 @@
 // Command sagelever runs one agent on sockets.
 package main
 
-import (
-	"fmt"
-	"os"
-)
+import "os"
 
 func main() {
-	if err := run(os.Args[1:], os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "sagelever:", err)
+	if err := run(os.Args[1:], os.Stdin, os.Stdout); err != nil {
+		say(os.Stderr, err)
 		os.Exit(1)
 	}
 }
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -7,7 +7,7 @@
 	"container/heap"
 	"context"
 	"fmt"
-	"log"
+	"log/slog"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -29,6 +29,7 @@
 	done   chan struct{}
 	open   map[agent.TransactionID]*Transaction
 	due    timers
+	log    *slog.Logger
 
 	toldLate time.Time
 	slowest  time.Duration // step since the last line on a late timer
@@ -48,8 +49,8 @@
 
 // New makes an engine for a module whose life began at a moment. Actions that belong to no transaction go to do,
 // which must return at once.
-func New(began time.Time, decide Decider, do func(agent.Action)) *Engine {
-	return &Engine{began: began, decide: decide, do: do, events: make(chan item, 1024), done: make(chan struct{}),
+func New(began time.Time, decide Decider, do func(agent.Action), log *slog.Logger) *Engine {
+	return &Engine{began: began, decide: decide, do: do, log: log, events: make(chan item, 1024), done: make(chan struct{}),
 		open: map[agent.TransactionID]*Transaction{}}
 }
 
@@ -78,7 +79,7 @@
 			next := heap.Pop(&e.due).(timer)
 			if late := time.Since(e.began) - next.at; late > tooLate && time.Since(e.toldLate) > time.Second {
 				e.toldLate = time.Now()
-				log.Printf("event=late_timer by=%s slowest_step=%s waiting_events=%d open=%d", late, e.slowest, len(e.events), len(e.open))
+				e.log.Warn("late_timer", "by", late, "slowest_step", e.slowest, "waiting_events", len(e.events), "open", len(e.open))
 				e.slowest = 0
 			}
 			e.step(agent.Due{Timer: next.id})
@@ -168,7 +169,7 @@
 func (e *Engine) step(event agent.Event) (ok bool) {
 	defer func() {
 		if p := recover(); p != nil {
-			log.Printf("event=module_panic input=%T panic=%q stack=%q", event, fmt.Sprint(p), debug.Stack())
+			e.log.Error("module_panic", "input", fmt.Sprintf("%T", event), "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
 		}
 	}()
 	now := time.Since(e.began)
--- a/httpagent/agent.go
+++ b/httpagent/agent.go
@@ -6,7 +6,7 @@
 import (
 	"context"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -16,11 +16,13 @@
 	"sagelever/agent"
 	"sagelever/decide"
 	"sagelever/engine"
+	"sagelever/match"
 )
 
 // Agent is one agent on sockets.
 type Agent struct {
 	station *Station
+	log     *slog.Logger
 	engine  *engine.Engine
 	links   *links
 	control *http.Transport // to discovery and the platform
@@ -34,6 +36,8 @@
 	bodies     atomic.Int64 // bytes of clients\' bodies held
 	mostBodies int64
 	bad        ration // lines on clients that send what is no request
+	rules      atomic.Pointer[match.Set]
+	troubled   ration // lines on errors of rules
 	moved      moved
 	listing    sync.Mutex   // lists come one at a time
 	version    atomic.Int64 // of the list
@@ -46,11 +50,15 @@
 
 // New makes an agent from a station that has been checked.
 func New(s *Station) *Agent {
+	log := s.Log
+	if log == nil {
+		log = slog.Default()
+	}
 	sockets := int64(s.Limits.Sockets)
 	if sockets == 0 {
 		sockets = 1 << 20
 	} else if sockets < 4*reserve {
-		log.Printf("event=few_descriptors sockets=%d", sockets)
+		log.Warn("few_descriptors", "sockets", sockets)
 		sockets = 4 * reserve
 	}
 	memory := s.Limits.MemoryMB << 20
@@ -58,14 +66,15 @@
 		memory = 512 << 20
 	}
 	dial := term(s, "link.dial", time.Second)
-	a := &Agent{station: s, control: plain(dial), subscribed: make(chan struct{}, 1),
+	a := &Agent{station: s, log: log, bad: ration{to: log}, troubled: ration{to: log}, control: plain(dial), subscribed: make(chan struct{}, 1),
 		links: newLinks(dial, term(s, "link.idle", time.Minute), sockets/2-reserve/2, memory)}
 	a.moved.at = addresses{s.Discovery, s.Platform.Address}
 	a.moved.watch, a.moved.stream = make(chan struct{}, 1), make(chan struct{}, 1)
 	a.mostBodies = memory / 8 // as heads and answers may take several times that
 	a.doors.most = int(sockets/2 - reserve/2)
 	a.doors.enough = a.doors.most / 2
-	a.engine = engine.New(time.Now(), decide.New(uint64(s.Seed), s.terms), a.do)
+	a.engine = engine.New(time.Now(), decide.New(uint64(s.Seed), s.terms), a.do, log)
+	a.rules.Store(s.Rules)
 	return a
 }
 
@@ -76,7 +85,7 @@
 		return err
 	}
 	if a.station.PeerAt != "" {
-		if a.peers, err = openPeers(a.station); err != nil {
+		if a.peers, err = openPeers(a.station, a.log); err != nil {
 			listener.Close()
 			return fmt.Errorf("peer_listen: %w", err)
 		}
@@ -119,7 +128,7 @@
 		a.engine.Tell(news)
 	}
 	a.ready.Store(true)
-	log.Printf("event=started name=%s listen=%s", a.station.Name, a.station.Listen)
+	a.log.Info("started", "name", a.station.Name, "listen", a.station.Listen)
 	return nil
 }
 
@@ -147,8 +156,8 @@
 	case agent.Fetch:
 		go a.fetch(a.ctx)
 	case agent.Log:
-		log.Printf("event=module text=%q", x.Text)
+		a.log.Info("module", "text", x.Text)
 	default:
-		log.Printf("event=unknown_action action=%T", action)
+		a.log.Error("unknown_action", "action", fmt.Sprintf("%T", action))
 	}
 }
--- a/httpagent/clients.go
+++ b/httpagent/clients.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
 	"net/http"
 	"net/url"
 	"slices"
@@ -41,54 +40,69 @@
 	}
 	// As written: an appliance need not read an escaped slash as one.
 	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
-	effect := term(a.station, "workload."+name+".effect", "")
-	if effect == "" || strings.HasPrefix(r.RequestURI, "//") || !strings.HasPrefix(r.RequestURI, "/") {
+	if strings.HasPrefix(r.RequestURI, "//") || !strings.HasPrefix(r.RequestURI, "/") {
+		return nil, badRequest{http.StatusNotFound, "no such workload"}
+	}
+	x := &asked{Taken: agent.Taken{ID: agent.TransactionID(r.Header.Get("Request-Id"))}, request: r}
+	if err := a.readHead(x); err != nil {
+		return nil, err
+	}
+	workload, err := a.judge(r, x, name, term(a.station, "workload."+name+".effect", ""))
+	if err != nil {
+		return nil, err
+	}
+	effect := term(a.station, "workload."+workload+".effect", "")
+	if effect == "" {
 		return nil, badRequest{http.StatusNotFound, "no such workload"}
 	}
-	x := &asked{Taken: agent.Taken{ID: agent.TransactionID(r.Header.Get("Request-Id")), Workload: agent.Workload(name)},
-		request: r}
 	if x.ID == "" {
 		return nil, badRequest{http.StatusBadRequest, "Request-Id is missing"}
 	}
-	for _, once := range []string{"Request-Id", "Request-Timeout", "Idempotency-Key", "Work-Hint"} {
-		if len(r.Header[once]) > 1 { // an appliance might read the other one
-			return nil, badRequest{http.StatusBadRequest, once + " comes twice"}
+	if workload == name { // a rule has seen to it that no other workload is more repeatable than what was sent
+		if err := fitting(r, effect); err != nil {
+			return nil, err
 		}
+	} else if r.Method != http.MethodGet && r.Method != http.MethodPost || r.Method == http.MethodGet && r.ContentLength != 0 {
+		return nil, badRequest{http.StatusMethodNotAllowed, "GET without a body or POST is wanted"}
 	}
-	method := http.MethodPost
-	if effect == "pure" {
-		method = http.MethodGet
-	}
-	if r.Method != method {
-		return nil, badRequest{http.StatusMethodNotAllowed, "this workload uses " + method}
+	x.Workload = agent.Workload(workload)
+	if x.Left == 0 {
+		x.Left = term(a.station, "workload."+workload+".abandon", time.Second)
 	}
-	if method == http.MethodGet && r.ContentLength != 0 {
-		return nil, badRequest{http.StatusBadRequest, "this workload has no body"}
+	if x.body, err = a.readBody(w, r); err != nil {
+		return nil, err
 	}
-	if effect == "receipted" && r.Header.Get("Idempotency-Key") == "" {
-		return nil, badRequest{http.StatusBadRequest, "Idempotency-Key is missing"}
+	x.until = time.Now().Add(x.Left)
+	return x, nil
+}
+
+// readHead takes what the module needs out of the headers.
+func (a *Agent) readHead(x *asked) error {
+	head := x.request.Header
+	for _, once := range []string{"Request-Id", "Request-Timeout", "Idempotency-Key", "Work-Hint"} {
+		if len(head[once]) > 1 { // an appliance might read the other one
+			return badRequest{http.StatusBadRequest, once + " comes twice"}
+		}
 	}
-	x.Left = term(a.station, "workload."+name+".abandon", time.Second)
-	if text := r.Header.Get("Request-Timeout"); text != "" {
+	if text := head.Get("Request-Timeout"); text != "" {
 		left, err := readTimeout(text)
 		if err != nil {
-			return nil, badRequest{http.StatusBadRequest, err.Error()}
+			return badRequest{http.StatusBadRequest, err.Error()}
 		}
-		x.Left = min(left, a.longest()) // nobody waits longer here, and what is held is held for a bounded time
+		x.Left = max(min(left, a.longest()), 1) // nobody waits longer here, and what is held is held for a bounded time
 	}
-	if hint := r.Header.Get("Work-Hint"); hint != "" {
-		micros, err := strconv.ParseFloat(hint, 64)
-		if err != nil || !(micros >= 0 && micros < mostFigure) {
-			return nil, badRequest{http.StatusBadRequest, "Work-Hint is no number of microseconds"}
+	if hint := head.Get("Work-Hint"); hint != "" {
+		var ok bool
+		if x.Cost, ok = readHint(hint); !ok {
+			return badRequest{http.StatusBadRequest, "Work-Hint is no number of microseconds"}
 		}
-		x.Cost = time.Duration(micros * float64(time.Microsecond))
 		x.CostKnown = x.Cost > 0
 	}
-	if k, err := r.Cookie("k"); err == nil {
+	if k, err := x.request.Cookie("k"); err == nil {
 		x.Key = agent.Key(k.Value)
 	}
-	x.Repeat = r.Header.Get("Client-Retry") == "1"
-	for _, pair := range strings.Split(r.Header.Get("Request-Info"), ",") {
+	x.Repeat = head.Get("Client-Retry") == "1"
+	for _, pair := range strings.Split(head.Get("Request-Info"), ",") {
 		switch name, value, _ := strings.Cut(strings.TrimSpace(pair), "="); name {
 		case "customer":
 			if slices.Contains(term(a.station, "customers", []string(nil)), value) { // what is kept by customer stays bounded
@@ -98,12 +112,25 @@
 			x.Write = value == "1"
 		}
 	}
-	var err error
-	if x.body, err = a.readBody(w, r); err != nil {
-		return nil, err
+	return nil
+}
+
+// fitting refuses a request that is not written as its workload's are.
+func fitting(r *http.Request, effect string) error {
+	method := http.MethodPost
+	if effect == "pure" {
+		method = http.MethodGet
 	}
-	x.until = time.Now().Add(x.Left)
-	return x, nil
+	if r.Method != method {
+		return badRequest{http.StatusMethodNotAllowed, "this workload uses " + method}
+	}
+	if method == http.MethodGet && r.ContentLength != 0 {
+		return badRequest{http.StatusBadRequest, "this workload has no body"}
+	}
+	if effect == "receipted" && r.Header.Get("Idempotency-Key") == "" {
+		return badRequest{http.StatusBadRequest, "Idempotency-Key is missing"}
+	}
+	return nil
 }
 
 // framed refuses what does not say plainly where it ends: net/http drops a Content-Length beside a Transfer-Encoding
@@ -146,6 +173,15 @@
 // mostFigure is beyond any figure that a client has reason to name, and still fits a time.
 const mostFigure = 1e10
 
+// readHint reads a number of microseconds.
+func readHint(text string) (time.Duration, bool) {
+	micros, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(micros >= 0 && micros < mostFigure) {
+		return 0, false
+	}
+	return time.Duration(micros * float64(time.Microsecond)), true
+}
+
 // readTimeout reads a number and its unit, m for milliseconds, u for microseconds.
 func readTimeout(text string) (time.Duration, error) {
 	unit := time.Millisecond
@@ -178,7 +214,7 @@
 // refuse answers what never becomes a transaction. Where a body, or what passes for one, may be left on the
 // connection, it is not read on: net/http would wait for it before it answers.
 func (a *Agent) refuse(w http.ResponseWriter, r *http.Request, bad badRequest) {
-	a.bad.log("event=bad_request status=%d why=%q", bad.status, bad.why)
+	a.bad.line("bad_request", "status", bad.status, "why", bad.why)
 	if r.ContentLength != 0 || framed(r) != nil {
 		w.Header().Set("Connection", "close")
 		http.NewResponseController(w).SetReadDeadline(time.Now())
@@ -266,13 +302,13 @@
 			t.Ended(e.Ended)
 			return
 		case <-overdue.C:
-			log.Printf("event=overdue transaction=%s", x.ID)
+			a.log.Error("overdue", "transaction", x.ID)
 			w.WriteHeader(http.StatusInternalServerError)
 			return
 		case <-r.Context().Done():
 			// A client that waited till its time was up and got nothing means that its request came late to us.
 			if left := time.Until(x.until); left < x.Left/10 {
-				log.Printf("event=client_gave_up transaction=%s left=%s of=%s", x.ID, left, x.Left)
+				a.log.Warn("client_gave_up", "transaction", x.ID, "left", left, "of", x.Left)
 			}
 			panic(http.ErrAbortHandler) // the client has left: nothing may look like an answer
 		}
@@ -287,7 +323,7 @@
 func (a *Agent) carry(off context.Context, x *asked, order agent.Send) (got *answer, err error) {
 	defer func() {
 		if p := recover(); p != nil {
-			log.Printf("event=send_panic transaction=%s panic=%q", x.ID, fmt.Sprint(p))
+			a.log.Error("send_panic", "transaction", x.ID, "panic", fmt.Sprint(p))
 			got, err = nil, &sendError{written, fmt.Errorf("%v", p)}
 		}
 	}()
--- a/httpagent/discovery.go
+++ b/httpagent/discovery.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"hash/fnv"
 	"io"
-	"log"
 	"net"
 	"time"
 
@@ -103,7 +102,7 @@
 	pushed := term(a.station, "discovery", "pushed") == "pushed"
 	for pushed || a.waitWanted(ctx) {
 		wanted, stop := context.WithCancel(ctx)
-		keepOpen(wanted, "watch", watchSilence, a.moved.watch, func(ctx context.Context, heard func()) error {
+		keepOpen(wanted, a.log, "watch", watchSilence, a.moved.watch, func(ctx context.Context, heard func()) error {
 			path := fmt.Sprintf("/catalog/members?watch=1&from=%d", a.version.Load())
 			err := follow(ctx, a.control, a.moved.discovery(), path, func(line []byte) error {
 				if err := a.hearDiscovery(line); err != nil {
@@ -168,7 +167,7 @@
 		return readList(text, a.engine.Began())
 	}()
 	if err != nil {
-		log.Printf("event=fetch_failed error=%q", err)
+		a.log.Warn("fetch_failed", "error", err)
 		a.engine.Tell(agent.ListNews{Kind: agent.Unavailable})
 		return
 	}
--- a/httpagent/follow.go
+++ b/httpagent/follow.go
@@ -6,7 +6,7 @@
 	"context"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/url"
@@ -70,7 +70,7 @@
 // keepOpen keeps a link open that should always be so. One that ends is opened anew. After too long a silence, or on
 // the word that addresses have changed, another is opened beside it, as what is told while there is none may be
 // lost; the older ones are dropped once the newest speaks.
-func keepOpen(ctx context.Context, name string, silence time.Duration, anew <-chan struct{},
+func keepOpen(ctx context.Context, log *slog.Logger, name string, silence time.Duration, anew <-chan struct{},
 	open func(ctx context.Context, heard func()) error) {
 	var links []context.CancelFunc // the newest last
 	for ctx.Err() == nil {
@@ -102,14 +102,14 @@
 				cancel()
 				links = links[:len(links)-1]
 				if ctx.Err() == nil {
-					log.Printf("event=%s_ended error=%q", name, err)
+					log.Warn(name+"_ended", "error", err)
 					pause(ctx, reopen-time.Since(began))
 				}
 			case <-anew:
 				newest = false
 			case <-quiet.C:
 				newest = false
-				log.Printf("event=%s_silent after=%s", name, silence)
+				log.Warn(name+"_silent", "after", silence)
 			}
 		}
 		quiet.Stop()
--- a/httpagent/peers.go
+++ b/httpagent/peers.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"log"
+	"log/slog"
 	"net"
 	"net/netip"
 
@@ -19,14 +19,15 @@
 	others  []netip.AddrPort
 	all     netip.AddrPort
 	out     chan agent.Tell
+	log     *slog.Logger
 }
 
-func openPeers(s *Station) (*peers, error) {
+func openPeers(s *Station, log *slog.Logger) (*peers, error) {
 	at, err := netip.ParseAddrPort(s.PeerAt)
 	if err != nil {
 		return nil, err
 	}
-	p := &peers{numbers: map[netip.AddrPort]agent.PeerNo{}, out: make(chan agent.Tell, 64)}
+	p := &peers{numbers: map[netip.AddrPort]agent.PeerNo{}, out: make(chan agent.Tell, 64), log: log}
 	for i, address := range s.Peers {
 		other, err := netip.ParseAddrPort(address)
 		if err != nil {
@@ -67,11 +68,11 @@
 				to = p.others[t.To]
 			}
 			if len(t.Data) > mostMessage || !to.IsValid() {
-				log.Printf("event=message_dropped bytes=%d to=%s", len(t.Data), to)
+				p.log.Warn("message_dropped", "bytes", len(t.Data), "to", to)
 				continue
 			}
 			if _, err := p.socket.WriteToUDPAddrPort(t.Data, to); err != nil {
-				log.Printf("event=message_failed to=%s error=%q", to, err)
+				p.log.Warn("message_failed", "to", to, "error", err)
 			}
 		}
 	}
--- a/httpagent/platform.go
+++ b/httpagent/platform.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"log"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -94,7 +93,7 @@
 
 // listen follows the platform's stream.
 func (a *Agent) listen(ctx context.Context) {
-	keepOpen(ctx, "stream", streamSilence, a.moved.stream, func(ctx context.Context, heard func()) error {
+	keepOpen(ctx, a.log, "stream", streamSilence, a.moved.stream, func(ctx context.Context, heard func()) error {
 		return follow(ctx, a.control, a.moved.platform(), "/api/stream", func(line []byte) error {
 			if err := a.hearPlatform(line); err != nil {
 				return err
@@ -124,7 +123,7 @@
 func (a *Agent) vote(ctx context.Context, v agent.Vote) {
 	news, err := a.castVote(ctx, v)
 	if err != nil {
-		log.Printf("event=vote_failed build=%d stage=%d verdict=%s error=%q", v.Build, v.Stage, opinions[v.Verdict], err)
+		a.log.Warn("vote_failed", "build", v.Build, "stage", v.Stage, "verdict", opinions[v.Verdict], "error", err)
 	}
 	news.ToVote = true
 	a.engine.Tell(news)
--- a/httpagent/reload.go
+++ b/httpagent/reload.go
@@ -1,9 +1,6 @@
 package httpagent
 
-import (
-	"log"
-	"sync"
-)
+import "sync"
 
 // moved is where discovery and the platform are now; both may move while the agent runs.
 type moved struct {
@@ -36,5 +33,5 @@
 		default: // one that has not been heeded yet will do
 		}
 	}
-	log.Printf("event=reloaded discovery=%s platform=%s", s.Discovery, s.Platform.Address)
+	a.log.Info("reloaded", "discovery", s.Discovery, "platform", s.Platform.Address)
 }
--- /dev/null
+++ b/httpagent/rules.go
@@ -0,0 +1,129 @@
+package httpagent
+
+import (
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"sagelever/agent"
+	"sagelever/match"
+)
+
+// judged is an HTTP request as the operator's rules see it.
+type judged struct {
+	*http.Request
+	hint   time.Duration
+	effect string // of the workload that the path names, "" if it names none
+}
+
+func (r judged) Text(name string) string {
+	switch name {
+	case "method":
+		return r.Method
+	case "path":
+		return r.URL.EscapedPath()
+	case "peer":
+		host, _, _ := net.SplitHostPort(r.RemoteAddr)
+		return host
+	}
+	return ""
+}
+
+func (r judged) Segments() []string {
+	return strings.Split(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
+}
+
+func (r judged) Table(name string) map[string][]string {
+	switch name {
+	case "header":
+		return match.Lower(r.Header)
+	case "query":
+		values, err := url.ParseQuery(r.URL.RawQuery)
+		if err != nil { // what cannot be read whole might be read otherwise by an appliance
+			return nil
+		}
+		return values
+	case "cookie":
+		table := map[string][]string{}
+		for _, c := range r.Cookies() {
+			table[c.Name] = append(table[c.Name], c.Value)
+		}
+		return table
+	}
+	return nil
+}
+
+func (r judged) Size() int64         { return r.ContentLength }
+func (r judged) Hint() time.Duration { return r.hint }
+
+// Sent is how repeatable a request is by the protocol's own words: method and mark, and the workload in its path.
+func (r judged) Sent() match.Repeatable {
+	sent := match.Effectful
+	switch {
+	case r.Method == http.MethodGet && r.ContentLength == 0:
+		sent = match.Pure
+	case r.Header.Get("Idempotency-Key") != "":
+		sent = match.Receipted
+	}
+	if r.effect != "" {
+		sent = min(sent, match.RepeatableBy(r.effect))
+	}
+	return sent
+}
+
+// Deployment is what rules for this station have to fit.
+func (s *Station) Deployment() match.Deployment {
+	d := match.Deployment{Effects: map[string]string{}, Customers: term(s, "customers", []string(nil))}
+	for _, w := range term(s, "workloads", []string(nil)) {
+		d.Effects[w] = term(s, "workload."+w+".effect", "effectful")
+	}
+	return d
+}
+
+// Subject is a request as the rules of this station's agent see it.
+func (s *Station) Subject(r *http.Request) match.Subject {
+	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
+	hint, _ := readHint(r.Header.Get("Work-Hint"))
+	return judged{r, hint, term(s, "workload."+name+".effect", "")}
+}
+
+// SetRules takes up other rules, nil for none. What was taken goes on as it was judged.
+func (a *Agent) SetRules(rules *match.Set) {
+	a.rules.Store(rules)
+	n := 0
+	if rules != nil {
+		n = len(rules.Rules())
+	}
+	a.log.Info("rules", "count", n)
+}
+
+// judge lets the operator's rules say what a request is, and gives its workload: that of the path where no rule says
+// another.
+func (a *Agent) judge(r *http.Request, x *asked, byPath, effect string) (workload string, err error) {
+	set := a.rules.Load()
+	if set == nil {
+		return byPath, nil
+	}
+	j := set.Judge(judged{r, x.Cost, effect})
+	if j.Trouble != nil {
+		a.troubled.line("rule_error", "error", j.Trouble)
+	}
+	if j.Refused != nil {
+		return "", badRequest{http.StatusBadRequest, j.Refused.Error()}
+	}
+	if j.Key != "" {
+		x.Key = agent.Key(j.Key)
+	}
+	if j.Customer != "" {
+		x.Customer = agent.Customer(j.Customer)
+	}
+	if j.Cost > 0 {
+		x.Cost, x.CostKnown = j.Cost, true
+	}
+	if j.Workload != "" {
+		return j.Workload, nil
+	}
+	return byPath, nil
+}
--- a/httpagent/shutdown.go
+++ b/httpagent/shutdown.go
@@ -35,14 +35,14 @@
 	case <-ctx.Done():
 	}
 	a.leaving.Store(true)
-	log.Printf("event=leaving held=%d", a.held.Load())
+	a.log.Info("leaving", "held", a.held.Load())
 	time.Sleep(lingering)
 	last, cancel := context.WithTimeout(context.Background(), a.longest())
 	defer cancel()
 	listener.Close()
 	a.doors.closeUnused()
 	err := server.Shutdown(last)
-	log.Printf("event=left held=%d unfinished=%v", a.held.Load(), err != nil)
+	a.log.Info("left", "held", a.held.Load(), "unfinished", err != nil)
 	return nil
 }
 
@@ -59,7 +59,7 @@
 type rationed struct{ *ration }
 
 func (r rationed) Write(line []byte) (int, error) {
-	r.log("event=http text=%q", bytes.TrimSpace(line))
+	r.line("http", "text", string(bytes.TrimSpace(line)))
 	return len(line), nil
 }
 
--- a/httpagent/station.go
+++ b/httpagent/station.go
@@ -3,11 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 	"strconv"
 	"time"
 
+	"sagelever/match"
 	"sagelever/terms"
 )
 
@@ -27,6 +29,8 @@
 	} `json:"platform"`
 	Known    json.RawMessage `json:"known"`
 	Settings json.RawMessage `json:"settings"`
+	Log      *slog.Logger    `json:"-"` // slog.Default() if nil
+	Rules    *match.Set      `json:"-"` // the operator's rules, nil if none
 
 	terms map[string]any
 }
--- a/match/index.go
+++ b/match/index.go
@@ -306,45 +306,47 @@
 // worst is the most time that any one subject can need, where rule i takes cost[i], and the rules that take it: those
 // without a test, and in each column the dearest set that one text can find.
 func (x *index) worst(cost []time.Duration) (most time.Duration, rules []int) {
-	add := func(list []int) {
-		for _, r := range list {
-			most += cost[r]
-			rules = append(rules, r)
-		}
-	}
 	for r := next(x.always, 0); r >= 0; r = next(x.always, r+1) {
-		add([]int{r})
+		rules = append(rules, r)
 	}
 	for _, c := range x.columns {
-		var dearest []int
-		var price time.Duration
-		weigh := func(list []int) {
-			var sum time.Duration
-			for _, r := range list {
-				sum += cost[r]
-			}
-			if sum > price {
-				dearest, price = list, sum
-			}
-		}
-		found := func(text string) {
-			var list []int
-			c.find(text, func(r []int) { list = append(list, r...) })
-			slices.Sort(list)
-			weigh(slices.Compact(list))
-		}
-		for text := range c.equal {
-			found(text)
-		}
-		for _, h := range c.heads {
-			found(h.text)
-		}
-		if !c.on.optional && c.on.of != "method" && c.on.of != "path" && c.on.of != "peer" {
-			weigh(c.all)
-		}
-		add(dearest)
+		_, dearest := c.dearest(cost)
+		rules = append(rules, dearest...)
 		most += lookTime
 	}
+	for _, r := range rules {
+		most += cost[r]
+	}
 	slices.Sort(rules)
 	return most, rules
 }
+
+// dearest is the text whose rules cost most together, and these; of "" and all rules where one that is missing costs more.
+func (c *column) dearest(cost []time.Duration) (text string, rules []int) {
+	var price time.Duration
+	weigh := func(of string, list []int) {
+		var sum time.Duration
+		for _, r := range list {
+			sum += cost[r]
+		}
+		if sum > price {
+			text, rules, price = of, list, sum
+		}
+	}
+	found := func(of string) {
+		var list []int
+		c.find(of, func(r []int) { list = append(list, r...) })
+		slices.Sort(list)
+		weigh(of, slices.Compact(list))
+	}
+	for of := range c.equal {
+		found(of)
+	}
+	for _, h := range c.heads {
+		found(h.text)
+	}
+	if !c.on.optional && c.on.of != "method" && c.on.of != "path" && c.on.of != "peer" {
+		weigh("", c.all)
+	}
+	return text, rules
+}
--- a/match/match_test.go
+++ b/match/match_test.go
@@ -443,6 +443,15 @@
 	}
 }
 
+// The message made up for timing runs into the dearest rules.
+func TestDearest(t *testing.T) {
+	s := set(t, 0, Rule{When: `path == "/cheap"`, Key: `"a"`}, Rule{When: `path.startsWith("/dear") && lower(path) == "x"`, Key: `"b"`},
+		Rule{When: `header[?"x"].orValue("") == "y" && size < 0`, Key: `"c"`})
+	if _, steps := s.Explain(s.Dearest()); len(steps) != 2 || steps[0].Rule != "r1" || steps[1].Rule != "r2" {
+		t.Errorf("%+v", steps)
+	}
+}
+
 func TestLower(t *testing.T) {
 	got := Lower(map[string][]string{"X-A": {"1"}, "x-a": {"2"}, "B": {"3"}})
 	if len(got["x-a"]) != 2 || !reflect.DeepEqual(got["b"], []string{"3"}) {
