--- a/httpagent/rules.go
+++ b/httpagent/rules.go
@@ -35,24 +35,24 @@
 	return strings.Split(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
 }
 
-func (r judged) Table(name string) map[string][]string {
+func (r judged) Table(name string) match.Table {
 	switch name {
 	case "header":
-		return match.Lower(r.Header)
+		return match.Table{Of: r.Header, Fold: true}
 	case "query":
 		values, err := url.ParseQuery(r.URL.RawQuery)
 		if err != nil { // what cannot be read whole might be read otherwise by an appliance
-			return nil
+			return match.Table{}
 		}
-		return values
+		return match.Table{Of: values}
 	case "cookie":
 		table := map[string][]string{}
 		for _, c := range r.Cookies() {
 			table[c.Name] = append(table[c.Name], c.Value)
 		}
-		return table
+		return match.Table{Of: table}
 	}
-	return nil
+	return match.Table{}
 }
 
 func (r judged) Size() int64         { return r.ContentLength }
--- a/match/probe.go
+++ b/match/probe.go
@@ -13,12 +13,12 @@
 	tables   map[string]map[string][]string
 }
 
-func (p *probe) Text(name string) string               { return p.texts[name] }
-func (p *probe) Segments() []string                    { return p.segments }
-func (p *probe) Table(name string) map[string][]string { return p.tables[name] }
-func (p *probe) Size() int64                           { return 64 << 10 }
-func (p *probe) Hint() time.Duration                   { return time.Millisecond }
-func (p *probe) Sent() Repeatable                      { return Pure }
+func (p *probe) Text(name string) string { return p.texts[name] }
+func (p *probe) Segments() []string      { return p.segments }
+func (p *probe) Table(name string) Table { return Table{p.tables[name], name == "header"} }
+func (p *probe) Size() int64             { return 64 << 10 }
+func (p *probe) Hint() time.Duration     { return time.Millisecond }
+func (p *probe) Sent() Repeatable        { return Pure }
 
 // Dearest makes the message that needs most of the set's time by the cost model: each attribute that rules are found by
 // has the text that finds the dearest of them, all else is as large as it may be.
--- a/match/set.go
+++ b/match/set.go
@@ -458,9 +458,9 @@
 // nobody is a subject that has nothing, for values that ask for nothing.
 type nobody struct{}
 
-func (nobody) Text(string) string               { return "" }
-func (nobody) Segments() []string               { return nil }
-func (nobody) Table(string) map[string][]string { return nil }
-func (nobody) Size() int64                      { return 0 }
-func (nobody) Hint() time.Duration              { return 0 }
-func (nobody) Sent() Repeatable                 { return Effectful }
+func (nobody) Text(string) string  { return "" }
+func (nobody) Segments() []string  { return nil }
+func (nobody) Table(string) Table  { return Table{} }
+func (nobody) Size() int64         { return 0 }
+func (nobody) Hint() time.Duration { return 0 }
+func (nobody) Sent() Repeatable    { return Effectful }
--- a/match/subject.go
+++ b/match/subject.go
@@ -27,14 +27,47 @@
 func (r Repeatable) String() string { return [...]string{"effectful", "receipted", "pure"}[r] }
 
 // Subject is what rules may ask of one message, whatever brought it: an HTTP request, a WebSocket message, a row. It
-// does not change while it is judged. Names in Table are in lower case where the protocol does not tell cases apart.
+// does not change while it is judged.
 type Subject interface {
-	Text(name string) string               // method, path or peer
-	Segments() []string                    // of the path, as written
-	Table(name string) map[string][]string // header, query or cookie
-	Size() int64                           // bytes of the body
-	Hint() time.Duration                   // the client's own estimate of the work, 0 if it gave none
-	Sent() Repeatable                      // by the protocol's own words
+	Text(name string) string // method, path or peer
+	Segments() []string      // of the path, as written
+	Table(name string) Table // header, query or cookie
+	Size() int64             // bytes of the body
+	Hint() time.Duration     // the client's own estimate of the work, 0 if it gave none
+	Sent() Repeatable        // by the protocol's own words
+}
+
+// Table is what has names, with all values of each.
+type Table struct {
+	Of   map[string][]string
+	Fold bool // the protocol does not tell upper from lower case in its names
+}
+
+// values looks a name up, without a copy and whatever its case.
+func (t Table) values(name string) []string {
+	v, ok := t.Of[name]
+	if ok || !t.Fold {
+		return v
+	}
+	for k, v := range t.Of {
+		if len(k) == len(name) && strings.EqualFold(k, name) {
+			return v
+		}
+	}
+	return nil
+}
+
+// all is the table to walk over: names whose case says nothing are in lower case, and put together.
+func (t Table) all() map[string][]string {
+	if !t.Fold {
+		return t.Of
+	}
+	low := make(map[string][]string, len(t.Of))
+	for k, v := range t.Of {
+		k = strings.ToLower(k)
+		low[k] = append(low[k], v...)
+	}
+	return low
 }
 
 // What is longer or more than this no rule sees: the bounds on cost are computed with these sizes, and a message whose
@@ -54,7 +87,7 @@
 	of            Subject
 	over          string
 	segs          []string
-	table         [len(tables)]map[string][]string
+	table         [len(tables)]Table
 	had           [1 + len(tables)]bool
 	list          ref.Val
 	single, whole [len(tables)]ref.Val
@@ -86,12 +119,12 @@
 }
 
 // tableNo gives a table that keeps the sizes, empty if it does not.
-func (v *view) tableNo(i int) map[string][]string {
+func (v *view) tableNo(i int) Table {
 	if !v.had[i] {
 		v.had[i] = true
 		v.table[i] = v.of.Table(tables[i].single)
-		if what := tooLarge(v.table[i]); what != "" {
-			v.over, v.table[i] = tables[i].single+what, nil
+		if what := tooLarge(v.table[i].Of); what != "" {
+			v.over, v.table[i] = tables[i].single+what, Table{}
 		}
 	}
 	return v.table[i]
@@ -146,7 +179,7 @@
 		return v.single[i], true
 	}
 	if v.whole[i] == nil {
-		v.whole[i] = types.DefaultTypeAdapter.NativeToValue(v.tableNo(i))
+		v.whole[i] = types.DefaultTypeAdapter.NativeToValue(v.tableNo(i).all())
 	}
 	return v.whole[i], true
 }
@@ -154,12 +187,12 @@
 // once is a table as a map of what comes exactly once: a name that comes twice has no one value, and somebody behind
 // might read the other one. It is looked up without being copied; only a walk over it makes the map.
 type once struct {
-	of  map[string][]string
+	of  Table
 	all traits.Mapper
 }
 
 func (o *once) text(name string) (string, bool) {
-	if v := o.of[name]; len(v) == 1 {
+	if v := o.of.values(name); len(v) == 1 {
 		return v[0], true
 	}
 	return "", false
@@ -167,8 +200,9 @@
 
 func (o *once) walk() traits.Mapper {
 	if o.all == nil {
-		single := make(map[string]string, len(o.of))
-		for k, v := range o.of {
+		all := o.of.all()
+		single := make(map[string]string, len(all))
+		for k, v := range all {
 			if len(v) == 1 {
 				single[k] = v[0]
 			}
@@ -209,14 +243,3 @@
 func (o *once) Value() any                                  { return o.walk().Value() }
 func (o *once) Iterator() traits.Iterator                   { return o.walk().Iterator() }
 func (o *once) Size() ref.Val                               { return o.walk().Size() }
-
-// Lower gives a table with its names in lower case, as headers are asked for. Values of names that differ in case
-// alone are put together: they are one header.
-func Lower(table map[string][]string) map[string][]string {
-	low := make(map[string][]string, len(table))
-	for k, v := range table {
-		k = strings.ToLower(k)
-		low[k] = append(low[k], v...)
-	}
-	return low
-}
