--- a/cmd/sagelever/commands.go
+++ b/cmd/sagelever/commands.go
@@ -16,8 +16,6 @@
 	"github.com/spf13/cobra"
 
 	"sagelever/httpagent"
-	"sagelever/match"
-	"sagelever/operator"
 )
 
 const version = "0.1.0"
@@ -65,7 +63,8 @@
 			}
 			return nil
 		}})
-	root.AddCommand(serving, checking, matching(named, &from), &cobra.Command{Use: "version", Short: "print the version", Args: cobra.NoArgs,
+	root.AddCommand(withRules(named, &from)...)
+	root.AddCommand(serving, checking, &cobra.Command{Use: "version", Short: "print the version", Args: cobra.NoArgs,
 		Run: func(c *cobra.Command, _ []string) {
 			fmt.Fprintln(c.OutOrStdout(), "sagelever", version, runtime.Version())
 		}})
@@ -89,39 +88,6 @@
 	return httpagent.ReadStation(s.config)
 }
 
-// rules reads the operator's file for a station; none if no file is named.
-func (s source) rules(station *httpagent.Station) (*match.Set, error) {
-	if s.operator == "" {
-		return nil, nil
-	}
-	data, err := readOperator(s.operator)
-	if err != nil {
-		return nil, err
-	}
-	plan, err := operator.Read(s.operator, data, station.Deployment())
-	if err != nil {
-		return nil, err
-	}
-	return plan.Set, nil
-}
-
-// readOperator reads a file that ends. A pipe that nobody writes to would hold up this reload and all after it.
-func readOperator(file string) ([]byte, error) {
-	info, err := os.Stat(file)
-	if err != nil {
-		return nil, err
-	}
-	if !info.Mode().IsRegular() {
-		return nil, fmt.Errorf("%s is no ordinary file", file)
-	}
-	f, err := os.Open(file)
-	if err != nil {
-		return nil, err
-	}
-	defer f.Close()
-	return io.ReadAll(io.LimitReader(f, operator.MostBytes+1))
-}
-
 // serve runs one agent inside its limits until SIGTERM or SIGINT; at SIGHUP it reads its files again.
 func serve(station *httpagent.Station, from source, format string) error {
 	hangups := make(chan os.Signal, 1)
@@ -168,10 +134,9 @@
 	if s.operator == "" {
 		return
 	}
-	rules, err := s.rules(station)
-	if err != nil {
+	if station.Rules, err = s.rules(station); err != nil {
 		log.Error("reload_failed", "file", s.operator, "error", err)
 		return
 	}
-	agent.SetRules(rules)
+	agent.SetRules(station.Rules)
 }
--- /dev/null
+++ b/cmd/sagelever/lean.go
@@ -0,0 +1,28 @@
+//go:build lean
+
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"sagelever/httpagent"
+	"sagelever/match"
+)
+
+// A lean program carries no rules: their language takes nine megabytes of a small agent's memory, whether or not it is
+// used.
+
+func withRules(func(*cobra.Command) *cobra.Command, *source) []*cobra.Command { return nil }
+
+func (s source) rules(*httpagent.Station) (match.Judge, error) {
+	if s.operator == "" {
+		return nil, nil
+	}
+	return nil, errors.New("this program was built lean, without rules: leave --operator out, or build it without -tags lean")
+}
+
+func say(out io.Writer, err error) { fmt.Fprintln(out, "sagelever:", err) }
--- a/cmd/sagelever/match.go
+++ b/cmd/sagelever/match.go
@@ -1,3 +1,5 @@
+//go:build !lean
+
 package main
 
 import (
@@ -7,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"runtime"
 	"strings"
 	"text/tabwriter"
@@ -16,25 +19,65 @@
 
 	"sagelever/httpagent"
 	"sagelever/match"
+	"sagelever/match/rules"
 	"sagelever/operator"
 )
 
+// withRules gives the commands of a program that carries the rules' language.
+func withRules(named func(*cobra.Command) *cobra.Command, from *source) []*cobra.Command {
+	return []*cobra.Command{matching(named, from)}
+}
+
+// rules reads the operator's file for a station; none if no file is named.
+func (s source) rules(station *httpagent.Station) (match.Judge, error) {
+	if s.operator == "" {
+		return nil, nil
+	}
+	data, err := readOperator(s.operator)
+	if err != nil {
+		return nil, err
+	}
+	plan, err := operator.Read(s.operator, data, station.Deployment())
+	if err != nil || plan.Set == nil {
+		return nil, err
+	}
+	return plan.Set, nil
+}
+
+// readOperator reads a file that ends. A pipe that nobody writes to would hold up this reload and all after it.
+func readOperator(file string) ([]byte, error) {
+	info, err := os.Stat(file)
+	if err != nil {
+		return nil, err
+	}
+	if !info.Mode().IsRegular() {
+		return nil, fmt.Errorf("%s is no ordinary file", file)
+	}
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return io.ReadAll(io.LimitReader(f, operator.MostBytes+1))
+}
+
 // matching is the commands that show what rules do, without an agent.
 func matching(named func(*cobra.Command) *cobra.Command, from *source) *cobra.Command {
 	var asJSON bool
-	of := func(use, short string, do func(c *cobra.Command, station *httpagent.Station, set *match.Set) (any, error)) *cobra.Command {
+	of := func(use, short string, do func(c *cobra.Command, station *httpagent.Station, set *rules.Set) (any, error)) *cobra.Command {
 		c := &cobra.Command{Use: use + " FILE", Short: short, Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
 			station, err := from.station()
 			if err != nil {
 				return err
 			}
 			file := source{from.config, args[0]}
-			set, err := file.rules(station)
+			judge, err := file.rules(station)
 			if err != nil {
 				return err
 			}
-			if set == nil {
-				set, _ = match.Compile(nil, station.Deployment(), 0)
+			set, ok := judge.(*rules.Set)
+			if !ok { // an empty file
+				set, _ = rules.Compile(nil, station.Deployment(), 0)
 			}
 			said, err := do(c, station, set)
 			if err == nil && asJSON {
@@ -51,10 +94,10 @@
 	}
 	group := &cobra.Command{Use: "match", Short: "check, explain and time the operator's rules"}
 	group.AddCommand(
-		of("check", "say what each rule decides and what it may cost", func(_ *cobra.Command, _ *httpagent.Station, set *match.Set) (any, error) {
+		of("check", "say what each rule decides and what it may cost", func(_ *cobra.Command, _ *httpagent.Station, set *rules.Set) (any, error) {
 			return newVerdict(set), nil
 		}),
-		of("explain", "read a request on standard input and say what the rules make of it", func(c *cobra.Command, s *httpagent.Station, set *match.Set) (any, error) {
+		of("explain", "read a request on standard input and say what the rules make of it", func(c *cobra.Command, s *httpagent.Station, set *rules.Set) (any, error) {
 			r, err := http.ReadRequest(bufio.NewReader(c.InOrStdin()))
 			if err != nil {
 				return nil, fmt.Errorf("the request cannot be read: %w", err)
@@ -64,7 +107,7 @@
 			}
 			return explain(set, s.Subject(r)), nil
 		}),
-		of("bench", "time the dearest message that the limits allow", func(_ *cobra.Command, _ *httpagent.Station, set *match.Set) (any, error) {
+		of("bench", "time the dearest message that the limits allow", func(_ *cobra.Command, _ *httpagent.Station, set *rules.Set) (any, error) {
 			return measure(set), nil
 		}))
 	return group
@@ -73,10 +116,10 @@
 // verdict is what check says.
 type verdict struct {
 	Bound time.Duration     `json:"bound_ns"`
-	Rules []match.RuleState `json:"rules"`
+	Rules []rules.RuleState `json:"rules"`
 }
 
-func newVerdict(set *match.Set) verdict { return verdict{set.Bound(), set.Rules()} }
+func newVerdict(set *rules.Set) verdict { return verdict{set.Bound(), set.Rules()} }
 
 func (v verdict) String() string {
 	var text strings.Builder
@@ -113,7 +156,7 @@
 	Error   string `json:"error,omitempty"`
 }
 
-func explain(set *match.Set, of match.Subject) explained {
+func explain(set *rules.Set, of match.Subject) explained {
 	j, steps := set.Explain(of)
 	began := time.Now()
 	set.Judge(of) // the second time, as an agent judges its second message
@@ -173,7 +216,7 @@
 	return fmt.Sprintf("the dearest message takes %s and %d bytes here; bound %s\n", m.Dearest, m.Bytes, m.Bound)
 }
 
-func measure(set *match.Set) measured {
+func measure(set *rules.Set) measured {
 	const enough = 100 * time.Millisecond // some thousands of messages
 	of := set.Dearest()
 	set.Judge(of)
--- a/httpagent/agent.go
+++ b/httpagent/agent.go
@@ -35,9 +35,9 @@
 	doors      doors
 	bodies     atomic.Int64 // bytes of clients\' bodies held
 	mostBodies int64
-	bad        ration // lines on clients that send what is no request
-	rules      atomic.Pointer[match.Set]
-	troubled   ration // lines on errors of rules
+	bad        ration                      // lines on clients that send what is no request
+	rules      atomic.Pointer[match.Judge] // nil where the operator has none
+	troubled   ration                      // lines on errors of rules
 	moved      moved
 	listing    sync.Mutex   // lists come one at a time
 	version    atomic.Int64 // of the list
@@ -74,7 +74,7 @@
 	a.doors.most = int(sockets/2 - reserve/2)
 	a.doors.enough = a.doors.most / 2
 	a.engine = engine.New(time.Now(), decide.New(uint64(s.Seed), s.terms), a.do, log)
-	a.rules.Store(s.Rules)
+	a.setRules(s.Rules)
 	return a
 }
 
--- a/httpagent/rules.go
+++ b/httpagent/rules.go
@@ -90,23 +90,27 @@
 }
 
 // SetRules takes up other rules, nil for none. What was taken goes on as it was judged.
-func (a *Agent) SetRules(rules *match.Set) {
-	a.rules.Store(rules)
-	n := 0
-	if rules != nil {
-		n = len(rules.Rules())
+func (a *Agent) SetRules(rules match.Judge) {
+	a.setRules(rules)
+	a.log.Info("rules", "on", rules != nil)
+}
+
+func (a *Agent) setRules(rules match.Judge) {
+	if rules == nil {
+		a.rules.Store(nil)
+	} else {
+		a.rules.Store(&rules)
 	}
-	a.log.Info("rules", "count", n)
 }
 
 // judge lets the operator's rules say what a request is, and gives its workload: that of the path where no rule says
 // another.
 func (a *Agent) judge(r *http.Request, x *asked, byPath, effect string) (workload string, err error) {
-	set := a.rules.Load()
-	if set == nil {
+	rules := a.rules.Load()
+	if rules == nil {
 		return byPath, nil
 	}
-	j := set.Judge(judged{r, x.Cost, effect})
+	j := (*rules).Judge(judged{r, x.Cost, effect})
 	if j.Trouble != nil {
 		a.troubled.line("rule_error", "error", j.Trouble)
 	}
--- a/httpagent/station.go
+++ b/httpagent/station.go
@@ -30,7 +30,7 @@
 	Known    json.RawMessage `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 	Log      *slog.Logger    `json:"-"` // slog.Default() if nil
-	Rules    *match.Set      `json:"-"` // the operator's rules, nil if none
+	Rules    match.Judge     `json:"-"` // the operator's rules, nil if none
 
 	terms map[string]any
 }
--- a/match/bench_test.go
+++ b/match/rules/bench_test.go
@@ -1,4 +1,4 @@
-package match
+package rules
 
 import (
 	"fmt"
--- a/match/index.go
+++ b/match/rules/index.go
@@ -1,4 +1,4 @@
-package match
+package rules
 
 import (
 	"math"
@@ -34,7 +34,7 @@
 			return s[a.at], true
 		}
 	default:
-		if x := v.tableNo(tableOf(a.of, "")).values(a.name); len(x) == 1 {
+		if x := v.tableNo(tableOf(a.of, "")).Values(a.name); len(x) == 1 {
 			return x[0], true
 		}
 	}
--- a/match/probe.go
+++ b/match/rules/probe.go
@@ -1,9 +1,11 @@
-package match
+package rules
 
 import (
 	"fmt"
 	"strings"
 	"time"
+
+	"sagelever/match"
 )
 
 // probe is a message made up for timing: as large as the limits allow, but for what a set's literals ask for.
@@ -13,16 +15,16 @@
 	tables   map[string]map[string][]string
 }
 
-func (p *probe) Text(name string) string { return p.texts[name] }
-func (p *probe) Segments() []string      { return p.segments }
-func (p *probe) Table(name string) Table { return Table{p.tables[name], name == "header"} }
-func (p *probe) Size() int64             { return 64 << 10 }
-func (p *probe) Hint() time.Duration     { return time.Millisecond }
-func (p *probe) Sent() Repeatable        { return Pure }
+func (p *probe) Text(name string) string       { return p.texts[name] }
+func (p *probe) Segments() []string            { return p.segments }
+func (p *probe) Table(name string) match.Table { return match.Table{Of: p.tables[name], Fold: name == "header"} }
+func (p *probe) Size() int64                   { return 64 << 10 }
+func (p *probe) Hint() time.Duration           { return time.Millisecond }
+func (p *probe) Sent() match.Repeatable        { return match.Pure }
 
 // Dearest makes the message that needs most of the set's time by the cost model: each attribute that rules are found by
 // has the text that finds the dearest of them, all else is as large as it may be.
-func (s *Set) Dearest() Subject {
+func (s *Set) Dearest() match.Subject {
 	fill := func(n int) string { return strings.Repeat("a", n) }
 	p := &probe{texts: map[string]string{"method": "GET", "path": "/" + fill(MostText-1), "peer": "127.0.0.1"},
 		tables: map[string]map[string][]string{}}
--- a/match/subject.go
+++ b/match/rules/view.go
@@ -1,75 +1,15 @@
-package match
+package rules
 
 import (
 	"reflect"
-	"strings"
-	"time"
 
 	"cel.dev/cel-go/common/types"
 	"cel.dev/cel-go/common/types/ref"
 	"cel.dev/cel-go/common/types/traits"
-)
-
-// Repeatable tells how harmless it is to run again what a client has sent.
-type Repeatable int
 
-const (
-	Effectful Repeatable = iota // must never run twice
-	Receipted                   // carries a mark by which a repeat is known
-	Pure                        // may run again
+	"sagelever/match"
 )
 
-// RepeatableBy reads a workload's effect as the terms name it; what they do not name is effectful.
-func RepeatableBy(effect string) Repeatable {
-	return map[string]Repeatable{"pure": Pure, "receipted": Receipted}[effect]
-}
-
-func (r Repeatable) String() string { return [...]string{"effectful", "receipted", "pure"}[r] }
-
-// Subject is what rules may ask of one message, whatever brought it: an HTTP request, a WebSocket message, a row. It
-// does not change while it is judged.
-type Subject interface {
-	Text(name string) string // method, path or peer
-	Segments() []string      // of the path, as written
-	Table(name string) Table // header, query or cookie
-	Size() int64             // bytes of the body
-	Hint() time.Duration     // the client's own estimate of the work, 0 if it gave none
-	Sent() Repeatable        // by the protocol's own words
-}
-
-// Table is what has names, with all values of each.
-type Table struct {
-	Of   map[string][]string
-	Fold bool // the protocol does not tell upper from lower case in its names
-}
-
-// values looks a name up, without a copy and whatever its case.
-func (t Table) values(name string) []string {
-	v, ok := t.Of[name]
-	if ok || !t.Fold {
-		return v
-	}
-	for k, v := range t.Of {
-		if len(k) == len(name) && strings.EqualFold(k, name) {
-			return v
-		}
-	}
-	return nil
-}
-
-// all is the table to walk over: names whose case says nothing are in lower case, and put together.
-func (t Table) all() map[string][]string {
-	if !t.Fold {
-		return t.Of
-	}
-	low := make(map[string][]string, len(t.Of))
-	for k, v := range t.Of {
-		k = strings.ToLower(k)
-		low[k] = append(low[k], v...)
-	}
-	return low
-}
-
 // What is longer or more than this no rule sees: the bounds on cost are computed with these sizes, and a message whose
 // larger part a rule asks for is refused. An ordinary head has a third of each.
 const (
@@ -84,10 +24,10 @@
 // view is a subject as expressions see it. Each part is asked for at most once, and only if a rule asks. A part that is
 // larger than the bounds on cost were computed with is seen as empty, and the message is refused in the end (over).
 type view struct {
-	of            Subject
+	of            match.Subject
 	over          string
 	segs          []string
-	table         [len(tables)]Table
+	table         [len(tables)]match.Table
 	had           [1 + len(tables)]bool
 	list          ref.Val
 	single, whole [len(tables)]ref.Val
@@ -119,12 +59,12 @@
 }
 
 // tableNo gives a table that keeps the sizes, empty if it does not.
-func (v *view) tableNo(i int) Table {
+func (v *view) tableNo(i int) match.Table {
 	if !v.had[i] {
 		v.had[i] = true
 		v.table[i] = v.of.Table(tables[i].single)
 		if what := tooLarge(v.table[i].Of); what != "" {
-			v.over, v.table[i] = tables[i].single+what, Table{}
+			v.over, v.table[i] = tables[i].single+what, match.Table{}
 		}
 	}
 	return v.table[i]
@@ -179,7 +119,7 @@
 		return v.single[i], true
 	}
 	if v.whole[i] == nil {
-		v.whole[i] = types.DefaultTypeAdapter.NativeToValue(v.tableNo(i).all())
+		v.whole[i] = types.DefaultTypeAdapter.NativeToValue(v.tableNo(i).All())
 	}
 	return v.whole[i], true
 }
@@ -187,12 +127,12 @@
 // once is a table as a map of what comes exactly once: a name that comes twice has no one value, and somebody behind
 // might read the other one. It is looked up without being copied; only a walk over it makes the map.
 type once struct {
-	of  Table
+	of  match.Table
 	all traits.Mapper
 }
 
 func (o *once) text(name string) (string, bool) {
-	if v := o.of.values(name); len(v) == 1 {
+	if v := o.of.Values(name); len(v) == 1 {
 		return v[0], true
 	}
 	return "", false
@@ -200,7 +140,7 @@
 
 func (o *once) walk() traits.Mapper {
 	if o.all == nil {
-		all := o.of.all()
+		all := o.of.All()
 		single := make(map[string]string, len(all))
 		for k, v := range all {
 			if len(v) == 1 {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -13,6 +13,7 @@
 	"gopkg.in/ini.v1"
 
 	"sagelever/match"
+	"sagelever/match/rules"
 )
 
 // MostBytes is how large the file may be: ten thousand rules of the ordinary kind take two megabytes.
@@ -23,8 +24,8 @@
 	Match struct {
 		Budget time.Duration `ini:"budget" validate:"min=1us,max=10ms"` // the most time that judging one message may take
 	}
-	Rules []match.Rule // in the file's order
-	Set   *match.Set   // the rules compiled; nil if there is none
+	Rules []rules.Rule // in the file's order
+	Set   *rules.Set   // the rules compiled; nil if there is none
 }
 
 // Fault is one thing that is wrong, and where. Line and Column count from 1; Source is the line as it stands.
@@ -80,7 +81,7 @@
 		return nil, t.fault(t.broken(err), "%v", err)
 	}
 	p := &Plan{}
-	p.Match.Budget = match.DefaultBudget
+	p.Match.Budget = rules.DefaultBudget
 	var wrong []error
 	seen := map[string]bool{}
 	number := 0 // of the section, among those that are written
@@ -107,7 +108,7 @@
 				wrong = append(wrong, t.fault(where.at, "a rule of the name %q stands above", title))
 			}
 			seen[title] = true
-			r := match.Rule{Name: title}
+			r := rules.Rule{Name: title}
 			wrong = append(wrong, t.fill(s, where, &r)...)
 			if r.When == "" {
 				wrong = append(wrong, t.fault(where.at, "the rule has no when"))
@@ -130,9 +131,9 @@
 	if len(p.Rules) == 0 {
 		return p, nil
 	}
-	p.Set, err = match.Compile(p.Rules, d, p.Match.Budget)
-	var of *match.RuleFault
-	var dear *match.TooDear
+	p.Set, err = rules.Compile(p.Rules, d, p.Match.Budget)
+	var of *rules.RuleFault
+	var dear *rules.TooDear
 	switch {
 	case errors.As(err, &of):
 		return nil, t.fault(at[of.Rule].keys[of.Field].inside(of.Line, of.Column, at[of.Rule].at), "%s: %s", of.Field, of.Text)
