--- a/decide/decide.go
+++ b/decide/decide.go
@@ -653,12 +653,13 @@
 }
 
 // worse tells whether the trial is behind, as a whole or in the machines of one stage: a build may turn bad
-// with its machines' age, and younger ones hide it.
+// with its machines' age, and younger ones hide it. Faults by themselves, told from a handful, count only while the
+// earlier build stands: machines that begin to fail later would fail it as well, and would not be seen to.
 func (b *Balancer) worse(margin, wall float64) bool {
 	early, _ := b.evidence(0)
 	trial, stages := b.evidence(1)
 	for _, x := range append(stages[:], trial) {
-		if behind(early, x, margin, margin, wall) || behind(early.sound(), x.sound(), 0, 0, wall) {
+		if behind(early, x, margin, margin, wall) || b.stands(0) && behind(early.sound(), x.sound(), 0, 0, wall) {
 			return true
 		}
 	}
@@ -691,7 +692,7 @@
 	if clocked {
 		bar, gap = wall/2, 0
 	}
-	doubt := behind(early, trial, gap, 0, bar) || behind(early.sound(), trial.sound(), 0, 0, bar)
+	doubt := behind(early, trial, gap, 0, bar) || b.stands(0) && behind(early.sound(), trial.sound(), 0, 0, bar)
 	if doubt && enough { // a doubt that comes and goes would let one moment between decide
 		b.doubtTill = b.now + wait
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -781,6 +781,14 @@
 	if b.arms[1].faults != 6 {
 		t.Errorf("%v faults after a complaint", b.arms[1].faults)
 	}
+	// With no earlier machine left, faults that begin now may be all machines': 'back' asks for the margin again.
+	if set(0, 5, 0); b.verdict() != agent.Back {
+		t.Fatal(b.verdict())
+	}
+	b.fleet[1].listed, b.fleet[2].listed = false, false
+	if v := b.verdict(); v == agent.Back {
+		t.Error("faults alone send a build back that nothing stands beside")
+	}
 }
 
 // A request that an appliance cannot use blames neither build nor machine, and is broken off at once: bad clients send
