--- a/decide/decide.go
+++ b/decide/decide.go
@@ -179,12 +179,12 @@
 	return float64(used+1) <= term(b, "trial.allowance", 0.0)+share*float64(took)
 }
 
-const unseen = 100 * time.Millisecond // where an answer not seen counts, it does so 150 ms after it was written
+const unseen = 100 * time.Millisecond // where an unseen answer counts, it does so 150 ms after its writing
 
-// feared tells whether a key may count as answered by an answer that this agent never had. The simulator's wire
-// counts those that it had; a network counts what was written, so a front on sockets fears, and so does any that
-// says nothing. Fear is dear: a slow send binds its own key, its copy can then only go to the trial's few cold
-// machines, and good builds look slow. It acts nowhere that the rule does not ask for it.
+// feared tells whether a key may count as answered by an answer that this agent never had. The simulator's
+// wire counts those that it had; a network counts what was written, so a front on sockets fears, and so does
+// any that says nothing. Fear is dear: a slow send binds its own key, its copy then only goes to the trial's
+// few cold machines, and good builds look slow. It acts nowhere that the rule does not ask for it.
 func (b *Balancer) feared() bool {
 	return term(b, "trial.oneway", false) && term(b, "trial.unseen", true)
 }
@@ -653,8 +653,7 @@
 }
 
 // worse tells whether the trial is behind, as a whole or in the machines of one stage: a build may turn bad
-// with its machines' age, and younger ones hide it. Faults by themselves, told from a handful, count only while the
-// earlier build stands: machines that begin to fail later would fail it as well, and would not be seen to.
+// with its machines' age, and younger ones hide it.
 func (b *Balancer) worse(margin, wall float64) bool {
 	early, _ := b.evidence(0)
 	trial, stages := b.evidence(1)
@@ -663,7 +662,17 @@
 			return true
 		}
 	}
-	return false
+	return behind(early.sound(), trial.sound(), b.alone(), 0, wall)
+}
+
+// alone is the share of faults that counts by itself against a build with no earlier machine left beside it:
+// machines that begin to fail would fail the earlier build as well, and would not be seen to. A third of the
+// margin, and over all stages together, as one often has a lone machine: few on sick ones stay under it.
+func (b *Balancer) alone() float64 {
+	if b.stands(0) {
+		return 0
+	}
+	return 0.01
 }
 
 // verdict is what the counts say of the build on trial. The threshold is log(2t·n/δ), δ 0.1: a wrong vote
@@ -692,7 +701,7 @@
 	if clocked {
 		bar, gap = wall/2, 0
 	}
-	doubt := behind(early, trial, gap, 0, bar) || b.stands(0) && behind(early.sound(), trial.sound(), 0, 0, bar)
+	doubt := behind(early, trial, gap, 0, bar) || behind(early.sound(), trial.sound(), b.alone(), 0, bar)
 	if doubt && enough { // a doubt that comes and goes would let one moment between decide
 		b.doubtTill = b.now + wait
 	}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -65,7 +65,7 @@
 	for {
 		wait := time.Hour
 		if len(e.due) > 0 {
-			wait = e.began.Add(e.due[0].at).Sub(time.Now())
+			wait = time.Until(e.began.Add(e.due[0].at))
 		}
 		alarm.Reset(wait)
 		select {
--- a/match/rules/cost.go
+++ b/match/rules/cost.go
@@ -83,7 +83,7 @@
 		return &cost.CallEstimate{CostEstimate: cost.UnknownCostEstimate()}
 	}
 	letters := cost.EstimateSize(sizes{}, *subject).Max
-	return &cost.CallEstimate{CostEstimate: cost.CostEstimate{Min: 0, Max: shapeOf(text).units(letters)}}
+	return &cost.CallEstimate{CostEstimate: cost.Estimate{Min: 0, Max: shapeOf(text).units(letters)}}
 }
 
 // shape is what a pattern's cost rests on.
--- a/match/rules/probe.go
+++ b/match/rules/probe.go
@@ -15,12 +15,14 @@
 	tables   map[string]map[string][]string
 }
 
-func (p *probe) Text(name string) string       { return p.texts[name] }
-func (p *probe) Segments() []string            { return p.segments }
-func (p *probe) Table(name string) match.Table { return match.Table{Of: p.tables[name], Fold: name == "header"} }
-func (p *probe) Size() int64                   { return 64 << 10 }
-func (p *probe) Hint() time.Duration           { return time.Millisecond }
-func (p *probe) Sent() match.Repeatable        { return match.Pure }
+func (p *probe) Text(name string) string { return p.texts[name] }
+func (p *probe) Segments() []string      { return p.segments }
+func (p *probe) Table(name string) match.Table {
+	return match.Table{Of: p.tables[name], Fold: name == "header"}
+}
+func (p *probe) Size() int64            { return 64 << 10 }
+func (p *probe) Hint() time.Duration    { return time.Millisecond }
+func (p *probe) Sent() match.Repeatable { return match.Pure }
 
 // Dearest makes the message that needs most of the set's time by the cost model: each attribute that rules are found by
 // has the text that finds the dearest of them, all else is as large as it may be.
--- a/operator/place.go
+++ b/operator/place.go
@@ -14,7 +14,6 @@
 // entry is where a key stands, and its value.
 type entry struct {
 	at, value spot
-	indent    int // of the value's later lines, which begin at column 1
 }
 
 // inside is the place of a line and column of the value, or else the place given.
