--- a/cmd/sagelever/match_test.go
+++ b/cmd/sagelever/match_test.go
@@ -4,10 +4,16 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -120,3 +126,88 @@
 		t.Error("an unknown format was taken")
 	}
 }
+
+// Rules are read again under load. A file that is wrong, or that never ends, leaves those that hold in force; an empty
+// one takes them away; no request is lost meanwhile, and none gets an answer that neither set would give.
+func TestRulesReloaded(t *testing.T) {
+	file, config := files(t, "[rule stop]\nwhen = segments[1] == \"stop\"\nkey = header[\"x-none\"]\notherwise = refuse\n")
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := free.Addr().String()
+	free.Close()
+	from := source{config[1], file}
+	station, err := from.station()
+	if err != nil {
+		t.Fatal(err)
+	}
+	station.Listen = at
+	if station.Rules, err = from.rules(station); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- serve(station, from, "text") }()
+	var number atomic.Int64
+	status := func(path string) int {
+		r, _ := http.NewRequest("GET", "http://"+at+path, nil)
+		r.Header.Set("Request-Id", fmt.Sprint(number.Add(1)))
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			return 0
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	until := func(path string, want int) {
+		t.Helper()
+		for range 1000 { // ten seconds at most; nothing is judged by how many
+			if status(path) == want {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Fatalf("%s never gives %d", path, want)
+	}
+	until("/_health", 200)
+	ctx, stop := context.WithCancel(context.Background())
+	var load sync.WaitGroup
+	for range 4 {
+		load.Go(func() {
+			for ctx.Err() == nil {
+				if got := status("/look/on"); got != 503 { // there is no appliance: deferred at once
+					t.Errorf("a request under load got %d", got)
+					return
+				}
+			}
+		})
+	}
+	reloaded := func(change func()) {
+		change()
+		syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	}
+	until("/look/stop", 400)
+	for name, change := range map[string]func(){
+		"wrong": func() { os.WriteFile(file, []byte("[rule x]\nwhen = pth\nkey = \"k\"\n"), 0o600) },
+		"gone":  func() { os.Remove(file) },
+		"pipe":  func() { os.Remove(file); syscall.Mkfifo(file, 0o600) },
+	} {
+		reloaded(change)
+		time.Sleep(30 * time.Millisecond) // for what would go wrong to show; nothing is judged by it
+		if got := status("/look/stop"); got != 400 {
+			t.Errorf("after a file that is %s: %d", name, got)
+		}
+	}
+	reloaded(func() { os.Remove(file); os.WriteFile(file, nil, 0o600) })
+	until("/look/stop", 503)
+	reloaded(func() {
+		os.WriteFile(file, []byte("[rule stop]\nwhen = path == \"/look/stop\"\nkey = segments[9]\notherwise = refuse\n"), 0o600)
+	})
+	until("/look/stop", 400)
+	stop()
+	load.Wait()
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/match/rules/set_test.go
+++ b/match/rules/set_test.go
@@ -224,6 +224,7 @@
 		ok    bool
 	}{
 		"literal rules":          {many(1000, func(i int) string { return fmt.Sprintf(`path.startsWith("/p%d/")`, i) }), true},
+		"ten thousand":           {many(MostRules, func(i int) string { return fmt.Sprintf(`path == "/p%d"`, i) }), true},
 		"optional headers":       {many(1000, func(i int) string { return fmt.Sprintf(`header[?"x-a"].orValue("") == "v%d" && size > 3`, i) }), true},
 		"headers, an error each": {many(1000, func(i int) string { return fmt.Sprintf(`header["x-a"] == "v%d"`, i) }), false},
 		"no literal":             {many(100, func(i int) string { return fmt.Sprintf(`size > %d`, i) }), false},
