--- a/httpagent/sends.go
+++ b/httpagent/sends.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"sagelever/agent"
+	"sagelever/life"
 )
 
 // reach is how far a send had come.
@@ -44,10 +45,8 @@
 func (e *sendError) Unwrap() error { return e.cause }
 
 var (
-	errCalledOff = errors.New("called off")
-	errTimedOut  = errors.New("timed out")
-	errCrowded   = errors.New("no descriptor is left for a connection")
-	errSpoilt    = errors.New("the answer cannot be read")
+	errCrowded = errors.New("no descriptor is left for a connection")
+	errSpoilt  = errors.New("the answer cannot be read")
 )
 
 // answer is what an appliance has answered, read whole. Whoever has it frees it.
@@ -71,15 +70,15 @@
 		return agent.Unfit
 	case err == nil:
 		return agent.Fault
-	case errors.As(err, &e) && e.reach < written && (errors.Is(err, errCalledOff) || errors.Is(err, errCrowded)):
+	case errors.As(err, &e) && e.reach < written && (errors.Is(err, life.ErrCalledOff) || errors.Is(err, errCrowded)):
 		return agent.NotSent // no blame on the appliance for what is ours
 	case errors.As(err, &e) && e.reach < written:
 		return agent.Unreachable
 	case errors.Is(err, errSpoilt):
 		return agent.Spoilt
-	case errors.Is(err, errCalledOff):
+	case errors.Is(err, life.ErrCalledOff):
 		return agent.CalledOff
-	case errors.Is(err, errTimedOut):
+	case errors.Is(err, life.ErrTimedOut):
 		return agent.TimedOut
 	}
 	return agent.Cut
@@ -330,7 +329,7 @@
 		a.engine.Tell(agent.Probed{Appliance: id, Outcome: agent.Unreachable})
 		return
 	}
-	ctx, cancel := context.WithTimeoutCause(ctx, term(a.station, "link.dial", time.Second), errTimedOut)
+	ctx, cancel := context.WithTimeoutCause(ctx, term(a.station, "link.dial", time.Second), life.ErrTimedOut)
 	defer cancel()
 	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: l.address, Path: path},
 		Host: l.address, Header: http.Header{}}
