--- /dev/null
+++ b/cmd/sagelab/main.go
@@ -0,0 +1,40 @@
+// Command sagelab runs the project's own experiments: agents and stand-ins on loopback, with faults injected by a seed,
+// and everything that was seen checked against what clients were told.
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	root := &cobra.Command{Use: "sagelab", Short: "Load and experiments on loopback", SilenceUsage: true}
+	root.CompletionOptions.DisableDefaultCmd = true
+	var messages, clients int
+	var seed uint64
+	var loud bool
+	ws := &cobra.Command{Use: "websocket", Short: "messages over WebSocket while appliances fail, leave and fall silent", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			log := slog.New(slog.DiscardHandler)
+			if loud {
+				log = slog.New(slog.NewTextHandler(os.Stderr, nil))
+			}
+			f, err := overWebSocket(messages, clients, seed, log)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintln(c.OutOrStdout(), f)
+			return f.verdict()
+		}}
+	ws.Flags().IntVar(&messages, "messages", 20000, "how many are asked in all")
+	ws.Flags().IntVar(&clients, "clients", 16, "connections that ask them")
+	ws.Flags().Uint64Var(&seed, "seed", 1, "of the messages and the faults")
+	ws.Flags().BoolVar(&loud, "log", false, "show the agent's log")
+	root.AddCommand(ws)
+	if root.Execute() != nil {
+		os.Exit(1)
+	}
+}
--- a/httpagent/agent.go
+++ b/httpagent/agent.go
@@ -43,6 +43,13 @@
 	version    atomic.Int64 // of the list
 	watching   atomic.Bool  // the module wants changes, where they come only when asked for
 	subscribed chan struct{}
+
+	mounted    map[string]http.Handler // other fronts, by path
+	onList     func([]Place)
+	placed     map[agent.ApplianceID]agent.Appliance // told to other fronts as up
+	deployment match.Deployment
+	guests     sync.WaitGroup // connections that other fronts have taken over
+	left       chan struct{}  // closed when the agent has been told to stop
 }
 
 // reserve is the descriptors kept for discovery, the platform, other agents and the log.
@@ -66,7 +73,7 @@
 		memory = 512 << 20
 	}
 	dial := term(s, "link.dial", time.Second)
-	a := &Agent{station: s, log: log, bad: ration{to: log}, troubled: ration{to: log}, control: plain(dial), subscribed: make(chan struct{}, 1),
+	a := &Agent{station: s, log: log, deployment: s.Deployment(), left: make(chan struct{}), placed: map[agent.ApplianceID]agent.Appliance{}, bad: ration{to: log}, troubled: ration{to: log}, control: plain(dial), subscribed: make(chan struct{}, 1),
 		links: newLinks(dial, term(s, "link.idle", time.Minute), sockets/2-reserve/2, memory)}
 	a.moved.at = addresses{s.Discovery, s.Platform.Address}
 	a.moved.watch, a.moved.stream = make(chan struct{}, 1), make(chan struct{}, 1)
--- a/httpagent/clients.go
+++ b/httpagent/clients.go
@@ -209,6 +209,10 @@
 		}
 		return
 	}
+	if h := a.mounted[r.URL.Path]; h != nil {
+		h.ServeHTTP(w, r)
+		return
+	}
 	a.transact(w, r)
 }
 
@@ -239,16 +243,13 @@
 		Carry: func(off context.Context, order agent.Send) life.Sent { return a.carry(off, x, order) },
 		Give:  func(f life.Final) { a.give(w, x, f) },
 		Gone:  r.Context().Done(),
-		Slack: a.slack(),
+		Slack: a.Slack(),
 	})
 	if err != nil {
 		a.refuse(w, r, badRequest{http.StatusConflict, err.Error()})
 	}
 }
 
-// slack is how late the rules let a final answer be.
-func (a *Agent) slack() time.Duration { return term(a.station, "answer.slack", time.Duration(0)) }
-
 // give writes a final answer.
 func (a *Agent) give(w http.ResponseWriter, x *asked, f life.Final) {
 	switch f.State {
--- a/httpagent/discovery.go
+++ b/httpagent/discovery.go
@@ -89,6 +89,7 @@
 		return
 	}
 	a.links.list(l)
+	a.places(l)
 	a.engine.Tell(l.news)
 	a.version.Store(l.news.Version)
 }
--- a/httpagent/doors.go
+++ b/httpagent/doors.go
@@ -26,7 +26,7 @@
 type door struct {
 	state http.ConnState
 	since time.Time
-	held  bool // a transaction is held on it
+	held  bool // a transaction is held on it, or it is no HTTP connection any more
 }
 
 // note follows the state of a connection.
@@ -49,11 +49,22 @@
 		if x := d.open[c]; x != nil {
 			*x = door{state: state, since: time.Now()}
 		}
+	case http.StateHijacked:
+		if x := d.open[c]; x != nil { // it has a descriptor still, until whoever has it lets it go
+			*x = door{state: state, since: time.Now(), held: true}
+		}
 	default:
 		delete(d.open, c)
 	}
 }
 
+// release tells that a connection that was taken over is closed.
+func (d *doors) release(c net.Conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.open, c)
+}
+
 // makeRoom closes the connection that has been longest without a transaction, if for some time.
 func (d *doors) makeRoom(atLeast time.Duration) bool {
 	var longest net.Conn
--- a/httpagent/shutdown.go
+++ b/httpagent/shutdown.go
@@ -35,6 +35,7 @@
 	case <-ctx.Done():
 	}
 	a.leaving.Store(true)
+	close(a.left)
 	a.log.Info("leaving", "held", a.held.Load())
 	time.Sleep(lingering)
 	last, cancel := context.WithTimeout(context.Background(), a.longest())
@@ -42,6 +43,13 @@
 	listener.Close()
 	a.doors.closeUnused()
 	err := server.Shutdown(last)
+	gone := make(chan struct{})
+	go func() { a.guests.Wait(); close(gone) }()
+	select {
+	case <-gone:
+	case <-last.Done():
+		err = last.Err()
+	}
 	a.log.Info("left", "held", a.held.Load(), "unfinished", err != nil)
 	return nil
 }
--- /dev/null
+++ b/standin/discovery.go
@@ -0,0 +1,99 @@
+package standin
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Line is an appliance as discovery lists it.
+type Line struct {
+	Name, Address string
+	Build         int
+	Draining      bool
+}
+
+// Discovery lists appliances, and tells each change to those who watch.
+type Discovery struct {
+	Address string
+	server  *http.Server
+
+	mu      sync.Mutex
+	version int
+	text    string
+	changed chan struct{}
+}
+
+// NewDiscovery starts one that lists nobody yet.
+func NewDiscovery() (*Discovery, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	d := &Discovery{Address: l.Addr().String(), changed: make(chan struct{})}
+	d.server = &http.Server{Handler: d}
+	d.List(nil)
+	go d.server.Serve(l)
+	return d, nil
+}
+
+// Close ends it.
+func (d *Discovery) Close() { d.server.Close() }
+
+// List replaces the list, and tells it. It returns when the list is there to be written to those who watch.
+func (d *Discovery) List(lines []Line) {
+	type instance struct {
+		ID        string  `json:"instanceId"`
+		At        string  `json:"hostPort"`
+		Zone      string  `json:"zone"`
+		Machine   string  `json:"machineType"`
+		Cell      int     `json:"cell"`
+		Lifecycle string  `json:"lifecycle"`
+		Weight    float64 `json:"weight"`
+		Started   int64   `json:"startedAtMs"`
+		Build     int     `json:"build"`
+	}
+	list := []instance{}
+	for _, x := range lines {
+		i := instance{x.Name, x.Address, "home", "small", 0, "in_service", 1, 0, x.Build}
+		if x.Draining {
+			i.Lifecycle = "terminating"
+		}
+		list = append(list, i)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.version++
+	text, _ := json.Marshal(map[string]any{"generation": d.version, "reset": true, "instances": list})
+	d.text = string(text)
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+func (d *Discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	flush := http.NewResponseController(w)
+	for seen := ""; ; {
+		d.mu.Lock()
+		text, changed := d.text, d.changed
+		d.mu.Unlock()
+		if text == seen {
+			text = ""
+		} else {
+			seen = text
+		}
+		if _, err := w.Write([]byte(text + "\n")); err != nil || flush.Flush() != nil {
+			return
+		}
+		if r.URL.Query().Get("watch") == "" {
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-changed:
+		case <-time.After(time.Second):
+		}
+	}
+}
