--- a/cmd/sagelever/commands.go
+++ b/cmd/sagelever/commands.go
@@ -115,6 +115,11 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	agent := httpagent.New(station)
+	life, end := context.WithCancel(context.Background())
+	defer end()
+	if err := from.fronts(life, agent, station); err != nil {
+		return err
+	}
 	go func() {
 		for range hangups {
 			from.reload(agent, logger)
--- a/cmd/sagelever/lean.go
+++ b/cmd/sagelever/lean.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -25,4 +26,6 @@
 	return nil, errors.New("this program was built lean, without rules: leave --operator out, or build it without -tags lean")
 }
 
+func (source) fronts(context.Context, *httpagent.Agent, *httpagent.Station) error { return nil }
+
 func say(out io.Writer, err error) { fmt.Fprintln(out, "sagelever:", err) }
--- a/cmd/sagelever/match.go
+++ b/cmd/sagelever/match.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -21,6 +22,8 @@
 	"sagelever/match"
 	"sagelever/match/rules"
 	"sagelever/operator"
+	"sagelever/pool"
+	"sagelever/wsagent"
 )
 
 // withRules gives the commands of a program that carries the rules' language.
@@ -44,6 +47,40 @@
 	return plan.Set, nil
 }
 
+// fronts mounts the fronts that the operator's file switches on. They end with the context.
+func (s source) fronts(ctx context.Context, a *httpagent.Agent, station *httpagent.Station) error {
+	if s.operator == "" {
+		return nil
+	}
+	data, err := readOperator(s.operator)
+	if err != nil {
+		return err
+	}
+	plan, err := operator.Read(s.operator, data, station.Deployment())
+	if err != nil || plan.WebSocket.Path == "" {
+		return err
+	}
+	w, bounds := plan.WebSocket, pool.Usual
+	bounds.Each = w.Links
+	if sockets := station.Limits.Sockets; sockets > 0 {
+		bounds.All = max(sockets/4, 1) // a quarter: clients and HTTP's connections have the rest
+	}
+	if w.Appliances == "" {
+		w.Appliances = w.Path
+	}
+	links := wsagent.NewLinks(ctx, w.Appliances, bounds, uint64(station.Seed), station.Log)
+	a.OnList(func(places []httpagent.Place) {
+		lines := make([]wsagent.Listed, len(places))
+		for i, p := range places {
+			lines[i] = wsagent.Listed(p)
+		}
+		links.List(lines)
+	})
+	a.Mount(w.Path, wsagent.NewFront(a, links, wsagent.Limits{InFlight: w.InFlight, All: int64(w.All), Unsent: w.Unsent, Heartbeat: w.Heartbeat}, station.Log))
+	station.Log.Info("websocket", "path", w.Path, "appliances", w.Appliances)
+	return nil
+}
+
 // readOperator reads a file that ends. A pipe that nobody writes to would hold up this reload and all after it.
 func readOperator(file string) ([]byte, error) {
 	info, err := os.Stat(file)
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"strconv"
 	"strings"
 	"time"
 
@@ -24,8 +25,20 @@
 	Match struct {
 		Budget time.Duration `ini:"budget" validate:"min=1us,max=10ms"` // the most time that judging one message may take
 	}
-	Rules []rules.Rule // in the file's order
-	Set   *rules.Set   // the rules compiled; nil if there is none
+	WebSocket WebSocket
+	Rules     []rules.Rule // in the file's order
+	Set       *rules.Set   // the rules compiled; nil if there is none
+}
+
+// WebSocket is the front for clients over WebSocket; it is off where Path is empty.
+type WebSocket struct {
+	Path       string        `ini:"path" validate:"omitempty,startswith=/"`       // where clients upgrade
+	Appliances string        `ini:"appliances" validate:"omitempty,startswith=/"` // where appliances take the upgrade; Path if empty
+	InFlight   int           `ini:"in_flight" validate:"min=1,max=4096"`          // transactions of one connection
+	All        int           `ini:"all" validate:"min=1,max=1048576"`             // transactions of all
+	Unsent     int           `ini:"unsent" validate:"min=8,max=65536"`            // messages that wait for one reader
+	Heartbeat  time.Duration `ini:"heartbeat" validate:"min=1s,max=10m"`
+	Links      int           `ini:"links" validate:"min=1,max=64"` // connections to one appliance
 }
 
 // Fault is one thing that is wrong, and where. Line and Column count from 1; Source is the line as it stands.
@@ -82,6 +95,7 @@
 	}
 	p := &Plan{}
 	p.Match.Budget = rules.DefaultBudget
+	p.WebSocket = WebSocket{InFlight: 64, All: 4096, Unsent: 128, Heartbeat: 15 * time.Second, Links: 2}
 	var wrong []error
 	seen := map[string]bool{}
 	number := 0 // of the section, among those that are written
@@ -114,13 +128,17 @@
 				wrong = append(wrong, t.fault(where.at, "the rule has no when"))
 			}
 			p.Rules, at = append(p.Rules, r), append(at, where)
-		case s.Name() == "match":
-			if seen["\x00match"] {
-				wrong = append(wrong, t.fault(where.at, "the section [match] comes twice"))
+		case s.Name() == "match", s.Name() == "websocket":
+			if seen["\x00"+s.Name()] {
+				wrong = append(wrong, t.fault(where.at, "the section [%s] comes twice", s.Name()))
+			}
+			seen["\x00"+s.Name()] = true
+			into := any(&p.Match)
+			if s.Name() == "websocket" {
+				into = &p.WebSocket
 			}
-			seen["\x00match"] = true
-			wrong = append(wrong, t.fill(s, where, &p.Match)...)
-			wrong = append(wrong, t.check(where, &p.Match)...)
+			wrong = append(wrong, t.fill(s, where, into)...)
+			wrong = append(wrong, t.check(where, into)...)
 		default:
 			wrong = append(wrong, t.fault(where.at, "no such section: [%s]", s.Name()))
 		}
@@ -168,6 +186,12 @@
 				wrong = append(wrong, t.fault(where.keys[k.Name()].value, "%s is no time: %v", k.Name(), err))
 			}
 			field.SetInt(int64(d))
+		case field.Kind() == reflect.Int:
+			n, err := strconv.Atoi(value)
+			if err != nil {
+				wrong = append(wrong, t.fault(where.keys[k.Name()].value, "%s is no whole number", k.Name()))
+			}
+			field.SetInt(int64(n))
 		default:
 			field.SetString(value)
 		}
@@ -190,7 +214,7 @@
 	if errors.As(v.Struct(of), &list) {
 		for _, e := range list {
 			wrong = append(wrong, t.fault(where.keys[e.Field()].value, "%s is %v, %s %s is wanted", e.Field(), e.Value(),
-				map[string]string{"min": "at least", "max": "at most"}[e.Tag()], e.Param()))
+				map[string]string{"min": "at least", "max": "at most", "startswith": "a beginning of"}[e.Tag()], e.Param()))
 		}
 	}
 	return wrong
