--- a/wsagent/clients.go
+++ b/wsagent/clients.go
@@ -239,6 +239,10 @@
 			c.mu.Unlock()
 			cancel()
 		}()
+		if a.Type == "subscribe" {
+			c.subscribe(gone, a, taken)
+			return
+		}
 		until := time.Now().Add(taken.Left)
 		err := life.Run(f.host.Engine(), taken, life.Front{
 			Carry: func(off context.Context, order agent.Send) life.Sent { return f.carry(off, a, order, until) },
--- a/wsagent/links.go
+++ b/wsagent/links.go
@@ -43,6 +43,7 @@
 	mu    sync.Mutex
 	last  uint64
 	waits map[uint64]chan Done
+	subs  map[uint64]*Subscription
 }
 
 // fragment is how much of a message is written at a time: between two a send can still be cut so that it never runs.
@@ -117,7 +118,8 @@
 		switch a.Kind {
 		case pool.Dial:
 			ctx, cancel := context.WithCancel(l.ctx)
-			c := &conn{id: a.Link, cancel: cancel, turn: make(chan struct{}, 1), ended: make(chan struct{}), waits: map[uint64]chan Done{}}
+			c := &conn{id: a.Link, cancel: cancel, turn: make(chan struct{}, 1), ended: make(chan struct{}), waits: map[uint64]chan Done{},
+				subs: map[uint64]*Subscription{}}
 			l.conns[a.Link] = c
 			go l.serve(ctx, c, l.addresses[a.Appliance])
 		case pool.Ping:
@@ -191,10 +193,15 @@
 			return
 		}
 		c.mu.Lock()
-		wait := c.waits[done.Send]
-		delete(c.waits, done.Send)
+		wait, sub := c.waits[done.Send], c.subs[done.Send]
+		if done.Type == "done" {
+			delete(c.waits, done.Send)
+		}
 		c.mu.Unlock()
-		if wait != nil {
+		switch {
+		case done.Type == "push" && sub != nil:
+			sub.push(done)
+		case done.Type == "done" && wait != nil:
 			wait <- done
 		}
 	}
@@ -256,19 +263,72 @@
 	return agent.Cut
 }
 
+// Subscription is what an appliance pushes after it has answered. It counts as a send that is out, so that its connection
+// is neither taken for one at rest nor believed to live without a sign of it.
+type Subscription struct {
+	Over  <-chan struct{} // closed when the connection has ended
+	Moves <-chan struct{} // closed when the appliance gets nothing new: it should be asked of another
+
+	links *Links
+	conn  *conn
+	send  uint64
+	once  sync.Once
+	push  func(Done)
+}
+
+// Close ends it, and tells the appliance.
+func (s *Subscription) Close() {
+	s.once.Do(func() {
+		s.conn.mu.Lock()
+		delete(s.conn.subs, s.send)
+		s.conn.mu.Unlock()
+		s.links.tell(s.conn, (*pool.Pool).Over)
+		go s.links.cancel(s.conn, s.send)
+	})
+}
+
 // Send carries one message to an appliance and waits for its answer. It is given up when off ends, whose cause says why.
 func (l *Links) Send(off context.Context, to agent.ApplianceID, r Run) (Done, error) {
+	done, _, err := l.send(off, to, r, nil)
+	return done, err
+}
+
+// Subscribe is Send for a message whose answer is followed by pushes. What is pushed before the answer has been read
+// counts too. push is called by one goroutine at a time and returns at once.
+func (l *Links) Subscribe(off context.Context, to agent.ApplianceID, r Run, push func(Done)) (Done, *Subscription, error) {
+	return l.send(off, to, r, push)
+}
+
+func (l *Links) send(off context.Context, to agent.ApplianceID, r Run, push func(Done)) (_ Done, sub *Subscription, err error) {
 	c, retired, err := l.connect(off, to)
 	if err != nil {
-		return Done{}, err
+		return Done{}, nil, err
 	}
-	defer l.tell(c, (*pool.Pool).Over)
 	answer := make(chan Done, 1)
 	c.mu.Lock()
 	c.last++
 	r.Type, r.Send, r.Size = "run", c.last, len(r.Body)
 	c.waits[r.Send] = answer
+	if push != nil {
+		sub = &Subscription{Over: c.ended, Moves: retired, links: l, conn: c, send: r.Send, push: push}
+		c.subs[r.Send] = sub
+	}
 	c.mu.Unlock()
+	defer func() {
+		switch { // one that is answered well goes on being out
+		case sub == nil:
+			l.tell(c, (*pool.Pool).Over)
+		case err != nil:
+			sub.Close()
+			sub = nil
+		}
+	}()
+	done, err := l.await(off, c, retired, r, answer)
+	return done, sub, err
+}
+
+// await writes a message and waits for its answer.
+func (l *Links) await(off context.Context, c *conn, retired <-chan struct{}, r Run, answer <-chan Done) (Done, error) {
 	defer func() {
 		c.mu.Lock()
 		delete(c.waits, r.Send)
--- a/wsagent/protocol.go
+++ b/wsagent/protocol.go
@@ -29,7 +29,7 @@
 
 // Ask is what a client sends.
 type Ask struct {
-	Type        string              `json:"type"` // ask, cancel
+	Type        string              `json:"type"` // ask, subscribe, cancel
 	ID          string              `json:"id"`
 	Method      string              `json:"method,omitempty"` // GET where left out
 	Path        string              `json:"path,omitempty"`
@@ -39,17 +39,22 @@
 	Idempotency string              `json:"idempotency,omitempty"`
 	HintUS      float64             `json:"hint_us,omitempty"`
 	Retry       bool                `json:"retry,omitempty"`
-	Size        int                 `json:"size,omitempty"` // bytes of the body
+	Topic       string              `json:"topic,omitempty"` // subscribe: to what
+	After       uint64              `json:"after,omitempty"` // subscribe: the last number had, 0 for none
+	Size        int                 `json:"size,omitempty"`  // bytes of the body
 	Body        []byte              `json:"-"`
 }
 
 // Tell is what a client gets.
 type Tell struct {
-	Type    string  `json:"type"` // satisfied, deferred, broken_off, error, going_away
+	Type    string  `json:"type"` // satisfied, deferred, broken_off, error, going_away; push, gap, moved, ended
 	ID      string  `json:"id,omitempty"`
 	RetryMS float64 `json:"retry_ms,omitempty"` // when to return, 0 if that is not said
 	Kind    string  `json:"content_type,omitempty"`
 	Why     string  `json:"why,omitempty"`
+	Topic   string  `json:"topic,omitempty"`
+	Seq     uint64  `json:"seq,omitempty"`  // push: its number; gap: the first one that is missing
+	Last    uint64  `json:"last,omitempty"` // gap: the last one that is missing
 	Size    int     `json:"size,omitempty"`
 	Body    []byte  `json:"-"`
 }
@@ -66,18 +71,21 @@
 	Header      map[string][]string `json:"header,omitempty"`
 	LeftUS      int64               `json:"left_us,omitempty"`
 	Idempotency string              `json:"idempotency,omitempty"`
+	Topic       string              `json:"topic,omitempty"` // what follows the answer is pushed, until a cancel
+	After       uint64              `json:"after,omitempty"`
 	Size        int                 `json:"size"`
 	Body        []byte              `json:"-"`
 }
 
-// Done is what an appliance answers.
+// Done is what an appliance answers, and what it pushes.
 type Done struct {
-	Type       string `json:"type"` // done
+	Type       string `json:"type"` // done, push
 	Send       uint64 `json:"send"`
 	Status     int    `json:"status"`                // as HTTP's
 	NotStarted bool   `json:"not_started,omitempty"` // turned away unlooked-at: it has not run
 	Load       string `json:"load,omitempty"`        // as HTTP's Server-Load
 	Kind       string `json:"content_type,omitempty"`
+	Seq        uint64 `json:"seq,omitempty"` // push: from 1 on, in order for each topic at every appliance alike
 	Size       int    `json:"size,omitempty"`
 	Body       []byte `json:"-"`
 }
@@ -125,7 +133,9 @@
 		return a, errors.New("an id of 1 to 128 bytes is wanted")
 	case a.Type == "cancel":
 		return a, nil
-	case a.Type != "ask":
+	case a.Type == "subscribe" && (a.Topic == "" || len(a.Topic) > mostID):
+		return a, errors.New("a topic of 1 to 128 bytes is wanted")
+	case a.Type != "ask" && a.Type != "subscribe":
 		return a, fmt.Errorf("no such type: %.20q", a.Type)
 	case a.Size != len(a.Body):
 		return a, errPart
@@ -153,6 +163,9 @@
 	if d.Size != len(d.Body) {
 		return d, errPart
 	}
+	if d.Type == "push" && d.Seq > 0 {
+		return d, nil
+	}
 	if d.Type != "done" || d.Status < 100 || d.Status > 599 {
 		return d, fmt.Errorf("no answer: type %.20q, status %d", d.Type, d.Status)
 	}
