--- a/cmd/sagelab/main.go
+++ b/cmd/sagelab/main.go
@@ -33,7 +33,17 @@
 	ws.Flags().IntVar(&clients, "clients", 16, "connections that ask them")
 	ws.Flags().Uint64Var(&seed, "seed", 1, "of the messages and the faults")
 	ws.Flags().BoolVar(&loud, "log", false, "show the agent's log")
-	root.AddCommand(ws)
+	var connections int
+	still := &cobra.Command{Use: "idle", Short: "what idle WebSocket connections cost", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			f, err := idle(connections, slog.New(slog.DiscardHandler))
+			if err == nil {
+				fmt.Fprintln(c.OutOrStdout(), f)
+			}
+			return err
+		}}
+	still.Flags().IntVar(&connections, "connections", 10000, "how many; each takes two descriptors")
+	root.AddCommand(ws, still)
 	if root.Execute() != nil {
 		os.Exit(1)
 	}
