--- a/httpagent/sends.go
+++ b/httpagent/sends.go
@@ -237,6 +237,7 @@
 		conn  atomic.Pointer[wire]
 		kept  atomic.Bool
 		short atomic.Bool // the last byte was not written, for certain
+		late  atomic.Bool // it was given up before anything was written
 	)
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
@@ -244,6 +245,10 @@
 			kept.Store(info.Reused)
 			up.take(&ours)
 			conn.Store(up)
+			if off.Err() != nil { // nothing has been written, and nothing is: AfterFunc may come after the write
+				late.Store(true)
+				up.Close()
+			}
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) { short.Store(info.Err != nil) },
 		// What comes in front of an answer is let pass; the wire bounds it.
@@ -277,7 +282,7 @@
 			return failed(unconnected, err)
 		case !ours.wrote.Load() && kept.Load() && off.Err() == nil:
 			return nil, true, err
-		case short.Load(), !ours.wrote.Load():
+		case short.Load(), late.Load(), !ours.wrote.Load():
 			return failed(unwritten, err)
 		}
 		return failed(written, err)
--- a/httpagent/sends_test.go
+++ b/httpagent/sends_test.go
@@ -313,3 +313,39 @@
 		}
 	}
 }
+
+// A send that has been called off before its connection is there writes nothing, on a kept connection or a new one: its
+// transaction may have its final answer.
+func TestCalledOffBeforeTheWrite(t *testing.T) {
+	var came atomic.Int64
+	at := appliance(t, func(c *net.TCPConn, r *http.Request) {
+		came.Add(1)
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	})
+	ls := newLinks(time.Second, time.Minute, 64, 32<<20)
+	l := &link{address: at, transport: ls.transport(), links: ls}
+	send := func(off context.Context) agent.Outcome {
+		req, _ := http.NewRequest("GET", "http://"+at+"/x", nil)
+		return outcome(l.send(off, req, nil))
+	}
+	off, callOff := context.WithCancelCause(context.Background())
+	callOff(life.ErrCalledOff)
+	for range 200 {
+		if got := send(off); got != agent.NotSent {
+			t.Fatalf("outcome %v", got)
+		}
+	}
+	if n := came.Load(); n != 0 {
+		t.Errorf("%d came on new connections", n)
+	}
+	for range 50 {
+		if got := send(context.Background()); got != agent.Satisfied {
+			t.Fatalf("outcome %v", got)
+		}
+		time.Sleep(2 * settlement) // so that the next finds it kept; nothing is judged by it
+		send(off)
+	}
+	if n := came.Load(); n != 50 {
+		t.Errorf("%d came, 50 were asked for", n)
+	}
+}
--- a/life/life.go
+++ b/life/life.go
@@ -84,6 +84,16 @@
 	// The module answers before the client's time is up. This is for when it cannot: half of what the rule allows after.
 	overdue := time.NewTimer(taken.Left + front.Slack/2)
 	defer overdue.Stop()
+	// Nothing more is sent once the final answer is given. The module calls off what is still out, but its word comes
+	// after the answer: a second copy that has just been ordered, or whose connection is just coming up, would go out
+	// in between. So all that is out is called off here before the answer is given.
+	var out []context.CancelCauseFunc
+	give := func(f Final) {
+		for _, callOff := range out {
+			callOff(ErrCalledOff)
+		}
+		front.Give(f)
+	}
 	for {
 		select {
 		case <-t.Ready():
@@ -93,30 +103,31 @@
 				case agent.Send:
 					// What the module calls off, or what runs out of time, ends by this context's cause.
 					off, callOff := context.WithCancelCause(context.Background())
+					out = append(out, callOff)
 					no := t.Begin(func() { callOff(ErrCalledOff) })
 					go func() {
 						defer callOff(nil)
 						send(off, t, no, order, front.Carry, answers)
 					}()
 				case agent.Defer:
-					front.Give(Final{State: Deferred, Wait: order.Wait})
+					give(Final{State: Deferred, Wait: order.Wait})
 					return unsent(t, orders[i+1:])
 				case agent.BreakOff:
-					front.Give(Final{State: BrokenOff})
+					give(Final{State: BrokenOff})
 					return unsent(t, orders[i+1:])
 				}
 			}
 		case x := <-answers:
-			front.Give(Final{State: Satisfied, Answer: x.answer})
+			give(Final{State: Satisfied, Answer: x.answer})
 			x.answer.Free()
 			x.Closed = true
 			t.Ended(x.Ended)
 			return nil
 		case <-overdue.C:
-			front.Give(Final{State: Overdue})
+			give(Final{State: Overdue})
 			return nil
 		case <-front.Gone:
-			front.Give(Final{State: Left})
+			give(Final{State: Left})
 			return nil
 		}
 	}
--- a/life/life_test.go
+++ b/life/life_test.go
@@ -90,6 +90,31 @@
 	}
 }
 
+// When the final answer is given, all other sends have been called off already: a copy that is just about to be written
+// must not go out after it.
+func TestCalledOffBeforeTheAnswer(t *testing.T) {
+	e := serving(t, ordering(agent.Send{ID: "x"}, agent.Send{ID: "x", Appliance: 1}))
+	copied := make(chan context.Context, 1)
+	err := Run(e, agent.Taken{ID: "x", Left: time.Hour}, Front{
+		Carry: func(off context.Context, order agent.Send) Sent {
+			if order.Appliance == 1 {
+				copied <- off
+				<-off.Done()
+				return Sent{Outcome: agent.CalledOff}
+			}
+			copied <- <-copied // the other has begun
+			return Sent{Outcome: agent.Satisfied, Answer: &Answer{Free: func() {}}}
+		},
+		Give: func(Final) {
+			if off := <-copied; context.Cause(off) != ErrCalledOff {
+				t.Errorf("the copy goes on: %v", context.Cause(off))
+			}
+		}})
+	if err != nil {
+		t.Error(err)
+	}
+}
+
 // A transaction whose id is open is not taken, and the first is not touched.
 func TestOpenID(t *testing.T) {
 	hold := make(chan struct{})
