--- a/httpagent/clients.go
+++ b/httpagent/clients.go
@@ -293,7 +293,7 @@
 	got, err := a.sendTo(off, x, order)
 	sent.Outcome = outcome(got, err)
 	if got != nil {
-		sent.Load = readLoad(got.head.Get("Server-Load"))
+		sent.Load = life.ReadLoad(got.head.Get("Server-Load"))
 		sent.Answer = &life.Answer{Kind: got.head.Get("Content-Type"), Body: got.body, Free: got.free}
 	}
 	return sent
--- a/httpagent/rules.go
+++ b/httpagent/rules.go
@@ -58,19 +58,9 @@
 func (r judged) Size() int64         { return r.ContentLength }
 func (r judged) Hint() time.Duration { return r.hint }
 
-// Sent is how repeatable a request is by the protocol's own words: method and mark, and the workload in its path.
+// Sent is how repeatable a request is as it was sent.
 func (r judged) Sent() match.Repeatable {
-	sent := match.Effectful
-	switch {
-	case r.Method == http.MethodGet && r.ContentLength == 0:
-		sent = match.Pure
-	case r.Header.Get("Idempotency-Key") != "":
-		sent = match.Receipted
-	}
-	if r.effect != "" {
-		sent = min(sent, match.RepeatableBy(r.effect))
-	}
-	return sent
+	return match.SentAs(r.Method, r.ContentLength != 0, r.Header.Get("Idempotency-Key") != "", r.effect)
 }
 
 // Deployment is what rules for this station have to fit.
--- a/httpagent/sends.go
+++ b/httpagent/sends.go
@@ -11,8 +11,6 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"net/url"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -84,24 +82,6 @@
 	return agent.Cut
 }
 
-// readLoad reads a load report, name=value parts set apart by commas. One with a part that cannot be read, or with a
-// figure that no machine has, is no report.
-func readLoad(text string) map[string]float64 {
-	if text == "" {
-		return nil
-	}
-	load := map[string]float64{}
-	for _, part := range strings.Split(text, ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		v, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
-		if err != nil || !(v >= 0 && v < mostFigure) {
-			return nil
-		}
-		load[name] = v
-	}
-	return load
-}
-
 // links holds the connections to the appliances, a Transport for each, so that one's can be closed alone.
 type links struct {
 	mu   sync.Mutex
@@ -341,7 +321,7 @@
 	got, err := l.send(ctx, req, nil)
 	probed := agent.Probed{Appliance: id, Outcome: outcome(got, err), After: time.Since(began)}
 	if err == nil && got.status == http.StatusOK && path == "/_load" {
-		probed.Load = readLoad(string(got.body))
+		probed.Load = life.ReadLoad(string(got.body))
 	}
 	if got != nil {
 		got.free()
--- a/life/life.go
+++ b/life/life.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"errors"
+	"strconv"
+	"strings"
 	"time"
 
 	"sagelever/agent"
@@ -161,3 +163,24 @@
 	}
 	t.Ended(e)
 }
+
+// mostLoad is beyond any figure that an appliance has reason to report.
+const mostLoad = 1e10
+
+// ReadLoad reads a load report, name=value parts set apart by commas. One with a part that cannot be read, or with a
+// figure that no machine has, is no report.
+func ReadLoad(text string) map[string]float64 {
+	if text == "" {
+		return nil
+	}
+	load := map[string]float64{}
+	for _, part := range strings.Split(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		v, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+		if err != nil || !(v >= 0 && v < mostLoad) {
+			return nil
+		}
+		load[name] = v
+	}
+	return load
+}
--- a/match/match.go
+++ b/match/match.go
@@ -24,6 +24,23 @@
 
 func (r Repeatable) String() string { return [...]string{"effectful", "receipted", "pure"}[r] }
 
+// SentAs is how repeatable a message is by the protocols' own words: a GET without a body is pure, what carries a mark
+// against repeats receipted, all else effectful; and it is no more repeatable than the workload that its path names, whose
+// effect is "" if it names none.
+func SentAs(method string, body, marked bool, effect string) Repeatable {
+	sent := Effectful
+	switch {
+	case method == "GET" && !body:
+		sent = Pure
+	case marked:
+		sent = Receipted
+	}
+	if effect != "" {
+		sent = min(sent, RepeatableBy(effect))
+	}
+	return sent
+}
+
 // Subject is what rules may ask of one message, whatever brought it: an HTTP request, a WebSocket message, a row. It
 // does not change while it is judged.
 type Subject interface {
--- a/wsagent/clients.go
+++ b/wsagent/clients.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"net/http"
 	"net/url"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -287,29 +286,12 @@
 		LeftUS: max(left.Microseconds(), 1), Idempotency: a.Idempotency, Body: a.Body})
 	sent := life.Sent{Outcome: Outcome(done, err)}
 	if err == nil {
-		sent.Load = readLoad(done.Load)
+		sent.Load = life.ReadLoad(done.Load)
 		sent.Answer = &life.Answer{Kind: done.Kind, Body: done.Body, Free: func() {}}
 	}
 	return sent
 }
 
-// readLoad reads a load report as HTTP's: name=value, set apart by commas.
-func readLoad(text string) map[string]float64 {
-	if text == "" {
-		return nil
-	}
-	load := map[string]float64{}
-	for _, part := range strings.Split(text, ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		v, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
-		if err != nil || !(v >= 0 && v < 1e10) {
-			return nil
-		}
-		load[name] = v
-	}
-	return load
-}
-
 // asked is a message as rules see it.
 type asked struct {
 	Ask
@@ -357,19 +339,9 @@
 func (a asked) Size() int64         { return int64(len(a.Body)) }
 func (a asked) Hint() time.Duration { return a.hint() }
 
-// Sent is how repeatable a message is by the protocol's own words.
+// Sent is how repeatable a message is as it was sent.
 func (a asked) Sent() match.Repeatable {
-	sent := match.Effectful
-	switch {
-	case a.Method == http.MethodGet && len(a.Body) == 0:
-		sent = match.Pure
-	case a.Idempotency != "":
-		sent = match.Receipted
-	}
-	if a.effect != "" {
-		sent = min(sent, match.RepeatableBy(a.effect))
-	}
-	return sent
+	return match.SentAs(a.Method, len(a.Body) > 0, a.Idempotency != "", a.effect)
 }
 
 // taken says what the module has to know of a message, by the protocol's words and the operator's rules.
--- a/wsagent/push.go
+++ b/wsagent/push.go
@@ -92,7 +92,7 @@
 		if err != nil {
 			return sent
 		}
-		if sent.Load = readLoad(done.Load); sent.Outcome != agent.Satisfied {
+		if sent.Load = life.ReadLoad(done.Load); sent.Outcome != agent.Satisfied {
 			sub.Close()
 			return sent
 		}
