--- a/wsagent/clients.go
+++ b/wsagent/clients.go
@@ -1,9 +1,13 @@
 package wsagent
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"errors"
+	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -49,28 +53,48 @@
 	limits Limits
 	log    *slog.Logger
 	held   atomic.Int64
-	open   atomic.Int64
+
+	mu      sync.Mutex
+	clients map[*client]bool
 }
 
-// NewFront makes a front. It serves whoever is handed to ServeHTTP.
+// NewFront makes a front. It serves whoever is handed to ServeHTTP, until the host leaves.
 func NewFront(host Host, links *Links, limits Limits, log *slog.Logger) *Front {
-	return &Front{host: host, links: links, limits: limits, log: log}
+	f := &Front{host: host, links: links, limits: limits, log: log, clients: map[*client]bool{}}
+	go func() {
+		<-host.Leaving()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for c := range f.clients {
+			go c.leave()
+		}
+	}()
+	return f
 }
 
 // Held tells how many connections there are, and how many transactions.
-func (f *Front) Held() (connections, transactions int64) { return f.open.Load(), f.held.Load() }
+func (f *Front) Held() (connections, transactions int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return int64(len(f.clients)), f.held.Load()
+}
 
-// client is one client's connection.
+// client is one client's connection. One that says nothing costs the goroutine that reads it and a timer: ten thousand of
+// them wait for pushes. A writer runs only while there is something to write.
 type client struct {
 	front  *Front
 	ws     *websocket.Conn
 	peer   string
 	ctx    context.Context // ends with the connection
-	out    chan []byte
-	unsent atomic.Int64 // told and not yet written
 	mu     sync.Mutex
 	asks   map[string]context.CancelFunc // open, by id
 	flight sync.WaitGroup
+	once   sync.Once // it leaves
+
+	out     sync.Mutex
+	queue   [][]byte // told and not yet written
+	writing bool
+	writers sync.WaitGroup
 }
 
 // upgradeIn is how long an upgrade may take.
@@ -87,28 +111,75 @@
 	default:
 	}
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(upgradeIn))
-	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{ClientProtocol}, CompressionMode: websocket.CompressionDisabled})
+	ws, err := websocket.Accept(lightly{w}, r, &websocket.AcceptOptions{Subprotocols: []string{ClientProtocol}, CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
 		return // it has answered
 	}
-	defer f.host.Upgraded(r)()
+	// On a goroutine of its own: net/http's has grown for a request, and would hold the request as well.
+	go f.serve(ws, r.RemoteAddr, f.host.Upgraded(r))
+}
+
+// lightly takes a connection over with small buffers: most connections wait, and net/http's buffers are 8 KiB.
+type lightly struct{ http.ResponseWriter }
+
+const lightBuffer = 1 << 10 // some messages of the usual size; larger ones pass through it
+
+func (l lightly) Unwrap() http.ResponseWriter { return l.ResponseWriter }
+
+func (l lightly) Hijack() (net.Conn, *bufio.ReadWriter, error) {
+	conn, brw, err := http.NewResponseController(l.ResponseWriter).Hijack()
+	if err != nil {
+		return nil, nil, err
+	}
+	read, _ := brw.Reader.Peek(brw.Reader.Buffered()) // what came right behind the request
+	in := bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(read)), conn), max(lightBuffer, len(read)))
+	in.Peek(len(read))
+	return conn, bufio.NewReadWriter(in, bufio.NewWriterSize(conn, lightBuffer)), nil
+}
+
+// serve is a connection's life.
+func (f *Front) serve(ws *websocket.Conn, peer string, release func()) {
+	defer release()
 	defer ws.CloseNow()
 	if ws.Subprotocol() != ClientProtocol {
 		ws.Close(websocket.StatusProtocolError, "sub-protocol "+ClientProtocol+" is wanted")
 		return
 	}
 	ws.SetReadLimit(mostHead + MostBody + 1)
-	f.open.Add(1)
-	defer f.open.Add(-1)
 	ctx, end := context.WithCancel(context.Background())
-	c := &client{front: f, ws: ws, peer: r.RemoteAddr, ctx: ctx, out: make(chan []byte, f.limits.Unsent), asks: map[string]context.CancelFunc{}}
-	var writing sync.WaitGroup
-	writing.Go(c.write)
-	go c.leave()
+	c := &client{front: f, ws: ws, peer: peer, ctx: ctx}
+	f.mu.Lock()
+	f.clients[c] = true
+	f.mu.Unlock()
+	defer func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.clients, c)
+	}()
+	select {
+	case <-f.host.Leaving(): // just now, and perhaps after all others were told
+		go c.leave()
+	default:
+	}
+	var beat *time.Timer
+	var beating sync.Mutex // the timer's function needs the timer
+	beating.Lock()
+	beat = time.AfterFunc(f.limits.Heartbeat, func() {
+		c.ping()
+		beating.Lock()
+		defer beating.Unlock()
+		if ctx.Err() == nil {
+			beat.Reset(f.limits.Heartbeat)
+		}
+	})
+	beating.Unlock()
 	c.read()
 	end() // what is open has lost its client
+	beating.Lock()
+	beat.Stop()
+	beating.Unlock()
 	c.flight.Wait()
-	writing.Wait()
+	c.writers.Wait()
 }
 
 // read takes message after message until the connection ends.
@@ -138,62 +209,70 @@
 	}
 }
 
-// write sends what is told, and asks for signs of life.
-func (c *client) write() {
-	beat := time.NewTicker(c.front.limits.Heartbeat)
-	defer beat.Stop()
-	for {
-		select {
-		case <-c.ctx.Done():
-			return
-		case message := <-c.out:
-			ctx, stop := context.WithTimeout(c.ctx, c.front.limits.Heartbeat)
-			err := c.ws.Write(ctx, websocket.MessageBinary, message)
-			stop()
-			c.unsent.Add(-1)
-			if err != nil {
-				c.ws.CloseNow()
-				return
-			}
-		case <-beat.C:
-			go func() {
-				ctx, stop := context.WithTimeout(c.ctx, c.front.limits.Heartbeat)
-				defer stop()
-				if c.ws.Ping(ctx) != nil {
-					c.ws.CloseNow()
-				}
-			}()
-		}
+// ping asks for a sign of life; a client that gives none is closed.
+func (c *client) ping() {
+	ctx, stop := context.WithTimeout(c.ctx, c.front.limits.Heartbeat)
+	defer stop()
+	if c.ws.Ping(ctx) != nil {
+		c.ws.CloseNow()
 	}
 }
 
 // tell queues a message. A client that does not read is closed: nothing is kept for it without end.
 func (c *client) tell(t Tell) {
-	c.unsent.Add(1)
-	select {
-	case c.out <- t.Write():
+	c.out.Lock()
+	defer c.out.Unlock()
+	switch {
+	case c.ctx.Err() != nil:
 		return
-	default:
-	}
-	c.unsent.Add(-1)
-	if c.ctx.Err() == nil {
+	case len(c.queue) >= c.front.limits.Unsent:
 		go c.ws.Close(websocket.StatusPolicyViolation, "too many messages wait to be read")
+		return
+	}
+	c.queue = append(c.queue, t.Write())
+	if !c.writing {
+		c.writing = true
+		c.writers.Go(c.write)
 	}
 }
 
-// leave tells the client that the agent leaves, and closes when what is held is answered.
-func (c *client) leave() {
-	select {
-	case <-c.ctx.Done():
-		return
-	case <-c.front.host.Leaving():
+// write writes what is queued, and ends when nothing is.
+func (c *client) write() {
+	for {
+		c.out.Lock()
+		if len(c.queue) == 0 {
+			c.queue, c.writing = nil, false
+			c.out.Unlock()
+			return
+		}
+		message := c.queue[0]
+		c.queue = c.queue[1:]
+		c.out.Unlock()
+		ctx, stop := context.WithTimeout(c.ctx, c.front.limits.Heartbeat)
+		if c.ws.Write(ctx, websocket.MessageBinary, message) != nil {
+			c.ws.CloseNow() // reading ends, and with it all else; what is queued fails as quickly
+		}
+		stop()
 	}
+}
+
+// written tells whether all that was told has been written.
+func (c *client) written() bool {
+	c.out.Lock()
+	defer c.out.Unlock()
+	return !c.writing
+}
+
+// leave tells the client that the agent leaves, and closes when what is held is answered.
+func (c *client) leave() { c.once.Do(c.goAway) }
+
+func (c *client) goAway() {
 	c.tell(Tell{Type: "going_away", RetryMS: 1000})
 	over := make(chan struct{})
 	go func() { c.flight.Wait(); close(over) }()
 	select {
 	case <-over:
-		for c.unsent.Load() > 0 && c.ctx.Err() == nil {
+		for !c.written() && c.ctx.Err() == nil {
 			time.Sleep(time.Millisecond)
 		}
 		c.ws.Close(websocket.StatusGoingAway, "")
@@ -228,6 +307,9 @@
 		return
 	}
 	gone, cancel := context.WithCancel(c.ctx)
+	if c.asks == nil {
+		c.asks = map[string]context.CancelFunc{}
+	}
 	c.asks[a.ID] = cancel
 	f.held.Add(1)
 	c.flight.Go(func() {
