--- a/cmd/sagelab/main.go
+++ b/cmd/sagelab/main.go
@@ -43,7 +43,17 @@
 			return err
 		}}
 	still.Flags().IntVar(&connections, "connections", 10000, "how many; each takes two descriptors")
-	root.AddCommand(ws, still)
+	var many int
+	fast := &cobra.Command{Use: "rate", Short: "messages a second over HTTP and WebSocket, on one core", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			r, err := rate(many, slog.New(slog.DiscardHandler))
+			if err == nil {
+				fmt.Fprintln(c.OutOrStdout(), r)
+			}
+			return err
+		}}
+	fast.Flags().IntVar(&many, "messages", 20000, "how many over each, twice")
+	root.AddCommand(ws, still, fast)
 	if root.Execute() != nil {
 		os.Exit(1)
 	}
--- a/standin/box.go
+++ b/standin/box.go
@@ -93,6 +93,10 @@
 }
 
 func (b *Box) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("Upgrade") == "" {
+		b.plain(w, r)
+		return
+	}
 	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{wsagent.ApplianceProtocol},
 		OnPingReceived: func(context.Context, []byte) bool { m, _ := b.now(); return m != Silent }})
 	if err != nil {
@@ -151,3 +155,11 @@
 	defer stop()
 	ws.Write(ctx, websocket.MessageBinary, done.Write())
 }
+
+// plain serves HTTP, well and without notes: for comparing rates.
+func (b *Box) plain(w http.ResponseWriter, r *http.Request) {
+	_, takes := b.now()
+	time.Sleep(takes)
+	w.Header().Set("Server-Load", "queue=0")
+	w.Write([]byte(r.Header.Get("Request-Id")))
+}
