--- a/wsagent/protocol.go
+++ b/wsagent/protocol.go
@@ -104,13 +104,9 @@
 	if !utf8.Valid(line) {
 		return nil, errors.New("the head is no UTF-8")
 	}
-	d := json.NewDecoder(bytes.NewReader(line))
-	if err := d.Decode(head); err != nil {
+	if err := json.Unmarshal(line, head); err != nil {
 		return nil, fmt.Errorf("the head cannot be read: %w", err)
 	}
-	if d.More() {
-		return nil, errors.New("the head has more than one object")
-	}
 	return body, nil
 }
 
