--- a/engine/engine.go
+++ b/engine/engine.go
@@ -153,8 +153,10 @@
 
 // notSent answers an order to send that came when the transaction was over.
 func (e *Engine) notSent(t *Transaction, send agent.Send) {
+	t.mu.Lock() // whoever holds the transaction may be numbering a send at this moment
 	no := t.begun
 	t.begun++
+	t.mu.Unlock()
 	t.sends--
 	e.step(agent.Ended{ID: t.ID, Appliance: send.Appliance, Send: no, Closed: true, Outcome: agent.NotSent})
 }
