--- a/cmd/sagelever/commands.go
+++ b/cmd/sagelever/commands.go
@@ -16,6 +16,7 @@
 	"github.com/spf13/cobra"
 
 	"sagelever/httpagent"
+	"sagelever/match"
 )
 
 const version = "0.1.0"
@@ -41,9 +42,6 @@
 			if err != nil {
 				return err
 			}
-			if station.Rules, err = from.rules(station); err != nil {
-				return err
-			}
 			return serve(station, from, lines)
 		}})
 	serving.Flags().StringVar(&lines, "log-format", "text", "text (key=value) or json")
@@ -88,8 +86,22 @@
 	return httpagent.ReadStation(s.config)
 }
 
+// mounting puts other fronts on an agent, until a context ends.
+type mounting func(context.Context, *httpagent.Agent)
+
+// rules are those of the operator's file.
+func (s source) rules(station *httpagent.Station) (match.Judge, error) {
+	judge, _, err := s.load(station)
+	return judge, err
+}
+
 // serve runs one agent inside its limits until SIGTERM or SIGINT; at SIGHUP it reads its files again.
 func serve(station *httpagent.Station, from source, format string) error {
+	rules, mount, err := from.load(station)
+	if err != nil {
+		return err
+	}
+	station.Rules = rules
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
@@ -117,8 +129,8 @@
 	agent := httpagent.New(station)
 	life, end := context.WithCancel(context.Background())
 	defer end()
-	if err := from.fronts(life, agent, station); err != nil {
-		return err
+	if mount != nil {
+		mount(life, agent)
 	}
 	go func() {
 		for range hangups {
--- a/cmd/sagelever/lean.go
+++ b/cmd/sagelever/lean.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -19,13 +18,11 @@
 
 func withRules(func(*cobra.Command) *cobra.Command, *source) []*cobra.Command { return nil }
 
-func (s source) rules(*httpagent.Station) (match.Judge, error) {
+func (s source) load(*httpagent.Station) (match.Judge, mounting, error) {
 	if s.operator == "" {
-		return nil, nil
+		return nil, nil, nil
 	}
-	return nil, errors.New("this program was built lean, without rules: leave --operator out, or build it without -tags lean")
+	return nil, nil, errors.New("this program was built lean, without rules: leave --operator out, or build it without -tags lean")
 }
 
-func (source) fronts(context.Context, *httpagent.Agent, *httpagent.Station) error { return nil }
-
 func say(out io.Writer, err error) { fmt.Fprintln(out, "sagelever:", err) }
--- a/cmd/sagelever/match.go
+++ b/cmd/sagelever/match.go
@@ -31,36 +31,33 @@
 	return []*cobra.Command{matching(named, from)}
 }
 
-// rules reads the operator's file for a station; none if no file is named.
-func (s source) rules(station *httpagent.Station) (match.Judge, error) {
+// load reads the operator's file for a station: its rules, nil if there are none, and how the fronts that it switches on
+// are mounted on an agent, nil if there are none. They end with the context.
+func (s source) load(station *httpagent.Station) (match.Judge, mounting, error) {
 	if s.operator == "" {
-		return nil, nil
+		return nil, nil, nil
 	}
 	data, err := readOperator(s.operator)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	plan, err := operator.Read(s.operator, data, station.Deployment())
-	if err != nil || plan.Set == nil {
-		return nil, err
-	}
-	return plan.Set, nil
-}
-
-// fronts mounts the fronts that the operator's file switches on. They end with the context.
-func (s source) fronts(ctx context.Context, a *httpagent.Agent, station *httpagent.Station) error {
-	if s.operator == "" {
-		return nil
-	}
-	data, err := readOperator(s.operator)
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
-	plan, err := operator.Read(s.operator, data, station.Deployment())
-	if err != nil || plan.WebSocket.Path == "" {
-		return err
+	var judge match.Judge
+	if plan.Set != nil {
+		judge = plan.Set
 	}
-	w, bounds := plan.WebSocket, pool.Usual
+	if plan.WebSocket.Path == "" {
+		return judge, nil, nil
+	}
+	return judge, func(ctx context.Context, a *httpagent.Agent) { mountWebSocket(ctx, a, station, plan.WebSocket) }, nil
+}
+
+// mountWebSocket puts the WebSocket front beside HTTP.
+func mountWebSocket(ctx context.Context, a *httpagent.Agent, station *httpagent.Station, w operator.WebSocket) {
+	bounds := pool.Usual
 	bounds.Each = w.Links
 	if sockets := station.Limits.Sockets; sockets > 0 {
 		bounds.All = max(sockets/4, 1) // a quarter: clients and HTTP's connections have the rest
@@ -78,7 +75,6 @@
 	})
 	a.Mount(w.Path, wsagent.NewFront(a, links, wsagent.Limits{InFlight: w.InFlight, All: int64(w.All), Unsent: w.Unsent, Heartbeat: w.Heartbeat}, station.Log))
 	station.Log.Info("websocket", "path", w.Path, "appliances", w.Appliances)
-	return nil
 }
 
 // readOperator reads a file that ends. A pipe that nobody writes to would hold up this reload and all after it.
--- a/wsagent/clients.go
+++ b/wsagent/clients.go
@@ -72,6 +72,16 @@
 	return f
 }
 
+// leaving tells whether the host has been told to stop.
+func (f *Front) leaving() bool {
+	select {
+	case <-f.host.Leaving():
+		return true
+	default:
+		return false
+	}
+}
+
 // Held tells how many connections there are, and how many transactions.
 func (f *Front) Held() (connections, transactions int64) {
 	f.mu.Lock()
@@ -102,13 +112,11 @@
 
 // ServeHTTP upgrades a connection and serves it until it ends.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	select {
-	case <-f.host.Leaving():
+	if f.leaving() {
 		w.Header().Set("Connection", "close")
 		w.Header().Set("Retry-After", "1")
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
 		return
-	default:
 	}
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(upgradeIn))
 	ws, err := websocket.Accept(lightly{w}, r, &websocket.AcceptOptions{Subprotocols: []string{ClientProtocol}, CompressionMode: websocket.CompressionDisabled})
@@ -156,10 +164,8 @@
 		defer f.mu.Unlock()
 		delete(f.clients, c)
 	}()
-	select {
-	case <-f.host.Leaving(): // just now, and perhaps after all others were told
+	if f.leaving() { // just now, and perhaps after all others were told
 		go c.leave()
-	default:
 	}
 	var beat *time.Timer
 	var beating sync.Mutex // the timer's function needs the timer
@@ -289,12 +295,7 @@
 		refuse(err.Error())
 		return
 	}
-	leaving := false
-	select {
-	case <-f.host.Leaving():
-		leaving = true
-	default:
-	}
+	leaving := f.leaving()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
