--- a/tools/figures/main.go
+++ b/tools/figures/main.go
@@ -63,11 +63,23 @@
 	}
 }
 
+// panelOf names the bench that a panel of real agents belongs to: the standing test (its days are +mass), the grown
+// fleet's days (+vast), or the days of few agents on sockets.
+func panelOf(panel string) string {
+	switch {
+	case strings.Contains(panel, "+mass"):
+		return "standing"
+	case strings.Contains(panel, "+vast"):
+		return "fleet"
+	}
+	return "sockets"
+}
+
 // scored gives the line for a snapshot, if it is a finished score of the project's own adapter or agent.
 func scored(s snapshot) (f figure, ok bool) {
 	score, bench := s.Score, "simulated"
 	if s.Cmd == "real-score" {
-		score, bench = s.Figures.Real, "sockets"
+		score, bench = s.Figures.Real, panelOf(s.Panel)
 	}
 	if !strings.HasSuffix(s.Cmd, "score") || !s.Sim || !s.OK || score == nil || s.Site == "" || len(s.At) == 0 || len(s.Policy) == 0 {
 		return f, false
--- a/tools/figures/main_test.go
+++ b/tools/figures/main_test.go
@@ -36,6 +36,13 @@
 	if !ok || f.kind != "quick" || f.bench != "sockets" || f.commit != "0123456+" {
 		t.Errorf("%v %+v", ok, f)
 	}
+	for panel, want := range map[string]string{"real:k:1:herd+vast,zone+vast:quick": "fleet",
+		"mass:k:1:calm+mass,herd+mass:quick": "standing"} {
+		s.Panel = panel
+		if f, _ := scored(s); f.bench != want {
+			t.Errorf("panel %s is of bench %s, %s wanted", panel, f.bench, want)
+		}
+	}
 	if s.Sim = false; func() bool { _, ok := scored(s); return ok }() {
 		t.Error("another's adapter is in the record")
 	}
