--- /dev/null
+++ b/lab/lab_test.go
@@ -0,0 +1,100 @@
+package lab
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"sagelever/agent"
+)
+
+// flags is a fleet in the likeness of a flag service: short looks, changes that pay most, steps that run once.
+func flags(agents, appliances int) Scenario {
+	ms := time.Millisecond
+	return Scenario{Seed: 1, Agents: agents, Appliances: appliances, Cores: 3, Queue: 50, Load: 0.55, Span: 20 * time.Second,
+		Network: ms / 2, Patience: 1, Workloads: []Workload{
+			{"look", 0.37, 40 * ms, 300 * ms, 750 * ms, 1, "pure"},
+			{"bundle", 0.31, 65 * ms, 600 * ms, 2500 * ms, 1, "pure"},
+			{"change", 0.21, 100 * ms, 600 * ms, 2000 * ms, 5, "receipted"},
+			{"step", 0.11, 100 * ms, 750 * ms, 2000 * ms, 2, "effectful"}}}
+}
+
+// The same seed gives the same day, another another.
+func TestSameSeedSameDay(t *testing.T) {
+	s := flags(8, 6)
+	s.Span = 5 * time.Second
+	one, two := Play(s), Play(s)
+	if !reflect.DeepEqual(one.Seconds, two.Seconds) || one.Total(0, s.Span).Taken == 0 {
+		t.Error("the same seed gave two days")
+	}
+	s.Seed = 2
+	if reflect.DeepEqual(one.Seconds, Play(s).Seconds) {
+		t.Error("another seed gave the same day")
+	}
+}
+
+// earned is the payoff of a stretch by what was asked for.
+func earned(w *World, from, to time.Duration) float64 {
+	c := w.Total(from, to)
+	return c.Earned / c.Asked
+}
+
+// report is what a test that fails shows.
+func report(t *testing.T, w *World) {
+	t.Helper()
+	for s := time.Duration(0); s < w.Span; s += 2 * time.Second {
+		c := w.Total(s, s+2*time.Second)
+		t.Logf("%4s earned %.3f taken %d goal %d late %d deferred %d off %d whys %v sends %v votes %v", s, c.Earned/c.Asked,
+			c.Taken, c.InGoal, c.Late, c.Deferred, c.BrokenOff, c.Whys, c.Sends, c.Votes)
+	}
+	t.Errorf("moves %v, broken %v", w.Platform.Moves, w.Broken)
+}
+
+// Fleets of 80 agents: a calm one earns nearly all; one in which seven in ten agents die while appliances pause earns
+// nearly all of what comes to those alive; nobody is left without an answer, nothing is answered twice.
+func TestFleetsEarn(t *testing.T) {
+	calm := flags(80, 60)
+	if w := Play(calm); earned(w, 2*time.Second, 20*time.Second) < 0.98 || w.Broken != nil {
+		report(t, w)
+	}
+	herd := flags(80, 60)
+	herd.Troubles = []Trouble{{8 * time.Second, func(w *World) {
+		for i, n := range w.Nodes {
+			if i%10 < 7 {
+				n.Kill()
+				w.After(2*time.Second, n.Start)
+			}
+		}
+	}}}
+	for at := 6 * time.Second; at < 16*time.Second; at += time.Second {
+		herd.Troubles = append(herd.Troubles, Trouble{at, func(w *World) {
+			for _, m := range w.Machines {
+				if w.Dice().IntN(10) < 2 {
+					m.Pause(500 * time.Millisecond)
+				}
+			}
+		}})
+	}
+	if w := Play(herd); earned(w, 2*time.Second, 20*time.Second) < 0.95 || w.Broken != nil {
+		report(t, w)
+	}
+}
+
+// A good build is released by 80 agents that see little each, one that fails a third goes back from its first stage.
+func TestFleetsJudge(t *testing.T) {
+	for name, c := range map[string]struct {
+		made func(*Machine)
+		last agent.Phase
+	}{
+		"good": {func(m *Machine) { m.Slow = 0.95 }, agent.Released},
+		"bad":  {func(m *Machine) { m.Fails = 0.3 }, agent.GoingBack},
+	} {
+		s := flags(80, 60)
+		s.Troubles = []Trouble{{4 * time.Second, func(w *World) { w.Offer(2, c.made) }}}
+		w := Play(s)
+		if last := w.Platform.Moves[len(w.Platform.Moves)-1]; last.Phase != c.last || w.Broken != nil {
+			t.Errorf("%s build: %v", name, last)
+			report(t, w)
+		}
+	}
+}
