--- a/decide/decide.go
+++ b/decide/decide.go
@@ -496,6 +496,21 @@
 	b.weigh(t, s, e)
 }
 
+// learn takes what another agent tells of a machine. Where each agent sees a machine every few seconds, none alone
+// sees five faults in a row in time: a sick machine stayed in its arm and held votes back.
+func (b *Balancer) learn(a *appliance, x arm) {
+	if x.n <= 0 {
+		return
+	}
+	old := math.Pow(0.8, x.n) // as much as the same outcomes would leave, had they been its own
+	if a.faulty = old*a.faulty + (1-old)*x.faults/x.n; a.failing() {
+		b.disown(a)
+		run(b, healths, &a.health, sick, a)
+		return
+	}
+	b.credit(a, x)
+}
+
 // rest is half a second, or half a visit up to five, doubled thrice at most: short against any trouble.
 func (b *Balancer) rest(a *appliance) {
 	a.until = b.now + min(max(500*time.Millisecond, b.visit()/2), 5*time.Second)<<min(a.rests, 3)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -818,3 +818,21 @@
 		t.Errorf("outcomes %v, %+v", b.arms[1].n, a)
 	}
 }
+
+// A machine that most agents' sends fail at is sick, though this agent has seen none of them: it rests and is no evidence.
+func TestSickMachineToldOf(t *testing.T) {
+	b := bench(0.5, nil)
+	sick, other := b.join(1, 2), b.join(2, 2)
+	b.learn(other, arm{n: 4, sum: 3, faults: 1})
+	if b.learn(other, arm{}); b.arms[1].n != 4 || other.health != fit {
+		t.Errorf("one fault in four: %v counted, health %v", b.arms[1].n, other.health)
+	}
+	b.learn(sick, arm{n: 2, sum: 0, faults: 2})
+	if sick.health != fit {
+		t.Error("two faults in a row make a machine sick")
+	}
+	b.learn(sick, arm{n: 4, sum: 0, faults: 4})
+	if b.arms[1].n != 4 || sick.given.n != 0 || sick.health != resting {
+		t.Errorf("%v counted, %v of the sick one's, health %v", b.arms[1].n, sick.given.n, sick.health)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -453,7 +453,7 @@
 		faults := float64(binary.BigEndian.Uint16(d[8:]))
 		a := b.fleet[agent.ApplianceID(binary.BigEndian.Uint32(d))]
 		if of := float64(n & (1<<15 - 1)); a != nil && b.armOf(a) == int(n>>15) && sum+faults <= of {
-			b.credit(a, arm{n: of, sum: sum, faults: faults})
+			b.learn(a, arm{n: of, sum: sum, faults: faults})
 		}
 	}
 }
--- a/lab/node.go
+++ b/lab/node.go
@@ -103,6 +103,8 @@
 					}
 				})
 			}
+		case agent.Log:
+			w.Lines = append(w.Lines, fmt.Sprintf("%.2f agent %d: %s", w.Now.Seconds(), n.number, a.Text))
 		case agent.Vote:
 			w.second().Votes[a.Verdict]++
 			w.After(100*time.Millisecond, func() { w.Platform.vote(w, n, life, a) })
--- a/lab/world.go
+++ b/lab/world.go
@@ -64,6 +64,7 @@
 	Nodes    []*Node
 	Platform Platform
 	Broken   []string // rules broken, as found
+	Lines    []string // the modules' log
 
 	dice    *rand.Rand
 	moments moments
