--- a/decide/decide.go
+++ b/decide/decide.go
@@ -7,6 +7,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -40,6 +41,10 @@
 		{resting, rested, trying, nil},
 		{trying, sick, resting, (*Balancer).rest},
 		{trying, well, fit, (*Balancer).recover},
+		{fit, doubted, resting, (*Balancer).shun},
+		{trying, doubted, resting, (*Balancer).shun},
+		{resting, doubted, resting, (*Balancer).shun},
+		{resting, cleared, trying, nil},
 	}
 	votes = []row[casting, reply, *ballot]{
 		{silent, wish, asked, (*Balancer).cast},
@@ -71,6 +76,7 @@
 	}
 	b.pollHeld()
 	b.tell()
+	b.cry()
 	b.judge()
 }
 
@@ -97,7 +103,7 @@
 	data := b.message()
 	b.toldAt = b.now
 	for to := range hearers {
-		if to != int(term(b, "number", 0.0)) {
+		if to != int(b.number()) {
 			b.do(agent.Tell{To: agent.PeerNo(to), Data: data})
 		}
 	}
@@ -496,7 +502,7 @@
 	b.weigh(t, s, e)
 }
 
-// learn takes what another agent tells of a machine. Where each agent sees a machine every few seconds, none alone
+// learn takes what another agent tells of a machine. Where each sees a machine every few seconds, none alone
 // sees five faults in a row in time: a sick machine stayed in its arm and held votes back.
 func (b *Balancer) learn(a *appliance, x arm) {
 	if x.n <= 0 {
@@ -515,13 +521,74 @@
 func (b *Balancer) rest(a *appliance) {
 	a.until = b.now + min(max(500*time.Millisecond, b.visit()/2), 5*time.Second)<<min(a.rests, 3)
 	a.rests, a.streak = a.rests+1, 0
+	if a.knownAt == 0 || b.now-a.knownAt > cried { // else all know
+		b.cries[0] = append(b.cries[0], a.ID)
+	}
+	b.doubt(a, b.number())
+}
+
+const cried = 500 * time.Millisecond // some slow answers long: whoever finds a machine sick does so by then
+
+// cry tells which machines this agent has found sick (0), well again (1), or heard of from three (2): where
+// each sees a machine every few seconds, all would find out by a lost send of their own. The first goes to six
+// agents, of whom some live when half of all die; the rest to all, a message a beat at most.
+func (b *Balancer) cry() {
+	for kind, ids := range b.cries {
+		b.cries[kind] = nil
+		switch {
+		case len(ids) == 0 || !term(b, "may.tell", false):
+		case kind != 0:
+			b.do(agent.Tell{All: true, Data: cryData(kind, ids)})
+		default:
+			for to := range min(6, agent.PeerNo(term(b, "agents", 1.0))) {
+				if to != b.number() {
+					b.do(agent.Tell{To: to, Data: cryData(kind, ids)})
+				}
+			}
+		}
+	}
+}
+
+// doubt takes one agent's word that a machine is sick. A slow answer passes for silence now and then, over a
+// fleet many times a second; so three must say it within half a second. The first to hear tells all.
+func (b *Balancer) doubt(a *appliance, from agent.PeerNo) {
+	a.criers = slices.DeleteFunc(a.criers, func(c crier) bool { return c.by == from || b.now-c.at > cried })
+	if a.criers = append(a.criers, crier{from, b.now}); len(a.criers) >= 3 {
+		b.after(time.Duration(b.number())*beat, func() {
+			if a.knownAt == 0 || b.now-a.knownAt > cried {
+				b.cries[2] = append(b.cries[2], a.ID)
+				b.avoid(a)
+			}
+		})
+	}
+}
+
+// avoid rests a machine on others' word, unless something has just come from it here, or half of all would
+// rest: then it is the network, or somebody who cries at all.
+func (b *Balancer) avoid(a *appliance) {
+	a.knownAt = b.now
+	if b.now-a.heard > 150*time.Millisecond && 2*b.restful() < b.up {
+		run(b, healths, &a.health, doubted, a)
+	}
+}
+
+// shun is the rest of a machine that others found sick: they try it first, and tell when it is well.
+func (b *Balancer) shun(a *appliance) {
+	a.until = max(a.until, b.now+time.Second+time.Duration(b.roll(1000))*time.Millisecond)
 }
 
 // failing tells whether most of the last few answers were faults; five in a row will do. Bad builds fail a
 // third or one workload: a machine that fails most is sick itself, and does not count for its build.
 func (a *appliance) failing() bool { return a.faulty >= 0.6 }
 
-func (b *Balancer) recover(a *appliance) { a.rests, a.faulty = 0, 0 }
+func (b *Balancer) recover(a *appliance) {
+	a.rests, a.faulty = 0, 0
+	if a.knownAt == 0 { // nobody else avoids it, or all know
+		return
+	}
+	a.knownAt = 0
+	b.cries[1] = append(b.cries[1], a.ID)
+}
 
 // weigh adds one outcome to its arm. Payoff is 1 for a send satisfied within four times what the earlier
 // build took, before the trial began, for the same workload on the same kind of machine (within the goal
@@ -711,7 +778,7 @@
 		return agent.NoVote
 	}
 	harmed, blamed := b.harmed()
-	if int(term(b, "number", 0.0)) >= b.hearers() {
+	if int(b.number()) >= b.hearers() {
 		return agent.NoVote
 	}
 	const margin, least, wait = 0.03, 10, 3 * time.Second
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -836,3 +836,84 @@
 		t.Errorf("%v counted, %v of the sick one's, health %v", b.arms[1].n, sick.given.n, sick.health)
 	}
 }
+
+// Three agents must find a machine sick within half a second before one tells all; what is told to all is heeded, unless
+// something has just come from there or half of all rest; a word that it is well ends the rest.
+func TestSickMachinesCried(t *testing.T) {
+	b := bench(0.5, map[string]any{"may.tell": true, "agents": 80.0, "number": 0.0})
+	var all []*appliance
+	for id := range agent.ApplianceID(6) {
+		all = append(all, b.join(id+1, 1))
+	}
+	said := func(from agent.PeerNo, kind int, a *appliance) {
+		b.hear(agent.Heard{From: from, Data: cryData(kind, []agent.ApplianceID{a.ID})})
+		for id, f := range b.timers { // the turn of agent 0 comes at once
+			delete(b.timers, id)
+			f()
+		}
+	}
+	a := all[0]
+	said(1, 0, a)
+	said(1, 0, a)
+	said(2, 0, a)
+	if b.now += cried + time.Millisecond; a.health != fit {
+		t.Error("two are believed")
+	}
+	said(3, 0, a)
+	said(1, 0, a)
+	if a.health != fit {
+		t.Error("what was said more than half a second ago counts")
+	}
+	said(2, 0, a)
+	b.cry()
+	if told := wanted[agent.Tell](b); a.health != resting || len(told) != 1 || !told[0].All || told[0].Data[0] != 2 {
+		t.Fatalf("three: health %v, told %v", a.health, told)
+	}
+	b.actions = nil
+	for _, from := range []agent.PeerNo{4, 5, 6} {
+		said(from, 0, a)
+	}
+	if b.cry(); len(wanted[agent.Tell](b)) != 0 {
+		t.Error("what all know is told again")
+	}
+	said(9, 1, a)
+	if a.health != trying {
+		t.Errorf("well again: health %v", a.health)
+	}
+	all[1].heard = b.now - 100*time.Millisecond
+	if said(1, 2, all[1]); all[1].health != fit {
+		t.Error("a machine that has just answered rests")
+	}
+	said(1, 2, all[2])
+	said(1, 2, all[3])
+	if said(1, 2, all[4]); all[3].health != resting || all[4].health != fit {
+		t.Errorf("healths %v and %v, want half at rest and no more", all[3].health, all[4].health)
+	}
+	for _, noise := range [][]byte{{}, {0}, {0, 1, 2, 3}, {7, 0, 0, 0, 5}, {2, 9, 9, 9, 9}, {0, 0, 0, 0, 5, 1}} {
+		if b.hear(agent.Heard{From: 1, Data: noise}); all[4].health != fit {
+			t.Errorf("%v is believed", noise)
+		}
+	}
+}
+
+// What this agent finds is told to six, that a machine is well to all, and neither without leave to tell.
+func TestCries(t *testing.T) {
+	for _, c := range []struct {
+		may      bool
+		sick, ok int
+	}{{true, 5, 1}, {false, 0, 0}} {
+		b := bench(0.5, map[string]any{"may.tell": c.may, "agents": 80.0, "number": 3.0})
+		a := b.join(1, 1)
+		run(b, healths, &a.health, sick, a)
+		b.cry()
+		if n := len(wanted[agent.Tell](b)); n != c.sick {
+			t.Errorf("may tell %v: sick told %d times", c.may, n)
+		}
+		b.actions, a.knownAt, a.health = nil, b.now, trying
+		run(b, healths, &a.health, well, a)
+		b.cry()
+		if n := len(wanted[agent.Tell](b)); n != c.ok || a.knownAt != 0 {
+			t.Errorf("may tell %v: well told %d times", c.may, n)
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -68,6 +68,8 @@
 	well symptom = iota
 	sick
 	rested
+	doubted // others found it sick
+	cleared // another found it well again
 )
 
 type casting int // of the agent's vote
@@ -130,6 +132,7 @@
 	lap            time.Duration // since when answers are summed up
 	laps           float64
 	flows          map[flowID]*flow
+	cries          [3][]agent.ApplianceID // found sick, well again, sick by three, and not told
 	further        struct{ earned, tried, won gauge.Decaying }
 }
 
@@ -197,6 +200,14 @@
 	untold   arm     // what other agents have not been told of it
 	credit   float64 // sends that its pace allows
 	creditAt time.Duration
+	criers   []crier       // agents that lately found it sick
+	knownAt  time.Duration // when all were last told that it is sick, 0 if not since it was well
+}
+
+// crier is an agent that found a machine sick.
+type crier struct {
+	by agent.PeerNo
+	at time.Duration
 }
 
 type send struct {
@@ -444,7 +455,55 @@
 	return data
 }
 
+const cry = 5 // bytes of the shortest message on health, which are told by their length: a kind, then ids of four bytes
+
+const mostCried = (256 - 1) / 4
+
+// cryData is a message on machines: found sick (kind 0), well again (1), sick by three (2). No message of counts has its length: they
+// leave 2 by 10, this an odd number.
+func cryData(kind int, ids []agent.ApplianceID) []byte {
+	data := []byte{byte(kind)}
+	for _, id := range ids[:min(len(ids), mostCried)] {
+		data = binary.BigEndian.AppendUint32(data, uint32(id))
+	}
+	return data
+}
+
+// hearCry takes such a message.
+func (b *Balancer) hearCry(e agent.Heard) {
+	for d := e.Data[1:]; len(d) >= 4; d = d[4:] {
+		a := b.fleet[agent.ApplianceID(binary.BigEndian.Uint32(d))]
+		switch {
+		case a == nil || !a.listed:
+		case e.Data[0] == 0:
+			b.doubt(a, e.From)
+		case e.Data[0] == 2:
+			b.avoid(a)
+		case e.Data[0] == 1:
+			a.knownAt = 0
+			run(b, healths, &a.health, cleared, a)
+		}
+	}
+}
+
+// number is this agent's own.
+func (b *Balancer) number() agent.PeerNo { return agent.PeerNo(term(b, "number", 0.0)) }
+
+// restful is how many listed machines rest.
+func (b *Balancer) restful() (n int) {
+	for _, a := range b.order {
+		if a.listed && a.health != fit {
+			n++
+		}
+	}
+	return n
+}
+
 func (b *Balancer) hear(e agent.Heard) {
+	if len(e.Data) >= cry && len(e.Data)%4 == 1 {
+		b.hearCry(e)
+		return
+	}
 	if len(e.Data)%line != 2 || agent.Build(binary.BigEndian.Uint16(e.Data)) != b.subject || !b.told {
 		return
 	}
--- a/httpagent/peers.go
+++ b/httpagent/peers.go
@@ -60,6 +60,12 @@
 		case <-ctx.Done():
 			return
 		case t := <-p.out:
+			if t.All && !p.all.IsValid() { // there is no address for all: one after the other
+				for _, other := range p.others {
+					p.write(t.Data, other)
+				}
+				continue
+			}
 			to := p.all
 			if !t.All {
 				if int(t.To) < 0 || int(t.To) >= len(p.others) {
@@ -67,17 +73,21 @@
 				}
 				to = p.others[t.To]
 			}
-			if len(t.Data) > mostMessage || !to.IsValid() {
-				p.log.Warn("message_dropped", "bytes", len(t.Data), "to", to)
-				continue
-			}
-			if _, err := p.socket.WriteToUDPAddrPort(t.Data, to); err != nil {
-				p.log.Warn("message_failed", "to", to, "error", err)
-			}
+			p.write(t.Data, to)
 		}
 	}
 }
 
+func (p *peers) write(data []byte, to netip.AddrPort) {
+	if len(data) > mostMessage {
+		p.log.Warn("message_dropped", "bytes", len(data), "to", to)
+		return
+	}
+	if _, err := p.socket.WriteToUDPAddrPort(data, to); err != nil {
+		p.log.Warn("message_failed", "to", to, "error", err)
+	}
+}
+
 // hear reads messages until the socket is closed. One that is too long or from nobody known is dropped.
 func (p *peers) hear(tell func(agent.Event)) {
 	buffer := make([]byte, 2*mostMessage)
--- a/lab/lab_test.go
+++ b/lab/lab_test.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"math/rand/v2"
 	"reflect"
 	"testing"
 	"time"
@@ -111,3 +112,30 @@
 		}
 	}
 }
+
+// Four in ten machines pause again and again and one in eight fails: agents that see a machine every few seconds avoid
+// what others have found sick, at a cost of messages that does not grow with all to all.
+func TestFleetAvoidsTheSick(t *testing.T) {
+	s, dice := flags(80, 60), rand.New(rand.NewPCG(1, 99))
+	s.Troubles = []Trouble{{3 * time.Second, func(w *World) {
+		for _, m := range w.Machines {
+			if dice.IntN(10) < 4 {
+				var pause func()
+				pause = func() {
+					m.Pause(time.Duration(500+dice.IntN(1500)) * time.Millisecond)
+					w.After(time.Duration(2500+dice.IntN(4000))*time.Millisecond, pause)
+				}
+				w.After(time.Duration(dice.IntN(4000))*time.Millisecond, pause)
+			}
+			if dice.IntN(8) == 0 {
+				m.Fails = 0.3 + 0.7*dice.Float64()
+			}
+		}
+	}}}
+	w := Play(s)
+	c := w.Total(5*time.Second, 20*time.Second)
+	if got := earned(w, 5*time.Second, 20*time.Second); got < 0.955 || c.Told > 4*c.Taken || w.Broken != nil {
+		t.Errorf("earned %.3f, %d messages for %d transactions", got, c.Told, c.Taken)
+		report(t, w)
+	}
+}
