--- a/cmd/sagelab/main.go
+++ b/cmd/sagelab/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"time"
 
 	"github.com/spf13/cobra"
 )
@@ -53,7 +54,21 @@
 			return err
 		}}
 	fast.Flags().IntVar(&many, "messages", 20000, "how many over each, twice")
-	root.AddCommand(ws, still, fast)
+	var span time.Duration
+	var persecond int
+	long := &cobra.Command{Use: "soak", Short: "memory of a long run over HTTP, by quarters, while builds follow one another", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			f, err := soak(span, persecond, seed, slog.New(slog.DiscardHandler))
+			if err != nil {
+				return err
+			}
+			fmt.Fprintln(c.OutOrStdout(), f)
+			return f.verdict()
+		}}
+	long.Flags().DurationVar(&span, "for", 45*time.Minute, "how long")
+	long.Flags().IntVar(&persecond, "rate", 200, "requests a second")
+	long.Flags().Uint64Var(&seed, "seed", 1, "of the keys")
+	root.AddCommand(ws, still, fast, long)
 	if root.Execute() != nil {
 		os.Exit(1)
 	}
