--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -917,3 +917,34 @@
 		}
 	}
 }
+
+// Contradictory settings of the fleet lead to fewer words and no votes, never to a crash or a wider share.
+func TestContradictorySettings(t *testing.T) {
+	for name, c := range map[string]struct {
+		agents, number float64
+		told           int
+	}{"no agents": {0, 0, 0}, "alone": {1, 0, 0}, "number out of range": {3, 400, 3}, "number below none": {80, -1, 6}} {
+		b := bench(0.1, map[string]any{"may.tell": true, "agents": c.agents, "number": c.number, "trial.control": "single",
+			"trial.allowance": 1.0})
+		a, other := b.join(1, 2), b.join(2, 1)
+		b.doubt(other, 7)
+		run(b, healths, &a.health, sick, a)
+		b.heartbeat()
+		if told := wanted[agent.Tell](b); len(told) != c.told {
+			t.Errorf("%s: told %d", name, len(told))
+		}
+		x := b.hold("x", "pure")
+		b.takes.Add(b.now, time.Minute)
+		if !b.exposable(x, a) {
+			t.Errorf("%s: the first send to the trial is not let out", name)
+		}
+		b.putOut(x, a)
+		if b.exposable(x, a) {
+			t.Errorf("%s: a second send to the trial is let out", name)
+		}
+		b.arms = [2]arm{{picked: 900, n: 900, sum: 900}, {picked: 100, n: 100, sum: 10, own: 100}}
+		if v := b.verdict(); c.number > 100 && v != agent.NoVote {
+			t.Errorf("%s: verdict %v", name, v)
+		}
+	}
+}
