--- a/httpagent/agent_test.go
+++ b/httpagent/agent_test.go
@@ -612,6 +612,57 @@
 	}
 }
 
+// A request that was read from a connection closed meanwhile, by the doors or at the end of the server, is not taken: its
+// client asks again under the same id, and both would be sent on. A held one is not closed for want of room.
+func TestClosedWhileRead(t *testing.T) {
+	d := doors{enough: 1, most: 1}
+	request := func(c net.Conn) *http.Request {
+		r, _ := http.NewRequestWithContext(d.mark(context.Background(), c), "GET", "/", nil)
+		return r
+	}
+	var ends [4]*entry
+	for i := range ends {
+		c, far := net.Pipe()
+		defer far.Close()
+		ends[i] = &entry{Conn: c}
+	}
+	d.note(ends[0], http.StateNew)
+	d.open[ends[0]].since = time.Now().Add(-settled)
+	d.note(ends[1], http.StateNew) // takes the place of the first, whose request has been read by now
+	if d.hold(request(ends[0])) || !d.hold(request(ends[1])) {
+		t.Error("closed for want of room, and taken")
+	}
+	if d.note(ends[2], http.StateNew); ends[1].shut.Load() || !ends[2].shut.Load() || d.hold(request(ends[2])) {
+		t.Error("one that holds a transaction gave way")
+	}
+	d.note(ends[1], http.StateClosed)
+	d.note(ends[3], http.StateNew)
+	d.note(ends[3], http.StateActive)
+	d.note(ends[3], http.StateIdle)
+	ends[3].Close() // as the server does at its end
+	if d.hold(request(ends[3])) {
+		t.Error("closed by the server, and taken")
+	}
+	if !d.hold(httptest.NewRequest("GET", "/", nil)) {
+		t.Error("a server without doors takes nothing")
+	}
+	// In the handler: nothing reaches the module, and nothing is answered.
+	a, _ := serving(t, station(t, listOf(1, true, "127.0.0.1:9")), func(event agent.Event) []agent.Action {
+		if _, ok := event.(agent.Taken); ok {
+			t.Error("the module was handed the transaction")
+		}
+		return nil
+	})
+	r := httptest.NewRequest("GET", "/look/x", nil).WithContext(a.doors.mark(context.Background(), ends[0]))
+	r.Header.Set("Request-Id", "x")
+	defer func() {
+		if p := recover(); p != http.ErrAbortHandler {
+			t.Errorf("ended by %v", p)
+		}
+	}()
+	a.ServeHTTP(httptest.NewRecorder(), r)
+}
+
 // Nothing is left of clients, bodies, machines and their connections that have gone, however many there were.
 func TestNothingLeft(t *testing.T) {
 	at := appliance(t, func(c *net.TCPConn, r *http.Request) { io.WriteString(c, fine) })
--- a/httpagent/clients.go
+++ b/httpagent/clients.go
@@ -236,7 +236,9 @@
 		return
 	}
 	defer a.bodies.Add(-int64(len(x.body)))
-	a.doors.hold(r)
+	if !a.doors.hold(r) {
+		panic(http.ErrAbortHandler) // its connection is closed: nothing was sent, nothing is answered
+	}
 	a.held.Add(1)
 	defer a.held.Add(-1)
 	err = life.Run(a.engine, x.Taken, life.Front{
--- a/httpagent/doors.go
+++ b/httpagent/doors.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -88,14 +89,45 @@
 	return context.WithValue(ctx, doorKey{}, c)
 }
 
-// hold tells that a request has become a transaction, until its connection is idle again.
-func (d *doors) hold(r *http.Request) {
+// hold tells that a request is to become a transaction, until its connection is idle again. It must not where its
+// connection was closed while it was being read: its client has seen a close without an answer and asks again, here or
+// elsewhere, under the same id, and both would be sent on.
+func (d *doors) hold(r *http.Request) bool {
 	c, _ := r.Context().Value(doorKey{}).(net.Conn)
+	if c == nil {
+		return true // an embedder's server, which keeps no doors
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if x := d.open[c]; x != nil {
-		x.held = true
+	x := d.open[c]
+	if e, ok := c.(*entry); x == nil || ok && e.shut.Load() {
+		return false
+	}
+	x.held = true
+	return true
+}
+
+// entry is a client's connection that knows that it is closed: net/http closes idle ones at its end by itself, also one
+// from which a request has just been read.
+type entry struct {
+	net.Conn
+	shut atomic.Bool
+}
+
+func (e *entry) Close() error {
+	e.shut.Store(true)
+	return e.Conn.Close()
+}
+
+// entries is a listener whose connections are such.
+type entries struct{ net.Listener }
+
+func (l entries) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
 	}
+	return &entry{Conn: c}, nil
 }
 
 // closeUnused closes those that have never carried anything; the server closes the idle ones itself.
@@ -103,8 +135,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for c, x := range d.open {
-		if x.state == http.StateNew {
+		if x.state == http.StateNew && !x.held {
 			c.Close()
+			delete(d.open, c)
 		}
 	}
 }
--- a/httpagent/sends.go
+++ b/httpagent/sends.go
@@ -216,7 +216,7 @@
 	hard, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var (
-		ours  use
+		ours  = use{gate: life.GateOf(off)}
 		conn  atomic.Pointer[wire]
 		kept  atomic.Bool
 		short atomic.Bool // the last byte was not written, for certain
--- a/httpagent/sends_test.go
+++ b/httpagent/sends_test.go
@@ -349,3 +349,40 @@
 		t.Errorf("%d came, 50 were asked for", n)
 	}
 }
+
+// A send that is given up between the moment at which it had its connection and its write writes nothing: the transaction
+// has its final answer by then.
+func TestNothingWrittenOnceGivenUp(t *testing.T) {
+	came := make(chan int, 1)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		n, _ := io.Copy(io.Discard, c)
+		came <- int(n)
+	}()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	off, callOff := context.WithCancel(context.Background())
+	w, u := newWire(c.(*net.TCPConn), newLinks(time.Second, time.Minute, 8, 32<<20)), &use{gate: life.GateOf(off)}
+	w.take(u)
+	if n, err := w.Write([]byte("one")); n != 3 || err != nil {
+		t.Fatalf("%d, %v", n, err)
+	}
+	callOff()
+	if n, err := w.Write([]byte("two")); n != 0 || err == nil {
+		t.Errorf("%d written once it was given up, %v", n, err)
+	}
+	w.Close()
+	if n := <-came; n != 3 {
+		t.Errorf("%d bytes came, want 3", n)
+	}
+}
--- a/httpagent/shutdown.go
+++ b/httpagent/shutdown.go
@@ -28,7 +28,7 @@
 func (a *Agent) serve(ctx context.Context, listener net.Listener) error {
 	server := a.server()
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
+	go func() { failed <- server.Serve(entries{listener}) }()
 	select {
 	case err := <-failed:
 		return err
--- a/httpagent/wire.go
+++ b/httpagent/wire.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"sagelever/life"
 )
 
 // wire is a connection to an appliance that hands http.Transport the answers to its requests and nothing else. A
@@ -31,6 +33,7 @@
 
 // use is one send's use of a connection.
 type use struct {
+	gate     *life.Gate
 	wrote    atomic.Bool // anything has been written for it
 	began    atomic.Bool // something has come for it
 	answered atomic.Bool // its answer has been read whole
@@ -63,13 +66,19 @@
 	}
 }
 
-func (w *wire) Write(p []byte) (int, error) {
+func (w *wire) Write(p []byte) (n int, err error) {
 	u := w.by.Load()
 	if u == nil || w.useless.Load() {
 		return 0, errUseless
 	}
-	u.wrote.Store(true)
-	return w.TCPConn.Write(p)
+	if !u.gate.Pass(func() {
+		u.wrote.Store(true)
+		n, err = w.TCPConn.Write(p)
+	}) {
+		w.useless.Store(true)
+		return 0, errUseless
+	}
+	return n, err
 }
 
 // Read hands on what belongs to the answer that is awaited.
--- a/life/life.go
+++ b/life/life.go
@@ -8,6 +8,7 @@
 	"errors"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"sagelever/agent"
@@ -70,6 +71,43 @@
 	Slack time.Duration
 }
 
+// Gate stands before what is written for one send. Once its transaction has its final answer nothing passes.
+type Gate struct {
+	mu  sync.Mutex
+	off context.Context
+}
+
+// Pass writes by f, unless the send has been given up.
+func (g *Gate) Pass(f func()) bool {
+	if g == nil { // for no transaction
+		f()
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.off.Err() != nil {
+		return false
+	}
+	f()
+	return true
+}
+
+// shut waits for a write that is under way; it is called when off has ended, so that none follows.
+func (g *Gate) shut() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+}
+
+type gateKey struct{}
+
+// GateOf is the gate of the send that a context was made for, one that is always open if for none.
+func GateOf(off context.Context) *Gate {
+	if g, ok := off.Value(gateKey{}).(*Gate); ok {
+		return g
+	}
+	return &Gate{off: off}
+}
+
 // ended is a send that has ended well, for whoever gives the answer.
 type ended struct {
 	agent.Ended
@@ -90,10 +128,13 @@
 	// Nothing more is sent once the final answer is given. The module calls off what is still out, but its word comes
 	// after the answer: a second copy that has just been ordered, or whose connection is just coming up, would go out
 	// in between. So all that is out is called off here before the answer is given.
+	// What is being written at this moment is waited for: calling off ends it.
 	var out []context.CancelCauseFunc
+	var gates []*Gate
 	give := func(f Final) {
-		for _, callOff := range out {
+		for i, callOff := range out {
 			callOff(ErrCalledOff)
+			gates[i].shut()
 		}
 		front.Give(f)
 	}
@@ -106,7 +147,9 @@
 				case agent.Send:
 					// What the module calls off, or what runs out of time, ends by this context's cause.
 					off, callOff := context.WithCancelCause(context.Background())
-					out = append(out, callOff)
+					gate := &Gate{off: off}
+					out, gates = append(out, callOff), append(gates, gate)
+					off = context.WithValue(off, gateKey{}, gate)
 					no := t.Begin(func() { callOff(ErrCalledOff) })
 					go func() {
 						defer callOff(nil)
--- a/life/life_test.go
+++ b/life/life_test.go
@@ -136,3 +136,37 @@
 		t.Errorf("the first ended %s", f.State)
 	}
 }
+
+// The final answer waits for a write that is under way, and nothing is written after it.
+func TestNoWriteAfterTheAnswer(t *testing.T) {
+	e := serving(t, ordering(agent.Send{ID: "x"}, agent.Send{ID: "x"}))
+	writing, answered, tried := make(chan bool), make(chan bool), make(chan bool, 1)
+	var wrote atomic.Bool
+	var sends atomic.Int64
+	err := Run(e, agent.Taken{ID: "x", Left: time.Minute}, Front{Carry: func(off context.Context, _ agent.Send) Sent {
+		if sends.Add(1) == 1 {
+			<-writing // the other send is in the midst of its write
+			return Sent{Outcome: agent.Satisfied, Answer: &Answer{Free: func() {}}}
+		}
+		GateOf(off).Pass(func() {
+			close(writing)
+			<-off.Done()                      // the answer is on its way out now
+			time.Sleep(10 * time.Millisecond) // for what would go wrong to show; nothing is judged by it
+			wrote.Store(true)
+		})
+		<-answered
+		tried <- GateOf(off).Pass(func() {})
+		return Sent{Outcome: agent.CalledOff}
+	}, Give: func(Final) {
+		if !wrote.Load() {
+			t.Error("the answer was given in the midst of a write")
+		}
+		close(answered)
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if <-tried {
+		t.Error("something was written after the answer")
+	}
+}
