--- a/httpagent/agent.go
+++ b/httpagent/agent.go
@@ -137,7 +137,7 @@
 		a.engine.Tell(news)
 	}
 	a.ready.Store(true)
-	a.log.Info("started", "name", a.station.Name, "listen", a.station.Listen)
+	a.log.Info("started", "name", a.station.Name, "listen", a.station.Listen, "discovery", term(a.station, "discovery", "pushed"), "knows", a.version.Load())
 	return nil
 }
 
--- a/httpagent/discovery.go
+++ b/httpagent/discovery.go
@@ -86,8 +86,10 @@
 	a.listing.Lock()
 	defer a.listing.Unlock()
 	if held := a.version.Load(); l.news.Version < held || l.news.Version == held && l.news.Kind == agent.Changes && held > 0 {
+		a.log.Info("list_passed_over", "version", l.news.Version, "held", held, "entries", len(l.news.Entries))
 		return
 	}
+	a.log.Info("list", "version", l.news.Version, "held", a.version.Load(), "whole", l.news.Kind == agent.Whole, "entries", len(l.news.Entries))
 	a.links.list(l)
 	a.places(l)
 	a.engine.Tell(l.news)
