--- a/decide/decide.go
+++ b/decide/decide.go
@@ -41,9 +41,8 @@
 		{resting, rested, trying, nil},
 		{trying, sick, resting, (*Balancer).rest},
 		{trying, well, fit, (*Balancer).recover},
-		{fit, doubted, resting, (*Balancer).shun},
-		{trying, doubted, resting, (*Balancer).shun},
-		{resting, doubted, resting, (*Balancer).shun},
+		{fit, doubted, resting, nil},
+		{trying, doubted, resting, nil},
 		{resting, cleared, trying, nil},
 	}
 	votes = []row[casting, reply, *ballot]{
@@ -102,11 +101,7 @@
 	}
 	data := b.message()
 	b.toldAt = b.now
-	for to := range hearers {
-		if to != int(b.number()) {
-			b.do(agent.Tell{To: agent.PeerNo(to), Data: data})
-		}
-	}
+	b.tellFirst(hearers, data)
 }
 
 // bound adapts how many sends of one flow (a workload of one customer) may be out. Time of answers against
@@ -152,6 +147,16 @@
 	b.newSubject()
 }
 
+// askAnew asks for the whole list where a listed machine takes no connection: a watch may stand and bring
+// nothing. Once in the time after which an agent counts as told, spread, as discovery may be short of calls.
+func (b *Balancer) askAnew() {
+	within := term(b, "discovery.within", 10*time.Second)
+	if term(b, "discovery", "") == "asked" && b.now >= b.askTill {
+		b.askTill = b.now + within
+		b.after(time.Duration(b.luck()*float64(within)/3), func() { b.do(agent.Fetch{}) })
+	}
+}
+
 // onTrial tells whether the exposure rule holds for a build, and under which cap, by all states that bind.
 func (b *Balancer) onTrial(build agent.Build) (trial bool, share float64) {
 	share = 1
@@ -304,7 +309,8 @@
 
 func (b *Balancer) mayFurther(t *transaction) bool {
 	spare := b.further.earned.Read(b.now, furtherHalf) + 3 - b.further.tried.Read(b.now, furtherHalf)
-	return spare > 0 && float64(len(t.sends)) < term(b, "sends.most", 1.0)
+	free := t.missed && b.sparse() // it reached nobody, so another loads nobody twice
+	return (spare > 0 || free) && float64(len(t.sends)) < term(b, "sends.most", 1.0)
 }
 
 // harmless tells whether the transaction may be sent again, or deferred.
@@ -443,6 +449,7 @@
 		return
 	}
 	b.observe(t, s, e)
+	t.missed = e.Outcome == agent.Unreachable
 	if mayHaveRun(e.Outcome) && (t.ran < 0 || s.at < t.ran) {
 		t.ran, t.ranAt = s.at, s.to
 	}
@@ -489,6 +496,11 @@
 		}
 		a.faulty = 0.8*a.faulty + 0.2
 	case agent.TimedOut, agent.Unreachable, agent.Cut:
+		if e.Outcome == agent.Unreachable {
+			if b.askAnew(); b.sparse() { // one tells as much as three: it will not be met three times in a row
+				a.streak += 2
+			}
+		}
 		if a.streak++; e.Outcome == agent.TimedOut && a.health == fit {
 			t.flow.fill.Add(b.now, fillHalf, full)
 		}
@@ -505,9 +517,6 @@
 // learn takes what another agent tells of a machine. Where each sees a machine every few seconds, none alone
 // sees five faults in a row in time: a sick machine stayed in its arm and held votes back.
 func (b *Balancer) learn(a *appliance, x arm) {
-	if x.n <= 0 {
-		return
-	}
 	old := math.Pow(0.8, x.n) // as much as the same outcomes would leave, had they been its own
 	if a.faulty = old*a.faulty + (1-old)*x.faults/x.n; a.failing() {
 		b.disown(a)
@@ -540,11 +549,7 @@
 		case kind != 0:
 			b.do(agent.Tell{All: true, Data: cryData(kind, ids)})
 		default:
-			for to := range min(6, agent.PeerNo(term(b, "agents", 1.0))) {
-				if to != b.number() {
-					b.do(agent.Tell{To: to, Data: cryData(kind, ids)})
-				}
-			}
+			b.tellFirst(min(6, int(term(b, "agents", 1.0))), cryData(kind, ids))
 		}
 	}
 }
@@ -569,14 +574,11 @@
 	a.knownAt = b.now
 	if b.now-a.heard > 150*time.Millisecond && 2*b.restful() < b.up {
 		run(b, healths, &a.health, doubted, a)
+		// Longer than a first rest: who found it sick tries it first, and tells when it is well.
+		a.until = max(a.until, b.now+time.Second+time.Duration(b.roll(1000))*time.Millisecond)
 	}
 }
 
-// shun is the rest of a machine that others found sick: they try it first, and tell when it is well.
-func (b *Balancer) shun(a *appliance) {
-	a.until = max(a.until, b.now+time.Second+time.Duration(b.roll(1000))*time.Millisecond)
-}
-
 // failing tells whether most of the last few answers were faults; five in a row will do. Bad builds fail a
 // third or one workload: a machine that fails most is sick itself, and does not count for its build.
 func (a *appliance) failing() bool { return a.faulty >= 0.6 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -122,7 +122,8 @@
 	ballot         ballot
 	times          gauge.Mean // of all answers
 	toldAt         time.Duration
-	lately, before gauge.Mean // payoffs over both arms, and before the trial
+	askTill        time.Duration // no list is asked for until then
+	lately, before gauge.Mean    // payoffs over both arms, and before the trial
 	harmSince      time.Duration
 	blamedTill     time.Duration
 	doubtTill      time.Duration
@@ -229,6 +230,7 @@
 	ranAt  *appliance
 	stream agent.SendNo
 	why    agent.Why // if it is given up now
+	missed bool      // its last send reached nobody
 }
 
 // arm counts decisions, outcomes and payoffs of one build, as the design has it; own outcomes are those of this
@@ -489,6 +491,15 @@
 // number is this agent's own.
 func (b *Balancer) number() agent.PeerNo { return agent.PeerNo(term(b, "number", 0.0)) }
 
+// tellFirst sends a message to the first agents, but for this one.
+func (b *Balancer) tellFirst(agents int, data []byte) {
+	for to := range agents {
+		if to != int(b.number()) {
+			b.do(agent.Tell{To: agent.PeerNo(to), Data: data})
+		}
+	}
+}
+
 // restful is how many listed machines rest.
 func (b *Balancer) restful() (n int) {
 	for _, a := range b.order {
@@ -511,7 +522,7 @@
 		n, sum := binary.BigEndian.Uint16(d[4:]), float64(binary.BigEndian.Uint16(d[6:]))/2
 		faults := float64(binary.BigEndian.Uint16(d[8:]))
 		a := b.fleet[agent.ApplianceID(binary.BigEndian.Uint32(d))]
-		if of := float64(n & (1<<15 - 1)); a != nil && b.armOf(a) == int(n>>15) && sum+faults <= of {
+		if of := float64(n & (1<<15 - 1)); a != nil && of > 0 && b.armOf(a) == int(n>>15) && sum+faults <= of {
 			b.learn(a, arm{n: of, sum: sum, faults: faults})
 		}
 	}
@@ -804,7 +815,7 @@
 		i := b.armOf(a)
 		b.arms[i].picked++
 		b.ration -= float64(i)
-	} else {
+	} else if !t.missed {
 		b.further.tried.Add(b.now, furtherHalf, 1)
 	}
 	if a.out == 0 {
