--- a/decide/decide.go
+++ b/decide/decide.go
@@ -76,6 +76,7 @@
 	b.pollHeld()
 	b.tell()
 	b.cry()
+	b.askAnew()
 	b.judge()
 }
 
@@ -143,17 +144,26 @@
 		b.after(wait, func() { b.do(agent.Subscribe{On: true}) })
 		return
 	}
+	if e.Kind != agent.Remembered && len(e.Entries) > 0 {
+		b.heeded, b.heededAt = true, b.now
+	}
 	b.enlist(e)
 	b.newSubject()
 }
 
-// askAnew asks for the whole list where a listed machine takes no connection: a watch may stand and bring
-// nothing. Once in the time after which an agent counts as told, spread, as discovery may be short of calls.
+// askAnew asks for changes again until some have come: discovery turns calls away that it is short of time
+// for, and the watch then stands and brings nothing. Once in the time after which an agent counts as told.
 func (b *Balancer) askAnew() {
-	within := term(b, "discovery.within", 10*time.Second)
-	if term(b, "discovery", "") == "asked" && b.now >= b.askTill {
-		b.askTill = b.now + within
-		b.after(time.Duration(b.luck()*float64(within)/3), func() { b.do(agent.Fetch{}) })
+	if b.now >= b.askTill && !b.heeded && term(b, "discovery", "") == "asked" {
+		b.askTill = b.now + b.within() + time.Duration(b.luck()*float64(b.within())/2)
+		b.do(agent.Subscribe{On: true})
+	}
+}
+
+// askSoon has it ask within a third of that time, as all may: at the start, and where machines are gone.
+func (b *Balancer) askSoon() {
+	if !b.heeded || b.now-b.heededAt > b.within()/2 {
+		b.heeded, b.askTill = false, min(b.askTill, b.now+time.Duration(b.luck()*float64(b.within())/3))
 	}
 }
 
@@ -309,8 +319,7 @@
 
 func (b *Balancer) mayFurther(t *transaction) bool {
 	spare := b.further.earned.Read(b.now, furtherHalf) + 3 - b.further.tried.Read(b.now, furtherHalf)
-	free := t.missed && b.sparse() // it reached nobody, so another loads nobody twice
-	return (spare > 0 || free) && float64(len(t.sends)) < term(b, "sends.most", 1.0)
+	return (spare > 0 || t.missed && b.sparse()) && float64(len(t.sends)) < term(b, "sends.most", 1.0)
 }
 
 // harmless tells whether the transaction may be sent again, or deferred.
@@ -496,10 +505,9 @@
 		}
 		a.faulty = 0.8*a.faulty + 0.2
 	case agent.TimedOut, agent.Unreachable, agent.Cut:
-		if e.Outcome == agent.Unreachable {
-			if b.askAnew(); b.sparse() { // one tells as much as three: it will not be met three times in a row
-				a.streak += 2
-			}
+		if e.Outcome == agent.Unreachable && b.sparse() { // it will not be met three times in a row
+			a.streak += 2
+			b.askSoon()
 		}
 		if a.streak++; e.Outcome == agent.TimedOut && a.health == fit {
 			t.flow.fill.Add(b.now, fillHalf, full)
@@ -514,8 +522,7 @@
 	b.weigh(t, s, e)
 }
 
-// learn takes what another agent tells of a machine. Where each sees a machine every few seconds, none alone
-// sees five faults in a row in time: a sick machine stayed in its arm and held votes back.
+// learn takes what another tells of a machine: seen seldom, it shows no five faults in a row in time.
 func (b *Balancer) learn(a *appliance, x arm) {
 	old := math.Pow(0.8, x.n) // as much as the same outcomes would leave, had they been its own
 	if a.faulty = old*a.faulty + (1-old)*x.faults/x.n; a.failing() {
@@ -538,9 +545,8 @@
 
 const cried = 500 * time.Millisecond // some slow answers long: whoever finds a machine sick does so by then
 
-// cry tells which machines this agent has found sick (0), well again (1), or heard of from three (2): where
-// each sees a machine every few seconds, each would find out by a lost send of its own. What is found sick
-// goes to six agents, of whom some live when half of all die; the rest to all, a message a beat at most.
+// cry tells which machines this agent has found sick (0), to the first six agents, and which it has found
+// well (1) or heard of from three (2), to all: else each agent finds out by a lost send of its own.
 func (b *Balancer) cry() {
 	for kind, ids := range b.cries {
 		b.cries[kind] = nil
@@ -568,14 +574,12 @@
 	}
 }
 
-// avoid rests a machine on others' word, unless something has just come from it here, or half of all would
-// rest: then it is the network, or somebody who cries at all.
+// avoid rests a machine on others' word, unless it has just answered here, or half of all would rest.
 func (b *Balancer) avoid(a *appliance) {
 	a.knownAt = b.now
 	if b.now-a.heard > 150*time.Millisecond && 2*b.restful() < b.up {
 		run(b, healths, &a.health, doubted, a)
-		// Longer than a first rest: who found it sick tries it first, and tells when it is well.
-		a.until = max(a.until, b.now+time.Second+time.Duration(b.roll(1000))*time.Millisecond)
+		a.until = b.now + time.Second + time.Duration(b.roll(1000))*time.Millisecond // who found it tries first
 	}
 }
 
@@ -584,12 +588,9 @@
 func (a *appliance) failing() bool { return a.faulty >= 0.6 }
 
 func (b *Balancer) recover(a *appliance) {
-	a.rests, a.faulty = 0, 0
-	if a.knownAt == 0 { // nobody else avoids it, or all know
-		return
+	if a.rests, a.faulty = 0, 0; a.knownAt > 0 { // all were told that it is sick
+		a.knownAt, b.cries[1] = 0, append(b.cries[1], a.ID)
 	}
-	a.knownAt = 0
-	b.cries[1] = append(b.cries[1], a.ID)
 }
 
 // weigh adds one outcome to its arm. Payoff is 1 for a send satisfied within four times what the earlier
--- a/decide/state.go
+++ b/decide/state.go
@@ -123,7 +123,9 @@
 	times          gauge.Mean // of all answers
 	toldAt         time.Duration
 	askTill        time.Duration // no list is asked for until then
-	lately, before gauge.Mean    // payoffs over both arms, and before the trial
+	heeded         bool          // a list came in answer
+	heededAt       time.Duration
+	lately, before gauge.Mean // payoffs over both arms, and before the trial
 	harmSince      time.Duration
 	blamedTill     time.Duration
 	doubtTill      time.Duration
@@ -303,9 +305,8 @@
 func (b *Balancer) Step(now time.Duration, event agent.Event) []agent.Action {
 	b.now, b.actions = now, nil
 	if b.timer == 0 {
-		if term(b, "discovery", "") == "asked" {
-			b.do(agent.Subscribe{On: true})
-		}
+		b.askTill = b.within()
+		b.askSoon()
 		b.heartbeat()
 	}
 	switch e := event.(type) {
@@ -491,6 +492,9 @@
 // number is this agent's own.
 func (b *Balancer) number() agent.PeerNo { return agent.PeerNo(term(b, "number", 0.0)) }
 
+// within is the time after which an agent that has asked for no list counts as told.
+func (b *Balancer) within() time.Duration { return term(b, "discovery.within", 10*time.Second) }
+
 // tellFirst sends a message to the first agents, but for this one.
 func (b *Balancer) tellFirst(agents int, data []byte) {
 	for to := range agents {
--- a/httpagent/agent.go
+++ b/httpagent/agent.go
@@ -157,7 +157,13 @@
 	case agent.Vote:
 		go a.vote(a.ctx, x)
 	case agent.Subscribe:
-		a.watching.Store(x.On)
+		if a.watching.Swap(x.On) && x.On { // another beside the one that stands, which may bring nothing
+			select {
+			case a.moved.watch <- struct{}{}:
+			default:
+			}
+			return
+		}
 		select {
 		case a.subscribed <- struct{}{}:
 		default:
