--- a/decide/decide.go
+++ b/decide/decide.go
@@ -240,14 +240,14 @@
 // sparse tells whether this agent sees each machine less than once a second: too little to tell its load.
 func (b *Balancer) sparse() bool { return b.visit() > time.Second }
 
-// loose tells whether the allowances add a fifth or more to what the first stage's cap gives this agent: all
-// agents together would then send the trial's few machines far more than their share.
+// loose tells whether the allowances add a fifth or more to what the first stage's cap gives this agent, or it is
+// one of many: all would else spend their caps at the trial's few machines in the moment these are listed.
 func (b *Balancer) loose() bool {
 	free, window := term(b, "trial.allowance", 0.0), term(b, "trial.window", time.Minute)
 	if term(b, "trial.counts", "") == "per_lane" {
 		free *= float64(len(b.work))
 	}
-	return free > 0.2*append(term(b, "trial.caps", []float64{0}), 0)[0]*b.rate(&b.demand)*window.Seconds()
+	return b.sparse() || free > 0.2*append(term(b, "trial.caps", []float64{0}), 0)[0]*b.rate(&b.demand)*window.Seconds()
 }
 
 // byTally tells whether the platform's counts judge: own outcomes would tell more, but are too few.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1011,3 +1011,38 @@
 		t.Errorf("20 agents ask at %d moments", len(first))
 	}
 }
+
+// A fleet of agents that see little would all spend their whole cap at the trial's few machines in the moment at which these
+// are listed: 80 times what one may send at once. Each follows the machines' share from the first send on, spread by chance.
+func TestSparseAgentsDoNotRushTheTrial(t *testing.T) {
+	sent, most := 0, 0
+	for seed := range uint64(80) {
+		b := bench(0.12, map[string]any{"trial.window": 6 * time.Second, "trial.allowance": 3.0,
+			"trial.caps": []float64{0.12, 0.42, 1}})
+		b.dice = seed*0x9e3779b97f4a7c15 + 1
+		for id := range agent.ApplianceID(60) {
+			b.join(id+1, agent.Build(1+(id%10)/9)) // every tenth runs the build on trial
+		}
+		b.subject = 1
+		b.newSubject()
+		for range 170 {
+			b.takes.Add(b.now-time.Second, time.Minute)
+			b.demand.Add(b.now, demandHalf, 1) // 25 a second, for which the allowance alone is no rush
+		}
+		if !b.sparse() || b.rate(&b.demand) < 3/(0.2*0.12*6) {
+			t.Fatal("not the agent that is meant")
+		}
+		mine := 0
+		for i := range 12 {
+			id := agent.TransactionID([]byte{byte(i)})
+			b.take(agent.Taken{ID: id, Workload: "pure", Left: time.Second})
+			if x := b.open[id]; x != nil && len(x.sends) > 0 && x.sends[0].to.Build == 2 {
+				mine++
+			}
+		}
+		sent, most = sent+mine, max(most, mine)
+	}
+	if sent < 40 || sent > 160 || most > 3 { // a tenth of 960 is 96
+		t.Errorf("%d of 960 to the trial, %d of 12 by one agent", sent, most)
+	}
+}
