--- a/decide/decide.go
+++ b/decide/decide.go
@@ -155,15 +155,16 @@
 // for, and the watch then stands and brings nothing. Once in the time after which an agent counts as told.
 func (b *Balancer) askAnew() {
 	if b.now >= b.askTill && !b.heeded && term(b, "discovery", "") == "asked" {
-		b.askTill = b.now + b.within() + time.Duration(b.luck()*float64(b.within())/2)
+		b.askedAt, b.askTill = b.now, b.now+b.within()+time.Duration(b.luck()*float64(b.within())/2)
 		b.do(agent.Subscribe{On: true})
 	}
 }
 
-// askSoon has it ask within a third of that time, as all may: at the start, and where machines are gone.
+// askSoon has it ask within half of that time, by chance, at the start and where machines are gone; not again
+// until as long after its last call or the last list, as all do so at once and discovery is short then.
 func (b *Balancer) askSoon() {
-	if !b.heeded || b.now-b.heededAt > b.within()/2 {
-		b.heeded, b.askTill = false, min(b.askTill, b.now+time.Duration(b.luck()*float64(b.within())/3))
+	if half := b.within() / 2; b.now-max(b.heededAt, b.askedAt) >= half && b.askTill > b.now+half {
+		b.heeded, b.askTill = false, b.now+time.Duration(b.luck()*float64(half))
 	}
 }
 
@@ -240,14 +241,14 @@
 // sparse tells whether this agent sees each machine less than once a second: too little to tell its load.
 func (b *Balancer) sparse() bool { return b.visit() > time.Second }
 
-// loose tells whether the allowances add a fifth or more to what the first stage's cap gives this agent, or it is
-// one of many: all would else spend their caps at the trial's few machines in the moment these are listed.
+// loose tells whether the allowances add a fifth or more to what the first stage's cap gives this agent, or it
+// is one of many: all would else spend their caps at the trial's few machines the moment these are listed.
 func (b *Balancer) loose() bool {
-	free, window := term(b, "trial.allowance", 0.0), term(b, "trial.window", time.Minute)
+	free, window := term(b, "trial.allowance", 0.0), term(b, "trial.window", time.Minute).Seconds()
 	if term(b, "trial.counts", "") == "per_lane" {
 		free *= float64(len(b.work))
 	}
-	return b.sparse() || free > 0.2*append(term(b, "trial.caps", []float64{0}), 0)[0]*b.rate(&b.demand)*window.Seconds()
+	return b.sparse() || free > 0.2*append(term(b, "trial.caps", []float64{0}), 0)[0]*b.rate(&b.demand)*window
 }
 
 // byTally tells whether the platform's counts judge: own outcomes would tell more, but are too few.
@@ -322,7 +323,6 @@
 	return (spare > 0 || t.missed && b.sparse()) && float64(len(t.sends)) < term(b, "sends.most", 1.0)
 }
 
-// harmless tells whether the transaction may be sent again, or deferred.
 func (t *transaction) harmless() bool {
 	return t.ran < 0 || t.work.effect == "pure" || t.work.effect == "receipted" && t.work.group == "all"
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -125,6 +125,7 @@
 	askTill        time.Duration // no list is asked for until then
 	heeded         bool          // a list came in answer
 	heededAt       time.Duration
+	askedAt        time.Duration
 	lately, before gauge.Mean // payoffs over both arms, and before the trial
 	harmSince      time.Duration
 	blamedTill     time.Duration
@@ -305,7 +306,7 @@
 func (b *Balancer) Step(now time.Duration, event agent.Event) []agent.Action {
 	b.now, b.actions = now, nil
 	if b.timer == 0 {
-		b.askTill = b.within()
+		b.askTill, b.askedAt, b.heededAt = b.within(), -b.within(), -b.within()
 		b.askSoon()
 		b.heartbeat()
 	}
