--- a/decide/decide.go
+++ b/decide/decide.go
@@ -241,8 +241,8 @@
 // sparse tells whether this agent sees each machine less than once a second: too little to tell its load.
 func (b *Balancer) sparse() bool { return b.visit() > time.Second }
 
-// loose tells whether the allowances add a fifth or more to what the first stage's cap gives this agent, or it
-// is one of many: all would else spend their caps at the trial's few machines the moment these are listed.
+// loose tells whether the allowances add a fifth or more to what the first stage's cap gives this agent, or
+// it is one of many: all would else spend their caps at the trial's few machines the moment these are listed.
 func (b *Balancer) loose() bool {
 	free, window := term(b, "trial.allowance", 0.0), term(b, "trial.window", time.Minute).Seconds()
 	if term(b, "trial.counts", "") == "per_lane" {
