--- a/tools/figures/main.go
+++ b/tools/figures/main.go
@@ -54,12 +54,14 @@
 	Score                            *float64
 	Figures                          struct {
 		Real *float64 `json:"real_score"`
+		Gate *float64 // of the standing test: 1 if passed, 0 if failed
 	}
 	Policy []struct{ Sha256 string }
 	Days   []struct {
 		Name  string
 		Fault *string
 		Rules map[string]float64
+		Gate  any // what the day failed the gate by, a text, or nothing
 	}
 }
 
@@ -98,6 +100,12 @@
 		if d.Fault != nil {
 			broken = append(broken, d.Name+" fault")
 		}
+		if why, _ := d.Gate.(string); why != "" {
+			broken = append(broken, d.Name+" gate: "+why)
+		}
+	}
+	if s.Figures.Gate != nil && *s.Figures.Gate == 0 {
+		broken = append(broken, "GATE FAILED")
 	}
 	slices.Sort(broken)
 	rules := "kept"
--- a/tools/figures/main_test.go
+++ b/tools/figures/main_test.go
@@ -43,6 +43,22 @@
 			t.Errorf("panel %s is of bench %s, %s wanted", panel, f.bench, want)
 		}
 	}
+	failed, passed := 0.0, 1.0
+	s.Days = append(s.Days, struct {
+		Name  string
+		Fault *string
+		Rules map[string]float64
+		Gate  any
+	}{"soak", nil, map[string]float64{"lost": 4, "own": 0}, "lost"})
+	s.Figures.Gate = &failed
+	if f, _ := scored(s); f.rules != "GATE FAILED; soak gate: lost; soak lost" {
+		t.Errorf("a failed gate is told as %q", f.rules)
+	}
+	s.Days, s.Figures.Gate = nil, &passed
+	if f, _ := scored(s); f.rules != "kept" {
+		t.Errorf("a passed gate is told as %q", f.rules)
+	}
+	s.Figures.Gate = nil
 	if s.Sim = false; func() bool { _, ok := scored(s); return ok }() {
 		t.Error("another's adapter is in the record")
 	}
