--- a/decide/decide.go
+++ b/decide/decide.go
@@ -320,7 +320,7 @@
 
 func (b *Balancer) mayFurther(t *transaction) bool {
 	spare := b.further.earned.Read(b.now, furtherHalf) + 3 - b.further.tried.Read(b.now, furtherHalf)
-	return (spare > 0 || t.missed && b.sparse()) && float64(len(t.sends)) < term(b, "sends.most", 1.0)
+	return spare > 0 && float64(len(t.sends)) < term(b, "sends.most", 1.0)
 }
 
 func (t *transaction) harmless() bool {
@@ -458,7 +458,6 @@
 		return
 	}
 	b.observe(t, s, e)
-	t.missed = e.Outcome == agent.Unreachable
 	if mayHaveRun(e.Outcome) && (t.ran < 0 || s.at < t.ran) {
 		t.ran, t.ranAt = s.at, s.to
 	}
@@ -505,8 +504,7 @@
 		}
 		a.faulty = 0.8*a.faulty + 0.2
 	case agent.TimedOut, agent.Unreachable, agent.Cut:
-		if e.Outcome == agent.Unreachable && b.sparse() { // it will not be met three times in a row
-			a.streak += 2
+		if e.Outcome == agent.Unreachable {
 			b.askSoon()
 		}
 		if a.streak++; e.Outcome == agent.TimedOut && a.health == fit {
--- a/decide/state.go
+++ b/decide/state.go
@@ -233,7 +233,6 @@
 	ranAt  *appliance
 	stream agent.SendNo
 	why    agent.Why // if it is given up now
-	missed bool      // its last send reached nobody
 }
 
 // arm counts decisions, outcomes and payoffs of one build, as the design has it; own outcomes are those of this
@@ -820,7 +819,7 @@
 		i := b.armOf(a)
 		b.arms[i].picked++
 		b.ration -= float64(i)
-	} else if !t.missed {
+	} else {
 		b.further.tried.Add(b.now, furtherHalf, 1)
 	}
 	if a.out == 0 {
