--- a/decide/decide.go
+++ b/decide/decide.go
@@ -152,9 +152,10 @@
 }
 
 // askAnew asks for changes again until some have come: discovery turns calls away that it is short of time
-// for, and the watch then stands and brings nothing. Once in the time after which an agent counts as told.
+// for, and on sockets the watch then stands and brings nothing (the simulator's wire tells). Once in the time
+// after which an agent counts as told.
 func (b *Balancer) askAnew() {
-	if b.now >= b.askTill && !b.heeded && term(b, "discovery", "") == "asked" {
+	if b.now >= b.askTill && !b.heeded && b.unsure() {
 		b.askedAt, b.askTill = b.now, b.now+b.within()+time.Duration(b.luck()*float64(b.within())/2)
 		b.do(agent.Subscribe{On: true})
 	}
@@ -163,7 +164,7 @@
 // askSoon has it ask within half of that time, by chance, at the start and where machines are gone; not again
 // until as long after its last call or the last list, as all do so at once and discovery is short then.
 func (b *Balancer) askSoon() {
-	if half := b.within() / 2; b.now-max(b.heededAt, b.askedAt) >= half && b.askTill > b.now+half {
+	if half := b.within() / 2; b.unsure() && b.now-max(b.heededAt, b.askedAt) >= half && b.askTill > b.now+half {
 		b.heeded, b.askTill = false, b.now+time.Duration(b.luck()*float64(half))
 	}
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1046,3 +1046,20 @@
 		t.Errorf("%d of 960 to the trial, %d of 12 by one agent", sent, most)
 	}
 }
+
+// A front whose wire answers each call has it made once, at the start, as a failed one is told.
+func TestAsksOnceWhereToldOfFailure(t *testing.T) {
+	b := New(1, map[string]any{"discovery": "asked", "discovery.unsure": false})
+	b.Step(0, agent.ListNews{Kind: agent.Remembered, Entries: []agent.Appliance{{ID: 1}}})
+	asked := len(wanted[agent.Subscribe](b))
+	for b.now < 30*time.Second {
+		b.now += beat
+		b.actions = nil
+		b.askSoon()
+		b.askAnew()
+		asked += len(wanted[agent.Subscribe](b))
+	}
+	if asked != 1 {
+		t.Errorf("asked %d times", asked)
+	}
+}
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -166,6 +166,7 @@
 		}
 		// The wire's page words the rule on keys by answers that the agent has had.
 		terms["trial.unseen"] = false
+		terms["discovery.unsure"] = false // each call has one answer
 		ev.Start.Terms, r.starts[ev.Instance], known = terms, clock, true
 	case "TEARDOWN":
 		ev.Stop = true
