--- a/decide/decide.go
+++ b/decide/decide.go
@@ -155,7 +155,7 @@
 // for, and on sockets the watch then stands and brings nothing (the simulator's wire tells). Once in the time
 // after which an agent counts as told.
 func (b *Balancer) askAnew() {
-	if b.now >= b.askTill && !b.heeded && b.unsure() {
+	if b.now >= b.askTill && !b.heeded && b.unheard() {
 		b.askedAt, b.askTill = b.now, b.now+b.within()+time.Duration(b.luck()*float64(b.within())/2)
 		b.do(agent.Subscribe{On: true})
 	}
@@ -164,7 +164,7 @@
 // askSoon has it ask within half of that time, by chance, at the start and where machines are gone; not again
 // until as long after its last call or the last list, as all do so at once and discovery is short then.
 func (b *Balancer) askSoon() {
-	if half := b.within() / 2; b.unsure() && b.now-max(b.heededAt, b.askedAt) >= half && b.askTill > b.now+half {
+	if half := b.within() / 2; b.unheard() && b.now-max(b.heededAt, b.askedAt) >= half && b.askTill > b.now+half {
 		b.heeded, b.askTill = false, b.now+time.Duration(b.luck()*float64(half))
 	}
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -306,7 +306,7 @@
 	b.now, b.actions = now, nil
 	if b.timer == 0 {
 		b.askTill, b.askedAt, b.heededAt = b.within(), -b.within(), -b.within()
-		if b.askSoon(); term(b, "discovery", "") == "asked" && !b.unsure() {
+		if b.askSoon(); term(b, "discovery", "") == "asked" && !b.unheard() {
 			b.do(agent.Subscribe{On: true})
 		}
 		b.heartbeat()
@@ -494,8 +494,8 @@
 // number is this agent's own.
 func (b *Balancer) number() agent.PeerNo { return agent.PeerNo(term(b, "number", 0.0)) }
 
-// unsure tells whether an agent that has asked discovery cannot tell if it was heard: a front whose wire tells says so.
-func (b *Balancer) unsure() bool {
+// unheard tells whether an agent that has asked discovery cannot tell if it was heard: a front whose wire tells says so.
+func (b *Balancer) unheard() bool {
 	return term(b, "discovery", "") == "asked" && term(b, "discovery.unsure", true)
 }
 
