--- a/decide/decide.go
+++ b/decide/decide.go
@@ -151,9 +151,8 @@
 	b.newSubject()
 }
 
-// askAnew asks for changes again until some have come: discovery turns calls away that it is short of time
-// for, and on sockets the watch then stands and brings nothing (the simulator's wire tells). Once in the time
-// after which an agent counts as told.
+// askAnew asks for changes again until some have come: discovery turns calls away that it is short of time for,
+// and on sockets the watch then stands and brings nothing. Once in the time after which an agent counts as told.
 func (b *Balancer) askAnew() {
 	if b.now >= b.askTill && !b.heeded && b.unheard() {
 		b.askedAt, b.askTill = b.now, b.now+b.within()+time.Duration(b.luck()*float64(b.within())/2)
@@ -164,7 +163,7 @@
 // askSoon has it ask within half of that time, by chance, at the start and where machines are gone; not again
 // until as long after its last call or the last list, as all do so at once and discovery is short then.
 func (b *Balancer) askSoon() {
-	if half := b.within() / 2; b.unheard() && b.now-max(b.heededAt, b.askedAt) >= half && b.askTill > b.now+half {
+	if half := b.within() / 2; b.now-max(b.heededAt, b.askedAt) >= half && b.askTill > b.now+half {
 		b.heeded, b.askTill = false, b.now+time.Duration(b.luck()*float64(half))
 	}
 }
@@ -560,10 +559,12 @@
 }
 
 // doubt takes one agent's word that a machine is sick. A slow answer passes for silence now and then, over a
-// fleet many times a second; so three must say it within half a second. The first to hear tells all.
+// fleet many times a second; so within half a second as many must say it as half of the sends that all make
+// there in that time, and three at least. The first to hear tells all.
 func (b *Balancer) doubt(a *appliance, from agent.PeerNo) {
 	a.criers = slices.DeleteFunc(a.criers, func(c crier) bool { return c.by == from || b.now-c.at > cried })
-	if a.criers = append(a.criers, crier{from, b.now}); len(a.criers) >= 3 {
+	sends := b.rate(&b.demand) * term(b, "agents", 1.0) / float64(max(b.up, 1)) * cried.Seconds()
+	if a.criers = append(a.criers, crier{from, b.now}); float64(len(a.criers)) >= max(3, sends/2) {
 		b.after(time.Duration(b.number())*beat, func() {
 			if a.knownAt == 0 || b.now-a.knownAt > cried {
 				b.cries[2] = append(b.cries[2], a.ID)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sagelever/agent"
+	"sagelever/gauge"
 )
 
 func near(t *testing.T, what string, got, want, by float64) {
@@ -869,6 +870,22 @@
 		t.Fatalf("three: health %v, told %v", a.health, told)
 	}
 	b.actions = nil
+	busy := all[5]
+	for range 40 { // 5.5 a second, 440 by all, 73 at each machine: 37 in half a second, of which 19 make half
+		b.demand.Add(b.now, demandHalf, 1)
+	}
+	for from := range agent.PeerNo(18) {
+		said(from+10, 0, busy)
+	}
+	if busy.health != fit {
+		t.Error("18 of 37 are believed")
+	}
+	if said(40, 0, busy); busy.health != resting {
+		t.Error("half of those who send there are not believed")
+	}
+	b.cry()
+	b.actions, b.demand = nil, gauge.Decaying{}
+	busy.health = fit
 	for _, from := range []agent.PeerNo{4, 5, 6} {
 		said(from, 0, a)
 	}
