--- a/decide/decide.go
+++ b/decide/decide.go
@@ -93,7 +93,7 @@
 
 // tell sends what this agent has counted since it last told to those that judge by it. Twice a second is
 // often against a stage; agents with little traffic tell less often, so that all cost a quarter of a full
-// message a transaction at most, however many they are. A lost message loses only evidence.
+// message a transaction at most. A lost message loses only evidence.
 func (b *Balancer) tell() {
 	hearers, size := b.hearers(), b.untold()
 	quarter := float64(hearers*size) / 256 / 0.25 / b.rate(&b.demand)
@@ -151,8 +151,8 @@
 	b.newSubject()
 }
 
-// askAnew asks for changes again until some have come: discovery turns calls away that it is short of time for,
-// and on sockets the watch then stands and brings nothing. Once in the time after which an agent counts as told.
+// askAnew asks for changes again until some have come: discovery turns calls away that it has no time for, and
+// a watch on sockets then brings nothing. Once in the time after which an agent counts as told.
 func (b *Balancer) askAnew() {
 	if b.now >= b.askTill && !b.heeded && b.unheard() {
 		b.askedAt, b.askTill = b.now, b.now+b.within()+time.Duration(b.luck()*float64(b.within())/2)
@@ -211,7 +211,6 @@
 	return term(b, "trial.oneway", false) && term(b, "trial.unseen", true)
 }
 
-// legal tells whether the rules let this transaction go to this appliance now.
 func (b *Balancer) legal(t *transaction, a *appliance) bool {
 	if !a.listed || !b.told || a.Build < b.oneWay(t.Key) || !b.exposable(t, a) {
 		return false
@@ -244,11 +243,12 @@
 // loose tells whether the allowances add a fifth or more to what the first stage's cap gives this agent, or
 // it is one of many: all would else spend their caps at the trial's few machines the moment these are listed.
 func (b *Balancer) loose() bool {
-	free, window := term(b, "trial.allowance", 0.0), term(b, "trial.window", time.Minute).Seconds()
+	free, share := term(b, "trial.allowance", 0.0), append(term(b, "trial.caps", []float64{0}), 0)[0]
 	if term(b, "trial.counts", "") == "per_lane" {
 		free *= float64(len(b.work))
 	}
-	return b.sparse() || free > 0.2*append(term(b, "trial.caps", []float64{0}), 0)[0]*b.rate(&b.demand)*window
+	cap := share * b.rate(&b.demand) * term(b, "trial.window", time.Minute).Seconds()
+	return b.sparse() && !b.byTally() || free > 0.2*cap
 }
 
 // byTally tells whether the platform's counts judge: own outcomes would tell more, but are too few.
