--- a/decide/decide.go
+++ b/decide/decide.go
@@ -151,8 +151,8 @@
 	b.newSubject()
 }
 
-// askAnew asks for changes again until some have come: discovery turns calls away that it has no time for, and
-// a watch on sockets then brings nothing. Once in the time after which an agent counts as told.
+// askAnew asks for changes again until some have come: discovery turns calls away that it has no time for; then
+// a watch on sockets brings nothing. Once in the time after which an agent counts as told.
 func (b *Balancer) askAnew() {
 	if b.now >= b.askTill && !b.heeded && b.unheard() {
 		b.askedAt, b.askTill = b.now, b.now+b.within()+time.Duration(b.luck()*float64(b.within())/2)
