--- a/decide/decide.go
+++ b/decide/decide.go
@@ -151,7 +151,7 @@
 	b.newSubject()
 }
 
-// askAnew asks for changes again until some have come: discovery turns calls away that it has no time for; then
+// askAnew asks for changes again until some have come: discovery turns calls away that it has no time for:
 // a watch on sockets brings nothing. Once in the time after which an agent counts as told.
 func (b *Balancer) askAnew() {
 	if b.now >= b.askTill && !b.heeded && b.unheard() {
