--- a/httpagent/agent.go
+++ b/httpagent/agent.go
@@ -158,16 +158,10 @@
 		go a.vote(a.ctx, x)
 	case agent.Subscribe:
 		if a.watching.Swap(x.On) && x.On { // another beside the one that stands, which may bring nothing
-			select {
-			case a.moved.watch <- struct{}{}:
-			default:
-			}
+			nudge(a.moved.watch)
 			return
 		}
-		select {
-		case a.subscribed <- struct{}{}:
-		default:
-		}
+		nudge(a.subscribed)
 	case agent.Fetch:
 		go a.fetch(a.ctx)
 	case agent.Log:
--- a/httpagent/reload.go
+++ b/httpagent/reload.go
@@ -28,10 +28,15 @@
 	a.moved.at = addresses{s.Discovery, s.Platform.Address}
 	a.moved.mu.Unlock()
 	for _, word := range []chan struct{}{a.moved.watch, a.moved.stream} {
-		select {
-		case word <- struct{}{}:
-		default: // one that has not been heeded yet will do
-		}
+		nudge(word)
 	}
 	a.log.Info("reloaded", "discovery", s.Discovery, "platform", s.Platform.Address)
 }
+
+// nudge leaves word on a channel that holds one; one that has not been heeded yet will do.
+func nudge(word chan<- struct{}) {
+	select {
+	case word <- struct{}{}:
+	default:
+	}
+}
--- a/life/life.go
+++ b/life/life.go
@@ -73,8 +73,9 @@
 
 // Gate stands before what is written for one send. Once its transaction has its final answer nothing passes.
 type Gate struct {
-	mu  sync.Mutex
-	off context.Context
+	mu      sync.Mutex
+	off     context.Context
+	callOff context.CancelCauseFunc
 }
 
 // Pass writes by f, unless the send has been given up.
@@ -92,15 +93,16 @@
 	return true
 }
 
-// shut waits for a write that is under way; it is called when off has ended, so that none follows.
+// shut calls the send off and waits for a write that is under way, which that ends: none follows.
 func (g *Gate) shut() {
+	g.callOff(ErrCalledOff)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 }
 
 type gateKey struct{}
 
-// GateOf is the gate of the send that a context was made for, one that is always open if for none.
+// GateOf is the gate of the send that a context was made for; of a context made for none, one that its end shuts.
 func GateOf(off context.Context) *Gate {
 	if g, ok := off.Value(gateKey{}).(*Gate); ok {
 		return g
@@ -128,13 +130,11 @@
 	// Nothing more is sent once the final answer is given. The module calls off what is still out, but its word comes
 	// after the answer: a second copy that has just been ordered, or whose connection is just coming up, would go out
 	// in between. So all that is out is called off here before the answer is given.
-	// What is being written at this moment is waited for: calling off ends it.
-	var out []context.CancelCauseFunc
-	var gates []*Gate
+	// What is being written at this moment is waited for.
+	var out []*Gate
 	give := func(f Final) {
-		for i, callOff := range out {
-			callOff(ErrCalledOff)
-			gates[i].shut()
+		for _, gate := range out {
+			gate.shut()
 		}
 		front.Give(f)
 	}
@@ -147,8 +147,8 @@
 				case agent.Send:
 					// What the module calls off, or what runs out of time, ends by this context's cause.
 					off, callOff := context.WithCancelCause(context.Background())
-					gate := &Gate{off: off}
-					out, gates = append(out, callOff), append(gates, gate)
+					gate := &Gate{off: off, callOff: callOff}
+					out = append(out, gate)
 					off = context.WithValue(off, gateKey{}, gate)
 					no := t.Begin(func() { callOff(ErrCalledOff) })
 					go func() {
