--- a/decide/decide.go
+++ b/decide/decide.go
@@ -151,8 +151,8 @@
 	b.newSubject()
 }
 
-// askAnew asks for changes again until some have come: discovery turns calls away that it has no time for:
-// a watch on sockets brings nothing. Once in the time after which an agent counts as told.
+// askAnew asks for changes again until some have come: discovery turns calls away that it has no time for; a
+// watch on sockets then brings nothing. Once in the time after which an agent counts as told.
 func (b *Balancer) askAnew() {
 	if b.now >= b.askTill && !b.heeded && b.unheard() {
 		b.askedAt, b.askTill = b.now, b.now+b.within()+time.Duration(b.luck()*float64(b.within())/2)
@@ -535,7 +535,7 @@
 func (b *Balancer) rest(a *appliance) {
 	a.until = b.now + min(max(500*time.Millisecond, b.visit()/2), 5*time.Second)<<min(a.rests, 3)
 	a.rests, a.streak = a.rests+1, 0
-	if a.knownAt == 0 || b.now-a.knownAt > cried { // else all know
+	if !b.known(a) { // else all know
 		b.cries[0] = append(b.cries[0], a.ID)
 	}
 	b.doubt(a, b.number())
@@ -566,7 +566,7 @@
 	sends := b.rate(&b.demand) * term(b, "agents", 1.0) / float64(max(b.up, 1)) * cried.Seconds()
 	if a.criers = append(a.criers, crier{from, b.now}); float64(len(a.criers)) >= max(3, sends/2) {
 		b.after(time.Duration(b.number())*beat, func() {
-			if a.knownAt == 0 || b.now-a.knownAt > cried {
+			if !b.known(a) {
 				b.cries[2] = append(b.cries[2], a.ID)
 				b.avoid(a)
 			}
--- a/decide/state.go
+++ b/decide/state.go
@@ -511,6 +511,9 @@
 	}
 }
 
+// known tells whether all were told just now that a machine is sick.
+func (b *Balancer) known(a *appliance) bool { return a.knownAt > 0 && b.now-a.knownAt <= cried }
+
 // restful is how many listed machines rest.
 func (b *Balancer) restful() (n int) {
 	for _, a := range b.order {
