--- a/decide/decide.go
+++ b/decide/decide.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"sagelever/agent"
+	"sagelever/arms"
 )
 
 var (
@@ -689,15 +690,9 @@
 
 const parHalf = 20 * time.Second // much longer than any burst
 
-// track is D-Tracking: an arm counted below √t-1 is forced, else the one furthest behind t·w*.
+// track is D-Tracking to w*.
 func (b *Balancer) track() int {
-	n0, n1 := b.arms[0].picked, b.arms[1].picked
-	t, w := n0+n1, optimal(b.arms[0].mean(), b.arms[1].mean())
-	behind := t*(1-w)-n1 > t*w-n0
-	if floor := math.Sqrt(t) - 1; min(n0, n1) < floor {
-		behind = n1 < n0
-	}
-	if behind {
+	if arms.Track(b.arms[0].counted(), b.arms[1].counted()) {
 		return 1
 	}
 	return 0
@@ -776,7 +771,7 @@
 func (b *Balancer) verdict() agent.Verdict {
 	early, trial := b.tallied(0, b.arms[0]), b.tallied(1, b.arms[1])
 	t := max(early.picked+trial.picked, early.n+trial.n, 1)
-	phase, wall := b.news.Phase, math.Log(2*t*term(b, "agents", 1.0)/0.1)
+	phase, wall := b.news.Phase, arms.Threshold(t, term(b, "agents", 1.0), 0.1)
 	if b.subject != b.news.Build || phase == agent.GoingBack || phase == agent.Withdrawn {
 		return agent.NoVote
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"sagelever/agent"
+	"sagelever/arms"
 	"sagelever/gauge"
 )
 
@@ -294,13 +295,6 @@
 	return 0
 }
 
-// divergence is that of two Bernoulli means.
-func divergence(p, q float64) float64 {
-	const tiny = 1e-9
-	p, q = min(max(p, tiny), 1-tiny), min(max(q, tiny), 1-tiny)
-	return p*math.Log(p/q) + (1-p)*math.Log((1-p)/(1-q))
-}
-
 // Step takes one event and gives the actions that answer it.
 func (b *Balancer) Step(now time.Duration, event agent.Event) []agent.Action {
 	b.now, b.actions = now, nil
@@ -387,23 +381,6 @@
 	}
 }
 
-// optimal solves d(μ1,μ*)=d(μ2,μ*) for α*, μ* being α*μ1+(1-α*)μ2, by halving.
-func optimal(m1, m2 float64) float64 {
-	if math.Abs(m1-m2) < 1e-6 {
-		return 0.5
-	}
-	lo, hi := 0.0, 1.0
-	for i := 0; i < 30; i++ {
-		mid := (lo + hi) / 2
-		if m := mid*m1 + (1-mid)*m2; divergence(m1, m) > divergence(m2, m) {
-			lo = mid
-		} else {
-			hi = mid
-		}
-	}
-	return (lo + hi) / 2
-}
-
 func (a *arm) mean() float64 {
 	if a.n == 0 {
 		return 0.5
@@ -927,14 +904,12 @@
 
 // statistic is Z for the two arms, with extra added to the trial's mean.
 func statistic(x, y arm, extra float64) float64 {
-	if x.n == 0 || y.n == 0 {
-		return 0
-	}
-	m1, m2 := x.mean(), min(y.mean()+extra, 1)
-	m := (x.n*m1 + y.n*m2) / (x.n + y.n)
-	return x.n*divergence(m1, m) + y.n*divergence(m2, m)
+	return arms.Statistic(x.counted(), y.counted(), extra)
 }
 
+// counted is the arm as the statistic takes it.
+func (a arm) counted() arms.Arm { return arms.Arm{Picked: a.picked, N: a.n, Sum: a.sum} }
+
 // felt notes a payoff over both arms, as it is lately and as it was before the trial.
 func (b *Balancer) felt(good float64, before bool) {
 	b.lately.Add(b.now, latelyHalf, good)
--- a/httpagent/platform.go
+++ b/httpagent/platform.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"sagelever/agent"
+	"sagelever/strand"
 	"sagelever/terms"
 )
 
@@ -139,7 +140,7 @@
 	req := (&http.Request{Method: http.MethodPost, Host: address,
 		URL:    &url.URL{Scheme: "http", Host: address, Path: "/api/opinions"},
 		Header: http.Header{"Content-Type": {"application/json"}}}).WithContext(ctx)
-	carryBody(req, body)
+	strand.CarryBody(req, body)
 	resp, err := a.control.RoundTrip(req)
 	if err != nil {
 		if !written {
--- a/httpagent/sends.go
+++ b/httpagent/sends.go
@@ -1,7 +1,6 @@
 package httpagent
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -17,6 +16,7 @@
 
 	"sagelever/agent"
 	"sagelever/life"
+	"sagelever/strand"
 )
 
 // reach is how far a send had come.
@@ -44,7 +44,7 @@
 
 var (
 	errCrowded = errors.New("no descriptor is left for a connection")
-	errSpoilt  = errors.New("the answer cannot be read")
+	errSpoilt  = strand.ErrSpoilt
 )
 
 // answer is what an appliance has answered, read whole. Whoever has it frees it.
@@ -94,6 +94,7 @@
 
 	held           atomic.Int64 // bytes of answers being read or not yet passed on
 	longest, large int64        // bytes that one answer may have, and all
+	terms          *strand.Terms
 }
 
 // link is the way to one appliance.
@@ -105,11 +106,16 @@
 	links     *links
 }
 
+// settlement is some times what a network of one site takes from one machine to the next.
+const settlement = time.Millisecond
+
 // newLinks takes the connect time-out, the idle time after which appliances close, the most connections at once, and the
 // memory that there is. Answers of some hundred kilobytes come, though the protocol knows none above 64, and so do ones
 // said to have gigabytes: one may have a thirty-second part of the memory and all together a quarter.
 func newLinks(dial, idle time.Duration, most, memory int64) *links {
-	return &links{byID: map[agent.ApplianceID]*link{}, dial: dial, idle: idle, most: most, longest: memory / 32, large: memory / 4}
+	ls := &links{byID: map[agent.ApplianceID]*link{}, dial: dial, idle: idle, most: most, longest: memory / 32, large: memory / 4}
+	ls.terms = &strand.Terms{Longest: ls.longest, Rest: settlement, Closed: func() { ls.open.Add(-1) }}
+	return ls
 }
 
 // list takes up the addresses of a list. An appliance with a new address, another build or another start is a new
@@ -162,9 +168,9 @@
 	dialer := net.Dialer{Timeout: ls.dial, KeepAlive: -1}
 	return &http.Transport{
 		DisableCompression:     true,
-		MaxIdleConnsPerHost:    1 << 16,       // as many as are open
-		MaxResponseHeaderBytes: 2 * mostHeads, // the wire has bounded them
-		ReadBufferSize:         1 << 10,       // it reads ahead itself
+		MaxIdleConnsPerHost:    1 << 16,              // as many as are open
+		MaxResponseHeaderBytes: 2 * strand.MostHeads, // the strand has bounded them
+		ReadBufferSize:         1 << 10,              // it reads ahead itself
 		IdleConnTimeout:        ls.idle - ls.idle/8,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			if ls.open.Add(1) > ls.most {
@@ -181,20 +187,11 @@
 				ls.open.Add(-1)
 				return nil, err
 			}
-			return newWire(conn.(*net.TCPConn), ls), nil
+			return strand.NewConn(conn.(*net.TCPConn), ls.terms), nil
 		},
 	}
 }
 
-// carryBody gives a request a body that cannot be rewound, an empty one too: http.Transport resends by itself what
-// has no body or a body that can be had again, and every resend is a send that nobody has decided.
-func carryBody(req *http.Request, body []byte) {
-	req.Body, req.GetBody, req.ContentLength = io.NopCloser(bytes.NewReader(body)), nil, int64(len(body))
-	if len(body) == 0 {
-		req.TransferEncoding = []string{"identity"} // else it would be sent in chunks
-	}
-}
-
 // crossing is how long an answer that is already on its way may take to arrive once a send is given up: several
 // times what a network takes between machines of one site.
 const crossing = 10 * time.Millisecond
@@ -205,7 +202,7 @@
 // passed over for the next, as often as one was kept: nothing has been sent then.
 func (l *link) send(off context.Context, req *http.Request, body []byte) (got *answer, err error) {
 	for kept := true; kept; {
-		carryBody(req, body)
+		strand.CarryBody(req, body)
 		got, kept, err = l.sendOnce(off, req)
 	}
 	return got, err
@@ -216,17 +213,17 @@
 	hard, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var (
-		ours  = use{gate: life.GateOf(off)}
-		conn  atomic.Pointer[wire]
+		ours  = strand.Use{Pass: life.GateOf(off).Pass}
+		conn  atomic.Pointer[strand.Conn]
 		kept  atomic.Bool
 		short atomic.Bool // the last byte was not written, for certain
 		late  atomic.Bool // it was given up before anything was written
 	)
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			up := info.Conn.(*wire)
+			up := info.Conn.(*strand.Conn)
 			kept.Store(info.Reused)
-			up.take(&ours)
+			up.Take(&ours)
 			conn.Store(up)
 			if off.Err() != nil { // nothing has been written, and nothing is: AfterFunc may come after the write
 				late.Store(true)
@@ -239,7 +236,7 @@
 	}
 	stop := context.AfterFunc(off, func() {
 		up := conn.Load()
-		if up != nil && up.by.Load() != &ours {
+		if up != nil && !up.UsedBy(&ours) {
 			return // the answer has just come whole, and the connection carries the next send
 		}
 		if up == nil || up.TCPConn.CloseWrite() != nil {
@@ -251,7 +248,7 @@
 	defer stop()
 	failed := func(r reach, err error) (*answer, bool, error) {
 		switch {
-		case ours.began.Load(): // what came is no answer, never ended or broke off
+		case ours.Began(): // what came is no answer, never ended or broke off
 			err = errSpoilt
 		case off.Err() != nil:
 			err = context.Cause(off)
@@ -263,9 +260,9 @@
 		switch {
 		case conn.Load() == nil:
 			return failed(unconnected, err)
-		case !ours.wrote.Load() && kept.Load() && off.Err() == nil:
+		case !ours.Wrote() && kept.Load() && off.Err() == nil:
 			return nil, true, err
-		case short.Load(), late.Load(), !ours.wrote.Load():
+		case short.Load(), late.Load(), !ours.Wrote():
 			return failed(unwritten, err)
 		}
 		return failed(written, err)
@@ -285,7 +282,7 @@
 		free()
 		return failed(answering, err)
 	}
-	if up := conn.Load(); off.Err() != nil && up.by.Load() == &ours {
+	if up := conn.Load(); off.Err() != nil && up.UsedBy(&ours) {
 		up.Close() // it is half closed and must not be used again
 	}
 	return &answer{resp.StatusCode, resp.Header, body, free}, false, nil
--- /dev/null
+++ b/plan/table.go
@@ -0,0 +1,276 @@
+package plan
+
+import (
+	"math"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/mailru/easyjson"
+
+	"sagelever/boot"
+	"sagelever/pact"
+)
+
+// Table is the configuration as a relay uses it: immutable, swapped whole.
+type Table struct {
+	hosts    map[string]map[string]*Way
+	lengths  map[string][]int // of each host's prefixes, the longest first
+	Services map[string]*Backend
+	Cleared  map[string]bool     // zones to which nothing may be sent
+	Releases map[string]*Release // by service
+	Limits   Bound
+	Items    int
+}
+
+// Way is a route, read.
+type Way struct {
+	Name           string
+	Harmless       bool
+	GiveUp, Target time.Duration
+	Rank, Tries    int
+	Shares         []Share
+	Homes          map[string]bool // nil: anywhere
+	total          float64
+}
+
+// Pick picks the service by a number drawn from [0, 1).
+func (w *Way) Pick(luck float64) string {
+	at := luck * w.total
+	for _, s := range w.Shares {
+		if at -= s.Weight; at < 0 {
+			return s.Service
+		}
+	}
+	return w.Shares[0].Service
+}
+
+// Backend is a service, read.
+type Backend struct {
+	CheckPath string
+	MaxLinks  int
+	WarmUp    time.Duration
+	WarmRate  float64 // requests a second that a cold appliance bears
+}
+
+// Bound is what a client may send.
+type Bound struct {
+	Head, Body      int64
+	HeadWait, Quiet time.Duration
+}
+
+// NewTable reads the registers into a table. What can't be read is passed over: it was checked when it was taken.
+func NewTable(values map[string]pact.Value) *Table {
+	t := &Table{hosts: map[string]map[string]*Way{}, lengths: map[string][]int{}, Services: map[string]*Backend{},
+		Cleared: map[string]bool{}, Releases: map[string]*Release{}}
+	homes := map[string]map[string]bool{}
+	names := make([]string, 0, len(values))
+	for key := range values {
+		names = append(names, key)
+	}
+	sort.Strings(names) // where two routes stood in one place, all agents would serve the same
+	for _, key := range names {
+		v := values[key]
+		if v.Gone {
+			continue
+		}
+		if zone, ok := strings.CutPrefix(key, clearedKey); ok {
+			t.Cleared[zone] = v.Body == "on"
+			continue
+		}
+		if service, ok := strings.CutPrefix(key, releaseKey); ok {
+			r := &Release{}
+			if easyjson.Unmarshal([]byte(v.Body), r) == nil {
+				t.Releases[service] = r
+			}
+			continue
+		}
+		kind, name, ok := SplitKey(key)
+		if !ok {
+			continue
+		}
+		t.Items++
+		got, err := readItem(kind, name, v.Body)
+		if err != nil {
+			continue
+		}
+		switch x := got.(type) {
+		case *Service:
+			warm, _ := boot.Span(orZero(x.WarmUp))
+			t.Services[name] = &Backend{x.CheckPath, x.MaxLinks, warm, x.WarmingRateS}
+		case *Limits:
+			t.Limits = Bound{Head: x.HeadSizeBytes, Body: x.BodySizeBytes}
+			t.Limits.HeadWait, _ = boot.Span(x.HeadWait)
+			t.Limits.Quiet, _ = boot.Span(x.Quiet)
+		case *Tenant:
+			homes[name] = set(x.HomeRegions)
+		case *Route:
+			t.add(name, x)
+		}
+	}
+	for _, key := range names { // where route and tenant have homes, both bind
+		kind, name, _ := SplitKey(key)
+		if kind != Routes || values[key].Gone {
+			continue
+		}
+		got, err := readItem(kind, name, values[key].Body)
+		if err != nil {
+			continue
+		}
+		r := got.(*Route)
+		w := t.hosts[strings.ToLower(r.Host)][r.PathStart]
+		if h := homes[r.Tenant]; r.Tenant != "" && h != nil && w != nil && w.Name == name {
+			w.Homes = both(w.Homes, h)
+		}
+	}
+	for host, ways := range t.hosts {
+		seen := map[int]bool{}
+		for p := range ways {
+			if !seen[len(p)] {
+				seen[len(p)] = true
+				t.lengths[host] = append(t.lengths[host], len(p))
+			}
+		}
+		sort.Sort(sort.Reverse(sort.IntSlice(t.lengths[host])))
+	}
+	return t
+}
+
+func (t *Table) add(name string, r *Route) {
+	host := strings.ToLower(r.Host)
+	if t.hosts[host] == nil {
+		t.hosts[host] = map[string]*Way{}
+	}
+	if t.hosts[host][r.PathStart] != nil {
+		return
+	}
+	w := &Way{Name: name, Harmless: r.Kind == "harmless", Rank: r.Rank, Tries: max(1, r.Tries), Shares: r.Shares, Homes: set(r.HomeRegions)}
+	w.GiveUp, _ = boot.Span(r.GiveUp)
+	w.Target, _ = boot.Span(orZero(r.TargetTime))
+	if r.Service != "" {
+		w.Shares = []Share{{r.Service, 1}}
+	}
+	for _, s := range w.Shares {
+		w.total += s.Weight
+	}
+	t.hosts[host][r.PathStart] = w
+}
+
+// Find is the route of a request: of the host's, the one with the longest prefix that begins the path; nil for none.
+// It costs one look-up for each length that the host's prefixes have, however many routes there are.
+func (t *Table) Find(host, path string) *Way {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && strings.IndexByte(host, ']') < i {
+		host = host[:i]
+	}
+	host = strings.ToLower(host)
+	ways := t.hosts[host]
+	for _, n := range t.lengths[host] {
+		if n <= len(path) {
+			if w := ways[path[:n]]; w != nil {
+				return w
+			}
+		}
+	}
+	return nil
+}
+
+func set(list []string) map[string]bool {
+	if len(list) == 0 {
+		return nil
+	}
+	out := make(map[string]bool, len(list))
+	for _, s := range list {
+		out[s] = true
+	}
+	return out
+}
+
+func both(a, b map[string]bool) map[string]bool {
+	if a == nil || b == nil {
+		if a == nil {
+			return b
+		}
+		return a
+	}
+	out := map[string]bool{}
+	for k := range a {
+		if b[k] {
+			out[k] = true
+		}
+	}
+	return out
+}
+
+const (
+	clearedKey = "zone/"
+	releaseKey = "release/"
+)
+
+// ClearedKey is the register that says whether a zone is cleared out.
+func ClearedKey(zone string) string { return clearedKey + zone }
+
+// ReleaseKey is the register of a service's release.
+func ReleaseKey(service string) string { return releaseKey + service }
+
+// Clear sets whether a zone is cleared out. The version counts the turns; a repeated call changes nothing.
+func Clear(on bool) pact.Change {
+	word := "off"
+	if on {
+		word = "on"
+	}
+	return func(held pact.Value) pact.Value {
+		if held.Body == word || held.Body == "" && !on {
+			if held.Version == 0 {
+				return pact.Value{Version: 1, Body: word}
+			}
+			return held
+		}
+		return pact.Value{Version: held.Version + 1, Body: word}
+	}
+}
+
+// Phases of a release, in the protocol's words.
+const (
+	InService = "in_service"
+	Finished  = "finished"
+	Reverted  = "reverted"
+)
+
+// Begin orders a release. The same order again, under way or decided, changes nothing.
+func Begin(target string, over time.Duration, now time.Time) pact.Change {
+	return func(held pact.Value) pact.Value {
+		r := &Release{}
+		if held.Body != "" && easyjson.Unmarshal([]byte(held.Body), r) == nil && r.Target == target {
+			return held
+		}
+		next := &Release{Target: target, Phase: InService, OverMs: over.Milliseconds(), Began: now.UnixMilli(), Number: r.Number + 1}
+		return pact.Value{Version: held.Version + 1, Body: next.text()}
+	}
+}
+
+// Decide ends a release that is under way. One that is decided stays as it is, so that of two decisions that race the
+// register keeps one.
+func Decide(number uint64, phase string) pact.Change {
+	return func(held pact.Value) pact.Value {
+		r := &Release{}
+		if held.Body == "" || easyjson.Unmarshal([]byte(held.Body), r) != nil || r.Number != number || r.Phase != InService {
+			return held
+		}
+		r.Phase = phase
+		return pact.Value{Version: held.Version + 1, Body: r.text()}
+	}
+}
+
+func (r *Release) text() string {
+	b, _ := easyjson.Marshal(r) // texts and whole numbers only: it cannot fail
+	return string(b)
+}
+
+// ReadRelease reads a release's register.
+func ReadRelease(v pact.Value) (*Release, bool) {
+	r := &Release{}
+	return r, v.Body != "" && easyjson.Unmarshal([]byte(v.Body), r) == nil
+}
+
+// Cap is the trial's attempts that may have been made when so many requests have reached the service since the order.
+func Cap(share, leeway, requests float64) float64 { return math.Max(0, share*requests+leeway) }
--- /dev/null
+++ b/relay/news.go
@@ -0,0 +1,312 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/mailru/easyjson"
+	"go.uber.org/zap"
+
+	"sagelever/lore"
+	"sagelever/pact"
+	"sagelever/plan"
+	"sagelever/steward"
+)
+
+const (
+	pullWait = 1200 * time.Millisecond // how long a pull waits for news
+	retry    = 100 * time.Millisecond
+)
+
+// news pulls from the core what this relay lacks, by the number that it has seen of each source, and holds the lease.
+type news struct {
+	r      *Relay
+	client *http.Client
+	life   string
+
+	mu      sync.Mutex
+	members map[string]steward.Member // by address
+	vector  map[string]uint64
+	at      map[string]string // the source that an address was last
+	tried   map[string]time.Time
+	now     string // the address pulled from
+	values  map[string]pact.Value
+	front   string
+	changed uint64
+	told    map[string]string
+	turns   uint64
+}
+
+func newNews(r *Relay) *news {
+	n := &news{r: r, life: r.settings.Node + "@" + strconv.FormatInt(time.Now().UnixNano(), 36),
+		members: map[string]steward.Member{}, vector: map[string]uint64{}, at: map[string]string{}, tried: map[string]time.Time{},
+		values: map[string]pact.Value{}, told: map[string]string{}, changed: uint64(time.Now().UnixMilli())}
+	n.client = &http.Client{Transport: &http.Transport{
+		DialContext:         patience.Dialer(time.Second).DialContext,
+		MaxIdleConnsPerHost: 2,
+		IdleConnTimeout:     20 * time.Second,
+		DisableCompression:  true,
+	}}
+	n.reload(r.settings.FirstContacts)
+	return n
+}
+
+// reload takes up control addresses of members.
+func (n *news) reload(contacts []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range contacts {
+		if host, _, err := net.SplitHostPort(c); err == nil {
+			addr := net.JoinHostPort(host, n.r.settings.Peer())
+			if _, known := n.members[addr]; !known {
+				n.members[addr] = steward.Member{Addr: addr}
+			}
+		}
+	}
+}
+
+// order lists the members to pull from: those that have not just failed, the near ones first.
+func (n *news) order() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	type place struct {
+		addr string
+		far  int
+	}
+	var list []place
+	for addr, m := range n.members {
+		far := 3
+		switch {
+		case m.Zone == n.r.settings.Zone:
+			far = 0
+		case m.Zone != "" && n.r.settings.Zones[m.Zone] == n.r.settings.Region:
+			far = 1
+		case m.Zone != "":
+			far = 2
+		}
+		if now.Sub(n.tried[addr]) < 2*time.Second {
+			far += 10
+		}
+		list = append(list, place{addr, far})
+	}
+	sort.Slice(list, func(i, j int) bool {
+		return list[i].far < list[j].far || list[i].far == list[j].far && list[i].addr < list[j].addr
+	})
+	out := make([]string, len(list))
+	for i, p := range list {
+		out[i] = p.addr
+	}
+	return out
+}
+
+// run pulls for as long as the relay works. A source that can't be reached, or does not hear most of the core, is left for
+// the next; it is come back to when it is near and some seconds have passed.
+func (n *news) run(ctx context.Context) {
+	var unsound string
+	for ctx.Err() == nil {
+		list := n.order()
+		if len(list) == 0 {
+			return
+		}
+		addr := list[0]
+		got, err := n.pull(ctx, addr, pullWait)
+		if err != nil {
+			n.fail(addr)
+			n.pause(ctx)
+			continue
+		}
+		if !got.Sound {
+			if unsound == "" {
+				n.r.log.Warn("the source does not hear most of the core", zap.String("source", got.Source))
+			}
+			unsound = addr
+			n.fail(addr)
+			n.pause(ctx)
+			continue
+		}
+		unsound = ""
+	}
+}
+
+func (n *news) pause(ctx context.Context) {
+	select {
+	case <-time.After(retry):
+	case <-ctx.Done():
+	}
+}
+
+func (n *news) fail(addr string) {
+	n.mu.Lock()
+	n.tried[addr] = time.Now()
+	n.mu.Unlock()
+}
+
+// call is this relay's word to the core.
+func (n *news) call(addr string, wait time.Duration) *steward.Pull {
+	front := ""
+	if n.r.ready() {
+		front = n.r.settings.Listens["front"]
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if front != n.front {
+		n.front = front
+		n.changed = max(n.changed+1, uint64(time.Now().UnixMilli()))
+	}
+	p := &steward.Pull{From: steward.Member{Node: n.r.settings.Node, Zone: n.r.settings.Zone}, Role: steward.Edge,
+		Vector: map[string]uint64{}, WaitMs: wait.Milliseconds(), Front: n.front, Life: n.changed}
+	if source := n.at[addr]; source != "" {
+		p.Vector[source] = n.vector[source]
+	}
+	return p
+}
+
+func (n *news) pull(ctx context.Context, addr string, wait time.Duration) (*steward.News, error) {
+	p := n.call(addr, wait)
+	body, err := easyjson.Marshal(p)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
+	defer cancel()
+	got := &steward.News{}
+	if err := steward.Post(ctx, n.client, addr, steward.PullPath, body, got); err != nil {
+		return nil, err
+	}
+	n.take(addr, got)
+	return got, nil
+}
+
+// take takes up news: the configuration as a table swapped whole, the appliances, and what others count of releases.
+func (n *news) take(addr string, got *steward.News) {
+	now := time.Now()
+	n.mu.Lock()
+	if old := n.at[addr]; old != got.Source {
+		delete(n.vector, old)
+	}
+	n.at[addr], n.vector[got.Source], n.now = got.Source, got.Seq, addr
+	for _, m := range got.Members {
+		n.members[m.Addr] = m
+	}
+	changed := false
+	for _, it := range got.Items {
+		if !strings.HasPrefix(it.Key, lore.RegKey) {
+			continue
+		}
+		e := pact.Entry{}
+		if easyjson.Unmarshal([]byte(it.Body), &e) != nil || !e.Chosen || e.Value.Version <= n.values[e.Key].Version {
+			continue // within one life no item goes back
+		}
+		n.values[e.Key] = e.Value
+		changed = true
+	}
+	var table *plan.Table
+	if changed || n.r.table.Load() == nil && got.Sound {
+		table = plan.NewTable(n.values)
+	}
+	n.mu.Unlock()
+	r := n.r
+	r.mu.Lock()
+	r.sway.Count(got.Agents, got.Here)
+	if table != nil {
+		r.sway.Configure(table, now)
+		r.table.Store(table)
+	}
+	all := map[string]bool{}
+	for _, it := range got.Items {
+		if id, ok := strings.CutPrefix(it.Key, lore.AppKey); ok {
+			if a, ok := lore.ReadApp(it); ok {
+				r.sway.Hear(id, a, now)
+				all[id] = true
+			}
+		} else if key, ok := strings.CutPrefix(it.Key, lore.TrialKey); ok {
+			if t, ok := lore.ReadTally(it); ok {
+				r.sway.Learn(key, t)
+			}
+		}
+	}
+	if got.Whole && got.Sound {
+		r.sway.Only(all, now)
+	}
+	if len(got.Items) > 0 {
+		r.sway.ServeAll(now)
+	}
+	r.mu.Unlock()
+	if table != nil && table.Limits != (plan.Bound{}) {
+		r.front.serve(table.Limits)
+	}
+	if got.Sound && !r.trusted.Load() {
+		r.trusted.Store(true)
+		r.log.Info("the configuration is whole", zap.Int("items", r.table.Load().Items))
+	}
+}
+
+// announce tells the core at once that the lease has changed.
+func (n *news) announce(ctx context.Context) {
+	n.mu.Lock()
+	addr := n.now
+	n.mu.Unlock()
+	if addr != "" {
+		go n.pull(ctx, addr, 0)
+	}
+}
+
+// end gives the lease back.
+func (n *news) end(ctx context.Context) {
+	n.mu.Lock()
+	addr := n.now
+	n.mu.Unlock()
+	if addr == "" {
+		return
+	}
+	p := n.call(addr, 0)
+	p.Ended = true
+	if body, err := easyjson.Marshal(p); err == nil {
+		ctx, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+		defer cancel()
+		_ = steward.Post(ctx, n.client, addr, steward.PullPath, body, nil)
+	}
+}
+
+// tell tells this relay's counts of releases, where they have changed.
+func (n *news) tell(ctx context.Context) {
+	n.r.mu.Lock()
+	tallies := n.r.sway.Tallies(n.life, time.Now())
+	n.r.mu.Unlock()
+	if len(tallies) == 0 {
+		return
+	}
+	n.mu.Lock()
+	addr := n.now
+	out := &steward.News{}
+	for service, t := range tallies {
+		n.turns++
+		it := t.Item(service, n.turns)
+		if n.told[service] != it.Body {
+			n.told[service] = it.Body
+			out.Items = append(out.Items, it)
+		}
+	}
+	n.mu.Unlock()
+	if addr == "" || len(out.Items) == 0 {
+		return
+	}
+	body, err := easyjson.Marshal(out)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if steward.Post(ctx, n.client, addr, steward.TallyPath, body, nil) != nil {
+		n.mu.Lock()
+		clear(n.told)
+		n.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/steward/outside.go
@@ -0,0 +1,454 @@
+package steward
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/mailru/easyjson"
+	"go.uber.org/zap"
+
+	"sagelever/boot"
+	"sagelever/lore"
+	"sagelever/pact"
+	"sagelever/plan"
+)
+
+const (
+	callTime     = 900 * time.Millisecond // callers give an agent a second
+	longestCall  = 16 << 20               // bytes of a configuration
+	longestPulse = 64 << 10
+	longestID    = 256
+)
+
+// outside is the tree of matchers for the calls of appliances and the operator.
+func (s *Steward) outside() http.Handler {
+	r := mux.NewRouter()
+	r.UseEncodedPath()
+	rpc := r.Path("/api/rpc").Methods(http.MethodPost).Subrouter()
+	on := func(call string, h func(http.ResponseWriter, *http.Request)) {
+		rpc.NewRoute().Queries("call", call).HandlerFunc(h)
+	}
+	on("servers.pulse", s.pulse)
+	on("servers.sign_off", s.signOff)
+	on("settings.change", s.change)
+	on("settings.read", s.readBack)
+	on("releases.begin", s.beginRelease)
+	on("releases.read", s.readRelease)
+	on("clear_out.begin", s.clear(true))
+	on("clear_out.finish", s.clear(false))
+	return r
+}
+
+// of is what a call is about; it answers 400 where there is nothing, or too much.
+func of(w http.ResponseWriter, r *http.Request) (string, bool) {
+	x := r.URL.Query().Get("of")
+	if x == "" || len(x) > longestID {
+		http.Error(w, "of: missing or too long", http.StatusBadRequest)
+		return "", false
+	}
+	return x, true
+}
+
+func body(w http.ResponseWriter, r *http.Request, most int64) ([]byte, bool) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	if err != nil {
+		status := http.StatusBadRequest
+		if _, long := err.(*http.MaxBytesError); long {
+			status = http.StatusRequestEntityTooLarge
+		}
+		http.Error(w, err.Error(), status)
+	}
+	return data, err == nil
+}
+
+func refuse(w http.ResponseWriter, err error) { http.Error(w, err.Error(), http.StatusBadRequest) }
+
+// later says that this agent can't do it now; another may.
+func later(w http.ResponseWriter, why string) {
+	w.Header().Set("Retry-After", "0.2")
+	http.Error(w, why, http.StatusServiceUnavailable)
+}
+
+func answerJSON(w http.ResponseWriter, data []byte) {
+	w.Header()["Date"] = nil
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(data)
+}
+
+// able answers 503 where this member lacks contact with the core.
+func (s *Steward) able(w http.ResponseWriter) bool {
+	s.mu.Lock()
+	ok := s.sound(s.now())
+	s.mu.Unlock()
+	if !ok {
+		later(w, "this agent does not hear most of the core")
+	}
+	return ok
+}
+
+// pulse takes an appliance's word of itself.
+func (s *Steward) pulse(w http.ResponseWriter, r *http.Request) {
+	id, ok := of(w, r)
+	if !ok {
+		return
+	}
+	data, ok := body(w, r, longestPulse)
+	if !ok {
+		return
+	}
+	p, err := lore.ReadPulse(data)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	if !s.able(w) {
+		return
+	}
+	s.mu.Lock()
+	s.hear(id, p)
+	next := s.nearest(p.Zone)
+	s.mu.Unlock()
+	if p.Phase == lore.Emptying {
+		ctx, cancel := context.WithTimeout(r.Context(), callTime)
+		defer cancel()
+		if !s.held(ctx, lore.AppKey+id) {
+			later(w, "no other agent holds this yet")
+			return
+		}
+	}
+	text, _ := json.Marshal(map[string]string{"nextBeatTo": next})
+	if next == "" {
+		text = []byte("{}")
+	}
+	answerJSON(w, text)
+}
+
+// hear merges a pulse; under the lock.
+func (s *Steward) hear(id string, p *lore.Pulse) {
+	key, now := lore.AppKey+id, s.now()
+	it, known := s.feed.Get(key)
+	if known && it.Version >= lore.Version(p.CallCount, false) {
+		return // late, or from a life that has left
+	}
+	held := s.apps[id]
+	if told, ok := lore.ReadApp(it); known && ok && (held == nil || told.Home != s.me.Node || told.Phase != held.Phase) {
+		held = told
+	}
+	next, app, news := lore.News(id, p, held, s.me.Node, now)
+	if news {
+		s.tell(next)
+	} else {
+		app.Heard = held.Heard // when it was last told
+	}
+	s.apps[id] = app
+	s.roll.Pulsed(id, now)
+}
+
+// nearest is where an appliance of a zone had best send its pulses: the member that stands there, while it is heard.
+// Under the lock.
+func (s *Steward) nearest(zone string) string {
+	_, port, err := net.SplitHostPort(s.settings.Listens["control"])
+	if err != nil || zone == s.me.Zone {
+		return ""
+	}
+	for node, m := range s.members {
+		if m.Zone == zone && s.heardOf(node, s.now()) {
+			host, _, err := net.SplitHostPort(m.Addr)
+			if err == nil {
+				return net.JoinHostPort(host, port)
+			}
+		}
+	}
+	return ""
+}
+
+func (s *Steward) signOff(w http.ResponseWriter, r *http.Request) {
+	id, ok := of(w, r)
+	if !ok || !s.able(w) {
+		return
+	}
+	key := lore.AppKey + id
+	s.mu.Lock()
+	it, known := s.feed.Get(key)
+	a, read := lore.ReadApp(it)
+	if !known || !read {
+		a = &lore.App{}
+	}
+	s.tell(a.WithPhase(id, lore.Left, lore.LeftVersion))
+	s.tombs[key] = s.now().Add(tomb)
+	s.roll.Unwatch(id)
+	delete(s.apps, id)
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(r.Context(), callTime)
+	defer cancel()
+	if !s.held(ctx, key) {
+		later(w, "no other agent holds this yet")
+	}
+}
+
+// change takes a configuration: whole and lasting, or not at all.
+func (s *Steward) change(w http.ResponseWriter, r *http.Request) {
+	data, ok := body(w, r, longestCall)
+	if !ok {
+		return
+	}
+	call, err := plan.ReadCall(data)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	sent, err := call.Values()
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	if !s.able(w) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), callTime+time.Duration(len(sent))*3*time.Millisecond)
+	defer cancel()
+	if err := s.sync(ctx); err != nil {
+		later(w, err.Error())
+		return
+	}
+	if err := plan.Check(s.values("item/"), sent); err != nil {
+		refuse(w, err)
+		return
+	}
+	changes := make(map[string]pact.Change, len(sent))
+	for key, v := range sent {
+		changes[key] = plan.Apply(v)
+	}
+	if _, err := s.decide(ctx, changes); err != nil {
+		later(w, err.Error())
+		return
+	}
+	answerJSON(w, []byte("{}"))
+}
+
+// readBack gives all items that stand, as the last of all that were acknowledged.
+func (s *Steward) readBack(w http.ResponseWriter, r *http.Request) {
+	if !s.able(w) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), callTime)
+	defer cancel()
+	if err := s.sync(ctx); err != nil {
+		later(w, err.Error())
+		return
+	}
+	out := plan.Items{Items: []plan.Item{}}
+	for key, v := range s.values("item/") {
+		if kind, name, ok := plan.SplitKey(key); ok && !v.Gone {
+			out.Items = append(out.Items, plan.Item{Type: kind, Metadata: plan.Meta{Name: name, Version: plan.FormatVersion(v.Version)}, Body: json.RawMessage(v.Body)})
+		}
+	}
+	sort.Slice(out.Items, func(i, j int) bool {
+		a, b := out.Items[i], out.Items[j]
+		return a.Type < b.Type || a.Type == b.Type && a.Metadata.Name < b.Metadata.Name
+	})
+	data, err := easyjson.Marshal(out)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	answerJSON(w, data)
+}
+
+// clear begins or ends the clearing out of a zone.
+func (s *Steward) clear(on bool) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
+		zone, ok := of(w, r)
+		if !ok {
+			return
+		}
+		if _, known := s.settings.Zones[zone]; !known {
+			http.Error(w, "of: there is no such zone", http.StatusNotFound)
+			return
+		}
+		s.order(w, r, map[string]pact.Change{plan.ClearedKey(zone): plan.Clear(on)})
+	}
+}
+
+// order makes a change lasting and answers.
+func (s *Steward) order(w http.ResponseWriter, r *http.Request, changes map[string]pact.Change) {
+	if !s.able(w) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), callTime)
+	defer cancel()
+	if _, err := s.decide(ctx, changes); err != nil {
+		later(w, err.Error())
+		return
+	}
+	answerJSON(w, []byte("{}"))
+}
+
+func (s *Steward) beginRelease(w http.ResponseWriter, r *http.Request) {
+	data, ok := body(w, r, longestPulse)
+	if !ok {
+		return
+	}
+	o := &plan.Order{}
+	if err := easyjson.Unmarshal(data, o); err != nil {
+		refuse(w, err)
+		return
+	}
+	over, err := boot.Span(o.Over)
+	if err != nil || over == 0 || o.Service == "" || o.Target == "" {
+		http.Error(w, "service, target, over: want a service, a version and a time", http.StatusBadRequest)
+		return
+	}
+	s.order(w, r, map[string]pact.Change{plan.ReleaseKey(o.Service): plan.Begin(o.Target, over, s.now())})
+}
+
+// readRelease tells a release's phase. What is told has been chosen, so that no one is ever told otherwise.
+func (s *Steward) readRelease(w http.ResponseWriter, r *http.Request) {
+	service, ok := of(w, r)
+	if !ok || !s.able(w) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), callTime)
+	defer cancel()
+	if err := s.sync(ctx); err != nil {
+		later(w, err.Error())
+		return
+	}
+	key := plan.ReleaseKey(service)
+	s.mu.Lock()
+	e := s.acceptor.Get(key)
+	s.mu.Unlock()
+	if e.Accepted != (pact.Ballot{}) && !e.Chosen {
+		values, err := s.decide(ctx, map[string]pact.Change{key: func(held pact.Value) pact.Value { return held }})
+		if err != nil {
+			later(w, err.Error())
+			return
+		}
+		e.Value = values[key]
+	}
+	rel, ok := plan.ReadRelease(e.Value)
+	if !ok {
+		http.Error(w, "there is no release of this service", http.StatusNotFound)
+		return
+	}
+	text, _ := json.Marshal(map[string]string{"phase": rel.Phase, "target": rel.Target})
+	answerJSON(w, text)
+}
+
+// countVotes decides the releases on which the agents' votes say so.
+func (s *Steward) countVotes() {
+	s.mu.Lock()
+	due := map[string]pact.Change{}
+	for service, phase := range s.voted() {
+		e := s.acceptor.Get(plan.ReleaseKey(service))
+		rel, ok := plan.ReadRelease(e.Value)
+		if ok && rel.Phase == plan.InService && !s.deciding[service] {
+			due[service] = plan.Decide(rel.Number, phase)
+			s.deciding[service] = true
+			s.log.Info("release decided by votes", zap.String("service", service), zap.String("phase", phase))
+		}
+	}
+	s.mu.Unlock()
+	for service, change := range due {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 4*callTime)
+			defer cancel()
+			_, _ = s.decide(ctx, map[string]pact.Change{plan.ReleaseKey(service): change}) // the votes stand, and come again
+			s.mu.Lock()
+			delete(s.deciding, service)
+			s.mu.Unlock()
+		}()
+	}
+}
+
+// voted is what the votes known here add up to, by service; under the lock.
+func (s *Steward) voted() map[string]string {
+	tallies := map[string][]*lore.Tally{}
+	s.feed.Each(lore.TrialKey, func(it lore.Item) {
+		service, _, _ := strings.Cut(it.Key[len(lore.TrialKey):], "/")
+		if t, ok := lore.ReadTally(it); ok {
+			tallies[service] = append(tallies[service], t)
+		}
+	})
+	out := map[string]string{}
+	for service, list := range tallies {
+		rel, ok := plan.ReadRelease(s.acceptor.Get(plan.ReleaseKey(service)).Value)
+		if !ok || rel.Phase != plan.InService {
+			continue
+		}
+		if phase := plan.Count(rel.Number, list); phase != "" {
+			out[service] = phase
+		}
+	}
+	return out
+}
+
+// directory answers clients that look for an agent.
+func (s *Steward) directory() http.Handler {
+	r := mux.NewRouter()
+	r.Path("/api/lookup").Methods(http.MethodGet).HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		q := r.URL.Query()
+		s.mu.Lock()
+		fronts := s.fronts(q.Get("zone"), q.Get("region"))
+		s.mu.Unlock()
+		if len(fronts) == 0 {
+			later(w, "no agent is ready")
+			return
+		}
+		var b bytes.Buffer
+		b.WriteString(`{"addresses":["`)
+		b.WriteString(strings.Join(fronts, `","`))
+		b.WriteString(`"],"valid":"`)
+		b.WriteString(min(valid, max(s.settings.Bounds.LongestValid, time.Second)).String())
+		b.WriteString(`"}`)
+		answerJSON(w, b.Bytes())
+	})
+	return r
+}
+
+const (
+	valid     = 3 * time.Second // how long clients keep an answer: as long as a lost agent stays in some
+	mostTold  = 64              // addresses in an answer
+	farFronts = 1               // agents of the same region told besides, where a zone has only one
+)
+
+// fronts lists where clients of a zone should go: to the agents there, and where those are one or none, to others of the
+// region, then to any. Under the lock.
+func (s *Steward) fronts(zone, region string) []string {
+	now := s.now()
+	var near, mid, far []string
+	s.feed.Each(lore.LeaseKey, func(it lore.Item) {
+		l, ok := lore.ReadLease(it)
+		if !ok || l.Ended || l.Front == "" || l.Role != Edge {
+			return
+		}
+		if l.Home == s.me.Node && !s.roll.Granted(it.Key) || !s.heardOf(l.Home, now) {
+			return
+		}
+		switch {
+		case l.Zone == zone:
+			near = append(near, l.Front)
+		case s.settings.Zones[l.Zone] == region:
+			mid = append(mid, l.Front)
+		default:
+			far = append(far, l.Front)
+		}
+	})
+	sort.Strings(mid)
+	out := near
+	if len(out) == 0 {
+		out = mid
+	}
+	if len(out) == 0 {
+		out = far
+	}
+	return out[:min(len(out), mostTold)]
+}
--- /dev/null
+++ b/steward/steward.go
@@ -0,0 +1,311 @@
+// Package steward is the control plane of one machine: a member of the core. It keeps the lasting registers (pact, vault),
+// hears the appliances' pulses, grants leases, tells news to whoever pulls it, and answers the operator and clients that
+// look for agents.
+package steward
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/mailru/easyjson"
+	"go.uber.org/zap"
+
+	"sagelever/boot"
+	"sagelever/lore"
+	"sagelever/pact"
+	"sagelever/strand"
+	"sagelever/vault"
+)
+
+const (
+	leaseTerm = 2500 * time.Millisecond // an agent pulls again at once, and after pullWait at the latest
+	pullWait  = 1200 * time.Millisecond // how long an edge agent's pull waits for news
+	coreWait  = 2 * time.Second         // the same between members; bytes between regions are dear
+	heard     = 3 * time.Second         // a member counts as heard for so long after its last answer: coreWait and a second
+	memory    = 30 * time.Second        // an agent that is gone counts into n for so long: longer than a request lasts
+	tomb      = 60 * time.Second        // a life that has left is remembered for so long: longer than a late pulse takes
+	tick      = 250 * time.Millisecond
+	gather    = 15 * time.Millisecond // news is held for so long, so that what comes together goes together
+	patience  = strand.Patience(1500 * time.Millisecond)
+)
+
+// Options of a steward.
+type Options struct {
+	Settings *boot.Settings
+	PerZone  int // members of the core in each zone, as the deploy file has it
+	Log      *zap.Logger
+	Now      func() time.Time // the time of day; time.Now where nil
+}
+
+// Steward is one member.
+type Steward struct {
+	settings *boot.Settings
+	log      *zap.Logger
+	now      func() time.Time
+	n, f     int
+	disk     *vault.Vault
+	calls    *caller
+	me       Member
+
+	mu        sync.Mutex
+	acceptor  *pact.Acceptor
+	caught    bool
+	open      map[string]time.Time // registers held without a known end, and when to bring them to one
+	feed      *lore.Feed
+	roll      *lore.Roll
+	news      chan struct{} // closed when the feed has news
+	due       bool
+	members   map[string]*member
+	reach     map[string]map[string]uint64 // by source's key: what each puller has of this feed
+	tombs     map[string]time.Time
+	apps      map[string]*lore.App // the newest of what pulses here have said
+	contacts  []string             // control addresses of some members
+	deciding  map[string]bool      // services whose release is being decided
+	diskFails fails
+}
+
+type member struct {
+	Member
+	source string
+	seq    uint64
+	heard  time.Time
+}
+
+// New opens a steward's state. A disk that is empty though the system has run before is one that was lost.
+func New(o Options) (*Steward, error) {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	c := o.Settings
+	folder := c.DataFolder
+	if folder == "" {
+		dir, err := os.MkdirTemp("", "steward")
+		if err != nil {
+			return nil, err
+		}
+		folder = dir
+	}
+	disk, err := vault.Open(folder)
+	if err != nil {
+		return nil, err
+	}
+	s := &Steward{settings: c, log: o.Log, now: o.Now, n: c.CoreSize(o.PerZone), f: c.Lost(o.PerZone), disk: disk,
+		calls: newCaller(), me: Member{c.Node, c.Zone, net.JoinHostPort(c.IP, c.Peer())},
+		open: map[string]time.Time{}, news: make(chan struct{}), members: map[string]*member{},
+		reach: map[string]map[string]uint64{}, tombs: map[string]time.Time{}, apps: map[string]*lore.App{},
+		deciding: map[string]bool{}, contacts: c.FirstContacts}
+	s.diskFails.log = o.Log
+	s.feed = lore.NewFeed(c.Node + "@" + strconv.FormatInt(o.Now().UnixNano(), 36))
+	s.roll = lore.NewRoll(leaseTerm, memory)
+	if s.n <= 2*s.f {
+		disk.Close()
+		return nil, errors.Errorf("a core of %d can't bear the loss of %d", s.n, s.f)
+	}
+	var entries []pact.Entry
+	for _, text := range disk.Load(entryKey) {
+		e := pact.Entry{}
+		if err := easyjson.Unmarshal([]byte(text), &e); err != nil {
+			return nil, errors.Wrap(err, "an entry on the disk")
+		}
+		entries = append(entries, e)
+	}
+	floor := &Ask{}
+	if text, ok := disk.Load(floorKey)[""]; ok {
+		if err := easyjson.Unmarshal([]byte(text), floor); err != nil {
+			return nil, errors.Wrap(err, "the floor on the disk")
+		}
+	}
+	s.acceptor = pact.NewAcceptor(entries, floor.Ballot)
+	_, born := disk.Load(bornKey)[""]
+	if !born && c.FreshStart {
+		if err := disk.Put(map[string]string{bornKey: "first start"}); err != nil {
+			return nil, err
+		}
+		born = true
+	}
+	s.caught = born
+	for _, e := range s.acceptor.All() {
+		if e.Chosen {
+			s.publish(e)
+		} else {
+			s.open[e.Key] = s.now().Add(settle)
+		}
+	}
+	s.log.Info("state read", zap.Int("registers", len(entries)), zap.Bool("caughtUp", born), zap.Int64("cut", disk.Cut),
+		zap.Int("core", s.n), zap.Int("mayLose", s.f))
+	return s, nil
+}
+
+// Run serves until the context ends, and then for a while, so that callers find others.
+func (s *Steward) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var servers []*http.Server
+	for name, h := range map[string]http.Handler{
+		net.JoinHostPort(s.settings.IP, s.settings.Peer()): s.inside(),
+		s.settings.Listens["control"]:                      s.outside(),
+		s.settings.Listens["directory"]:                    s.directory(),
+	} {
+		if name == "" {
+			continue
+		}
+		l, err := patience.Listen(name)
+		if err != nil {
+			return errors.Wrap(err, "steward")
+		}
+		srv := &http.Server{Handler: h, ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 30 * time.Second, ErrorLog: zap.NewStdLog(s.log)}
+		servers = append(servers, srv)
+		go srv.Serve(l)
+	}
+	s.mu.Lock()
+	caught := s.caught
+	s.mu.Unlock()
+	if !caught {
+		go s.catchUp(work)
+	}
+	go s.find(work)
+	go func() {
+		for t := time.NewTicker(tick); ; {
+			select {
+			case <-t.C:
+				s.minute()
+				s.repair(work)
+			case <-work.Done():
+				t.Stop()
+				return
+			}
+		}
+	}()
+	s.log.Info("steward started", zap.String("node", s.settings.Node))
+	<-ctx.Done()
+	end, cancel := context.WithTimeout(work, time.Second)
+	defer cancel()
+	for _, srv := range servers {
+		srv.Shutdown(end)
+	}
+	stop()
+	return s.disk.Close()
+}
+
+// luck spreads what several members would do at one moment.
+func (s *Steward) luck() float64 {
+	return rand.Float64()
+}
+
+// tell merges an item and wakes those who wait for news; under the lock.
+func (s *Steward) tell(it lore.Item) bool {
+	if !s.feed.Merge(it) {
+		return false
+	}
+	if !s.due {
+		s.due = true
+		time.AfterFunc(gather, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.due = false
+			close(s.news)
+			s.news = make(chan struct{})
+		})
+	}
+	return true
+}
+
+// minute does what time brings: leases that ran out, appliances fallen silent, lives long gone.
+func (s *Steward) minute() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	for _, key := range s.roll.Lapsed(now) {
+		if it, ok := s.feed.Get(key); ok {
+			if l, ok := lore.ReadLease(it); ok && l.Home == s.me.Node && !l.Ended {
+				l.Ended, l.Front = true, ""
+				s.tell(l.Item(it.Version + 1))
+				s.log.Info("lease ran out", zap.String("agent", l.Node), zap.String("role", l.Role))
+			}
+		}
+	}
+	silence := 2*s.settings.Bounds.Pulse + s.settings.Bounds.Pulse/2
+	for _, id := range s.roll.Silent(silence, now) {
+		key := lore.AppKey + id
+		it, ok := s.feed.Get(key)
+		a, read := lore.ReadApp(it)
+		delete(s.apps, id)
+		if !ok || !read || a.Home != s.me.Node || a.Phase == lore.Left {
+			continue
+		}
+		s.tell(a.WithPhase(id, lore.Silent, it.Version|1))
+		s.tombs[key] = now.Add(tomb)
+	}
+	s.feed.Each(lore.LeaseKey, func(it lore.Item) {
+		if l, ok := lore.ReadLease(it); ok && !l.Ended && s.heardOf(l.Home, now) && l.Role == Edge {
+			s.roll.Hold(it.Key, l.Zone, now)
+		}
+	})
+	for key, at := range s.tombs {
+		if now.After(at) {
+			delete(s.tombs, key)
+			if it, ok := s.feed.Get(key); ok {
+				if a, ok := lore.ReadApp(it); ok && (a.Phase == lore.Left || a.Phase == lore.Silent) {
+					s.feed.Drop(key)
+				}
+			}
+		}
+	}
+}
+
+// heardOf tells whether a member has answered lately; under the lock.
+func (s *Steward) heardOf(node string, now time.Time) bool {
+	if node == s.me.Node {
+		return true
+	}
+	m := s.members[node]
+	return m != nil && now.Sub(m.heard) < heard
+}
+
+// sound tells whether what this member says may be relied on: it has caught up, and hears more than half of the core. A
+// member that does not may lack what the others have acknowledged. Under the lock.
+func (s *Steward) sound(now time.Time) bool {
+	near := 1
+	for node := range s.members {
+		if s.heardOf(node, now) {
+			near++
+		}
+	}
+	return s.caught && 2*near > s.n
+}
+
+// fails counts failures of the disk and says when they begin and end.
+type fails struct {
+	mu  sync.Mutex
+	n   int
+	log *zap.Logger
+}
+
+func (f *fails) note(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err == nil {
+		if f.n > 0 && f.log != nil {
+			f.log.Info("the disk takes writes again", zap.Int("failed", f.n))
+		}
+		f.n = 0
+		return
+	}
+	if f.n++; f.n == 1 && f.log != nil {
+		f.log.Warn("the disk takes no writes", zap.Error(err))
+	}
+}
+
+// Reload takes the first contacts of changed settings; all else is taken at the next start.
+func (s *Steward) Reload(c *boot.Settings) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.contacts = c.FirstContacts
+}
--- a/httpagent/waits_other.go
+++ b/strand/waits_other.go
@@ -1,6 +1,6 @@
 //go:build !unix
 
-package httpagent
+package strand
 
 import "net"
 
--- /dev/null
+++ b/sway/sway.go
@@ -0,0 +1,426 @@
+// Package sway holds what a relay decides on each request: which appliance gets it and when, whether it may be sent again,
+// how fast a cold appliance is fed, and which build serves while a release is under way. It is pure: the time and the luck
+// are handed in, and whoever calls guards it against two calls at once.
+package sway
+
+import (
+	"sort"
+	"time"
+
+	"sagelever/boot"
+	"sagelever/gauge"
+	"sagelever/lore"
+	"sagelever/plan"
+	"sagelever/verdict"
+)
+
+// App is an appliance as this relay sees it.
+type App struct {
+	ID string
+	lore.App
+	Out   int // requests of this relay that are out there
+	Far   int // 0 in this zone, 1 in this region, 2 beyond
+	known time.Time
+	cold  time.Time // until when it is cold
+	next  time.Time // when a cold one may be sent the next request
+	doubt doubt
+	took  gauge.Mean // answer times against what the route usually takes
+}
+
+// Request is one client's try.
+type Request struct {
+	Way      *plan.Way
+	Service  string
+	Arrived  time.Time
+	Deadline time.Time
+	Sends    int             // to appliances, so far
+	Arrivals int             // of these, the ones that reached their appliance or may have
+	Verdict  verdict.Verdict // over all sends; NeverRan while there is none
+	tried    []string
+	trial    bool // the send that is out goes to the build on trial
+	waits    bool
+	Granted  chan *App // gets the appliance when a place comes free; it has room for one
+}
+
+// service is what is kept for each service.
+type service struct {
+	apps   []*App
+	queue  []*Request
+	tokens float64 // further tries that are left
+	trial  *trial
+	usual  gauge.Mean // seconds that an answer takes
+	builds string     // the build in force, as far as it is known
+}
+
+// Sway is a relay's view.
+type Sway struct {
+	node     string
+	zone     string
+	region   string
+	zones    map[string]string
+	bounds   boot.Bounds
+	luck     func() float64
+	table    *plan.Table
+	apps     map[string]*App
+	services map[string]*service
+	agents   int // n, never below what it is
+	here     int // agents in this zone
+	tallies  map[string]*lore.Tally
+}
+
+// New begins a view that knows nothing.
+func New(c *boot.Settings, luck func() float64) *Sway {
+	return &Sway{node: c.Node, zone: c.Zone, region: c.Region, zones: c.Zones, bounds: c.Bounds, luck: luck,
+		apps: map[string]*App{}, services: map[string]*service{}, tallies: map[string]*lore.Tally{}}
+}
+
+// Count takes n, the agents that may be sending, and how many of them stand in this zone.
+func (s *Sway) Count(agents, here int) { s.agents, s.here = max(agents, 1), max(here, 1) }
+
+// Configure takes a new table.
+func (s *Sway) Configure(t *plan.Table, now time.Time) {
+	old := s.table
+	s.table = t
+	for name := range t.Services {
+		s.of(name)
+	}
+	for name := range s.services {
+		if t.Services[name] == nil && len(s.services[name].queue) == 0 && len(s.services[name].apps) == 0 {
+			delete(s.services, name)
+		}
+	}
+	for name, r := range t.Releases {
+		s.of(name).follow(r, now)
+	}
+	if old != nil {
+		for zone := range old.Cleared {
+			if old.Cleared[zone] && !t.Cleared[zone] {
+				s.taken(zone, now)
+			}
+		}
+	}
+}
+
+// taken guards against a zone whose appliances went cold while nothing was sent to them: until their pulses have had time
+// to say so they count as cold.
+func (s *Sway) taken(zone string, now time.Time) {
+	for _, a := range s.apps {
+		if a.Zone == zone {
+			a.freeze(now.Add(s.warmUp(a.Service)+2*s.bounds.Pulse), now)
+		}
+	}
+}
+
+func (s *Sway) warmUp(service string) time.Duration {
+	if s.table != nil {
+		if b := s.table.Services[service]; b != nil {
+			return b.WarmUp
+		}
+	}
+	return 0
+}
+
+func (a *App) freeze(until, now time.Time) {
+	if until.After(a.cold) {
+		if !a.cold.After(now) {
+			a.next = now
+		}
+		a.cold = until
+	}
+}
+
+func (s *Sway) of(name string) *service {
+	x := s.services[name]
+	if x == nil {
+		x = &service{}
+		s.services[name] = x
+	}
+	return x
+}
+
+// Hear takes what the core tells of an appliance.
+func (s *Sway) Hear(id string, told *lore.App, now time.Time) {
+	a := s.apps[id]
+	if told.Phase == lore.Left {
+		s.forget(id)
+		return
+	}
+	if a == nil {
+		a = &App{ID: id, known: now}
+		s.apps[id] = a
+		x := s.of(told.Service)
+		x.apps = append(x.apps, a)
+		sort.Slice(x.apps, func(i, j int) bool { return x.apps[i].ID < x.apps[j].ID })
+	}
+	a.App = *told
+	switch {
+	case told.Zone == s.zone:
+		a.Far = 0
+	case s.zones[told.Zone] == s.region:
+		a.Far = 1
+	default:
+		a.Far = 2
+	}
+	if warm := time.UnixMilli(told.Warm).Add(clocks); told.Warm != 0 && warm.After(now) {
+		a.freeze(warm, now)
+	} else if told.Warm == 0 && told.Phase == lore.Ready && a.doubt.since.Before(time.UnixMilli(told.Heard).Add(-clocks)) {
+		a.cold = time.Time{} // its own word, and newer than what made us doubt
+	}
+	if told.Phase == lore.Silent {
+		a.doubt.silent(now)
+	}
+}
+
+// clocks is by how far the times of day of two machines may stand apart, as the pages call them close.
+const clocks = 250 * time.Millisecond
+
+func (s *Sway) forget(id string) {
+	a := s.apps[id]
+	if a == nil {
+		return
+	}
+	delete(s.apps, id)
+	x := s.services[a.Service]
+	for i, other := range x.apps {
+		if other == a {
+			x.apps = append(x.apps[:i:i], x.apps[i+1:]...)
+			break
+		}
+	}
+}
+
+// Only keeps just the appliances that a source names which has told all that it knows; what it lacks and was heard of
+// lately stays, as news may come by another way.
+func (s *Sway) Only(ids map[string]bool, now time.Time) {
+	for id, a := range s.apps {
+		if !ids[id] && now.Sub(a.known) > 10*s.bounds.Pulse {
+			s.forget(id)
+		}
+	}
+}
+
+// App is an appliance by its id.
+func (s *Sway) App(id string) *App { return s.apps[id] }
+
+// Take counts a request that a client has sent for a service, and says which service that is.
+func (s *Sway) Take(r *Request, now time.Time) {
+	r.Service = r.Way.Pick(s.luck())
+	r.Verdict = verdict.NeverRan
+	x := s.of(r.Service)
+	x.earn(s.bounds, s.agents)
+	if x.trial != nil {
+		x.trial.reached++
+	}
+}
+
+// Pick chooses where a request goes now; nil where it has to wait for a place.
+func (s *Sway) Pick(r *Request, now time.Time) *App {
+	x := s.of(r.Service)
+	arm, bound := s.arm(x, r, now)
+	if a := s.best(x, r, arm, now); a != nil {
+		return s.send(x, r, a, now)
+	}
+	if !bound { // a build without a place yields to the other
+		if a := s.best(x, r, 1-arm, now); a != nil {
+			return s.send(x, r, a, now)
+		}
+	}
+	return nil
+}
+
+// Wait puts a request into the line for a place.
+func (s *Sway) Wait(r *Request) {
+	x := s.of(r.Service)
+	r.waits = true
+	x.queue = append(x.queue, r)
+}
+
+// Leave takes a request out of the line; false where a place was granted just before.
+func (s *Sway) Leave(r *Request) bool {
+	if !r.waits {
+		return false
+	}
+	r.waits = false
+	x := s.of(r.Service)
+	for i, other := range x.queue {
+		if other == r {
+			x.queue = append(x.queue[:i:i], x.queue[i+1:]...)
+			break
+		}
+	}
+	return true
+}
+
+// Serve gives places to those who wait for a service: rank first, then who came first.
+func (s *Sway) Serve(name string, now time.Time) {
+	x := s.services[name]
+	if x == nil || len(x.queue) == 0 {
+		return
+	}
+	sort.SliceStable(x.queue, func(i, j int) bool {
+		a, b := x.queue[i], x.queue[j]
+		return a.Way.Rank < b.Way.Rank || a.Way.Rank == b.Way.Rank && a.Arrived.Before(b.Arrived)
+	})
+	var left []*Request
+	for _, r := range x.queue {
+		if a := s.Pick(r, now); a != nil {
+			r.waits = false
+			r.Granted <- a
+		} else {
+			left = append(left, r)
+		}
+	}
+	x.queue = left
+}
+
+// ServeAll is Serve for all services.
+func (s *Sway) ServeAll(now time.Time) {
+	for name := range s.services {
+		s.Serve(name, now)
+	}
+}
+
+// best is the appliance of a build with the least cost, of those that may have the request.
+func (s *Sway) best(x *service, r *Request, arm int, now time.Time) *App {
+	var best *App
+	least := 0.0
+	for _, a := range x.apps {
+		if !s.may(x, r, a, arm, now) {
+			continue
+		}
+		c := s.cost(a, now)
+		if best == nil || c < least {
+			best, least = a, c
+		}
+	}
+	return best
+}
+
+// may tells whether an appliance may have a request now.
+func (s *Sway) may(x *service, r *Request, a *App, arm int, now time.Time) bool {
+	if a.Phase != lore.Ready && a.Phase != lore.Silent || s.table.Cleared[a.Zone] || x.armOf(a) != arm {
+		return false
+	}
+	if r.Way.Homes != nil && !r.Way.Homes[s.zones[a.Zone]] {
+		return false
+	}
+	for _, id := range r.tried {
+		if id == a.ID {
+			return false
+		}
+	}
+	if a.Out >= s.room(a) || !a.doubt.open(a, r, now) {
+		return false
+	}
+	if a.cold.After(now) {
+		return a.Far == 0 && !a.next.After(now)
+	}
+	return true
+}
+
+// room is how many requests of this relay may be out at an appliance. An appliance works on capacity at once and queues a
+// few more; what it can't queue it may never answer. The relays of a zone share its appliances, each a part and a little
+// for chance; those from elsewhere come only when their own are full.
+func (s *Sway) room(a *App) int {
+	switch a.Far {
+	case 0:
+		k := max(s.here, 1)
+		return (a.Capacity*7/4+k-1)/k + 1
+	case 1:
+		return max(1, (a.Capacity+1)/2)
+	}
+	return max(1, (a.Capacity+2)/3)
+}
+
+// cost is what one more request at an appliance costs, in times of work: what it waits there, and how far it goes, as
+// bytes between zones and regions are dear.
+func (s *Sway) cost(a *App, now time.Time) float64 {
+	part := float64(a.Capacity)
+	if a.Far == 0 {
+		part /= float64(max(s.here, 1))
+	}
+	load := float64(a.Out+1) / part
+	c := 0.2*load + max(0, load-1)
+	c += [...]float64{0, 0.7, 1.6}[a.Far]
+	if a.Far == 2 && s.table != nil && a.Out > 0 {
+		c += 0.2 // what is far is spread: others far from it think the same
+	}
+	c *= max(1, a.took.Read(clock(now), usualHalf, 1, 4))
+	if a.Phase == lore.Silent {
+		c += 3
+	}
+	return c + 0.05*s.luck()
+}
+
+// send notes that a request goes to an appliance.
+func (s *Sway) send(x *service, r *Request, a *App, now time.Time) *App {
+	a.Out++
+	r.Sends++
+	r.tried = append(r.tried, a.ID)
+	a.doubt.sent(now)
+	if a.cold.After(now) {
+		a.next = now.Add(s.coldGap(a))
+	}
+	r.trial = x.pick(a)
+	return a
+}
+
+// coldGap is the time between two requests to a cold appliance. The relays of its zone alone feed it, each at its part of
+// the rate; in any second that is the rate and one more from each, within what the excess and the leeway allow.
+func (s *Sway) coldGap(a *App) time.Duration {
+	rate := 0.0
+	if b := s.table.Services[a.Service]; b != nil {
+		rate = b.WarmRate
+	}
+	if rate <= 0 {
+		return time.Second
+	}
+	return time.Duration(float64(max(s.here, 1)) / rate * float64(time.Second))
+}
+
+// Outcome is how a send ended.
+type Outcome struct {
+	Verdict verdict.Verdict
+	Status  int  // of the appliance's answer, 0 where there is none
+	Served  bool // a success with its stamp and its whole body
+	Dialled bool // a connection was there
+	Ours    bool // we broke it off: its client is gone, or its time is over
+	Late    bool // its time was over before it was answered
+	Took    time.Duration
+}
+
+// Ended takes the outcome of a send.
+func (s *Sway) Ended(r *Request, a *App, o Outcome, now time.Time) {
+	a.Out--
+	x := s.of(r.Service)
+	r.Verdict = verdict.Join(r.Verdict, o.Verdict)
+	if o.Dialled {
+		r.Arrivals++
+	}
+	a.doubt.ended(a, o, now)
+	if o.Status == 421 {
+		s.forget(a.ID)
+	}
+	if o.Served {
+		usual := x.usual.Read(clock(now), usualHalf, o.Took.Seconds(), 1)
+		x.usual.Add(clock(now), usualHalf, o.Took.Seconds())
+		if usual > 0 {
+			a.took.Add(clock(now), usualHalf, min(o.Took.Seconds()/usual, 10))
+		}
+	}
+	if x.trial != nil {
+		x.trial.outcome(r, o)
+	}
+	s.Serve(r.Service, now)
+}
+
+const usualHalf = 5 * time.Second
+
+var epoch = time.Unix(0, 0)
+
+func clock(now time.Time) time.Duration { return now.Sub(epoch) }
+
+// Usual is how long an answer of a service takes of late; 0 where none is known.
+func (s *Sway) Usual(name string, now time.Time) time.Duration {
+	return time.Duration(s.of(name).usual.Read(clock(now), usualHalf, 0, 0.001) * float64(time.Second))
+}
