--- a/pact/pact.go
+++ b/pact/pact.go
@@ -32,7 +32,7 @@
 	Promised Ballot `json:"p"`
 	Accepted Ballot `json:"a"`
 	Value    Value  `json:"x"`
-	Chosen   bool   `json:"c,omitempty"`
+	Chosen   bool   `json:"c,omitempty"` // the value is known to be chosen, under this ballot or one before
 }
 
 // Acceptor is one member's registers.
@@ -123,7 +123,9 @@
 			e = &Entry{Key: v.Key}
 			a.regs[v.Key] = e
 		}
-		*e = Entry{Key: v.Key, Promised: b, Accepted: b, Value: v.Value}
+		// What is known to be chosen stays so when it is written again under a later ballot, or each who does that would
+		// leave all others in doubt.
+		*e = Entry{Key: v.Key, Promised: b, Accepted: b, Value: v.Value, Chosen: e.Chosen && e.Value == v.Value}
 		changed = append(changed, *e)
 	}
 	return changed, Ballot{}
@@ -141,8 +143,8 @@
 		a.Seen(n.Accepted)
 		switch {
 		case e.Accepted.Less(n.Accepted):
-			e.Accepted, e.Value, e.Chosen = n.Accepted, n.Value, n.Chosen
-		case e.Accepted == n.Accepted && n.Chosen && !e.Chosen && n.Accepted != (Ballot{}):
+			e.Accepted, e.Value, e.Chosen = n.Accepted, n.Value, n.Chosen || e.Chosen && e.Value == n.Value
+		case n.Chosen && !e.Chosen && e.Value == n.Value && n.Accepted != (Ballot{}):
 			e.Chosen = true
 		default:
 			continue
