--- a/relay/news.go
+++ b/relay/news.go
@@ -47,12 +47,7 @@
 	n := &news{r: r, life: r.settings.Node + "@" + strconv.FormatInt(time.Now().UnixNano(), 36),
 		members: map[string]steward.Member{}, vector: map[string]uint64{}, at: map[string]string{}, tried: map[string]time.Time{},
 		values: map[string]pact.Value{}, told: map[string]string{}, changed: uint64(time.Now().UnixMilli())}
-	n.client = &http.Client{Transport: &http.Transport{
-		DialContext:         patience.Dialer(time.Second).DialContext,
-		MaxIdleConnsPerHost: 2,
-		IdleConnTimeout:     20 * time.Second,
-		DisableCompression:  true,
-	}}
+	n.client = steward.Client()
 	n.reload(r.settings.FirstContacts)
 	return n
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -79,7 +79,7 @@
 	dialTime = 600 * time.Millisecond // some times the way between regions and back, and a lost packet's second try not
 	idle     = 4 * time.Second        // appliances close idle connections later than this unless they say otherwise
 	beat     = 20 * time.Millisecond  // in which those who wait for a place are looked at
-	telling  = 250 * time.Millisecond // in which counts of a release are told
+	telling  = time.Second            // in which counts of a release are told
 )
 
 // Run serves until the context ends, and then as long as clients and what is under way need.
@@ -151,6 +151,7 @@
 // counts are told in the log every so often, and nothing else of a request is.
 type counts struct {
 	taken, served, refused, failed, dials, again, waited, cut atomic.Int64
+	far, farBytes                                             [3]atomic.Int64 // sends and their bytes: in the zone, the region, beyond
 }
 
 func (c *counts) write(log *zap.Logger) {
@@ -159,8 +160,11 @@
 	}
 	log.Info("counts", zap.Int64("taken", c.taken.Load()), zap.Int64("served", c.served.Load()), zap.Int64("refused", c.refused.Load()),
 		zap.Int64("failed", c.failed.Load()), zap.Int64("dials", c.dials.Load()), zap.Int64("again", c.again.Load()),
-		zap.Int64("waited", c.waited.Load()), zap.Int64("cut", c.cut.Load()))
+		zap.Int64("waited", c.waited.Load()), zap.Int64("cut", c.cut.Load()),
+		zap.Int64s("sends", load(&c.far)), zap.Int64s("bytes", load(&c.farBytes)))
 }
 
 // Reload takes the first contacts of changed settings; all else is taken at the next start.
 func (r *Relay) Reload(c *boot.Settings) { r.news.reload(c.FirstContacts) }
+
+func load(x *[3]atomic.Int64) []int64 { return []int64{x[0].Load(), x[1].Load(), x[2].Load()} }
--- a/relay/send.go
+++ b/relay/send.go
@@ -136,6 +136,8 @@
 		}
 	}
 	s.Took = time.Since(began)
+	r.counts.far[app.Far].Add(1)
+	r.counts.farBytes[app.Far].Add(int64(len(body)) + max(0, s.length))
 	return s
 }
 
--- a/steward/core.go
+++ b/steward/core.go
@@ -132,7 +132,7 @@
 		open++
 		go func() {
 			r := &Reply{}
-			if err := s.calls.post(ctx, m.Addr, path, a, r); err != nil {
+			if err := s.post(ctx, m, path, a, r); err != nil {
 				r = nil
 			}
 			replies <- said{m.Node, r}
@@ -200,6 +200,7 @@
 	b := s.acceptor.Next(s.settings.Node)
 	b.N = max(b.N, uint64(s.now().UnixMilli()))
 	s.mu.Unlock()
+	s.counts.rounds.Add(1)
 	r := pact.NewRound(b, s.n, s.f, changes)
 	var values []pact.Entry
 	err := s.ask(ctx, preparePath, &Ask{Ballot: b, Keys: r.Keys()}, true, func(node string, got *Reply) bool {
--- a/steward/outside.go
+++ b/steward/outside.go
@@ -112,6 +112,7 @@
 	if !s.able(w) {
 		return
 	}
+	s.counts.pulses.Add(1)
 	s.mu.Lock()
 	s.hear(id, p)
 	next := s.nearest(p.Zone)
@@ -395,6 +396,7 @@
 func (s *Steward) directory() http.Handler {
 	r := mux.NewRouter()
 	r.Path("/api/lookup").Methods(http.MethodGet).HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.counts.lookups.Add(1)
 		q := r.URL.Query()
 		s.mu.Lock()
 		fronts := s.fronts(q.Get("zone"), q.Get("region"))
--- a/steward/peers.go
+++ b/steward/peers.go
@@ -30,26 +30,25 @@
 	slowest    = 4 * time.Second
 )
 
-// caller calls other agents.
-type caller struct{ client *http.Client }
-
-func newCaller() *caller {
-	return &caller{&http.Client{Transport: &http.Transport{
+// Client is what agents call one another with.
+func Client() *http.Client {
+	return &http.Client{Transport: &http.Transport{
 		DialContext:         patience.Dialer(time.Second).DialContext,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     20 * time.Second,
 		DisableCompression:  true,
-	}}}
+	}}
 }
 
-func (c *caller) post(ctx context.Context, addr, path string, in easyjson.Marshaler, out easyjson.Unmarshaler) error {
+func (s *Steward) post(ctx context.Context, m Member, path string, in easyjson.Marshaler, out easyjson.Unmarshaler) error {
 	body, err := easyjson.Marshal(in)
 	if err != nil {
 		return err
 	}
+	s.sentTo(m.Zone, len(body))
 	ctx, cancel := context.WithTimeout(ctx, slowest)
 	defer cancel()
-	return Post(ctx, c.client, addr, path, body, out)
+	return Post(ctx, s.client, m.Addr, path, body, out)
 }
 
 // Post makes one call on the port between agents.
@@ -98,6 +97,7 @@
 				return
 			}
 			write(w, got)
+			s.counts.calls.Add(1)
 		})
 	}
 	return mux
@@ -114,11 +114,11 @@
 	return err == nil
 }
 
-func write(w http.ResponseWriter, what easyjson.Marshaler) {
+func write(w http.ResponseWriter, what easyjson.Marshaler) (size int) {
 	body, err := easyjson.Marshal(what)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
+		return 0
 	}
 	packed, coding := pack(body)
 	h := w.Header()
@@ -127,6 +127,7 @@
 		h.Set("Content-Encoding", coding)
 	}
 	w.Write(packed)
+	return len(packed)
 }
 
 // servePull answers with what is new, at once or when there is some.
@@ -143,7 +144,8 @@
 	s.reached(p.From.Node+"/"+p.Role, since)
 	wanted := s.wantedBy(p.Role)
 	items := s.feed.Since(since, wanted)
-	for len(items) == 0 && knows {
+	sound := s.sound(s.now())
+	for len(items) == 0 && knows && s.sound(s.now()) == sound {
 		news := s.news
 		s.mu.Unlock()
 		select {
@@ -166,7 +168,8 @@
 		n.Members = nil // it has been told
 	}
 	s.mu.Unlock()
-	write(w, n)
+	s.counts.pulls.Add(1)
+	s.sentTo(p.From.Zone, write(w, n))
 }
 
 // wantedBy is what a puller is told: edge agents need no leases.
@@ -256,7 +259,7 @@
 			s.mu.Unlock()
 			for _, c := range contacts {
 				if host, _, err := net.SplitHostPort(c); err == nil && host != s.settings.IP {
-					s.pull(ctx, net.JoinHostPort(host, s.settings.Peer()), "", 0)
+					go s.pull(ctx, Member{Addr: net.JoinHostPort(host, s.settings.Peer())}, 0)
 				}
 			}
 		}
@@ -270,7 +273,7 @@
 // follow pulls one member's news for as long as this agent runs.
 func (s *Steward) follow(ctx context.Context, m Member) {
 	for ctx.Err() == nil {
-		if s.pull(ctx, m.Addr, m.Node, coreWait) != nil {
+		if s.pull(ctx, m, coreWait) != nil {
 			select {
 			case <-time.After(tick):
 			case <-ctx.Done():
@@ -280,17 +283,17 @@
 }
 
 // pull asks one agent once and takes up what it tells.
-func (s *Steward) pull(ctx context.Context, addr, node string, wait time.Duration) error {
+func (s *Steward) pull(ctx context.Context, from Member, wait time.Duration) error {
 	p := &Pull{From: s.me, Role: Core, Vector: map[string]uint64{}, WaitMs: wait.Milliseconds()}
 	s.mu.Lock()
-	if m := s.members[node]; m != nil && m.source != "" {
+	if m := s.members[from.Node]; m != nil && m.source != "" {
 		p.Vector[m.source] = m.seq
 	}
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
 	defer cancel()
 	n := &News{}
-	if err := s.calls.post(ctx, addr, PullPath, p, n); err != nil {
+	if err := s.post(ctx, from, PullPath, p, n); err != nil {
 		return err
 	}
 	s.mu.Lock()
@@ -301,7 +304,7 @@
 	for _, m := range n.Members {
 		s.join(m)
 	}
-	if m := s.members[node]; m != nil {
+	if m := s.members[from.Node]; m != nil {
 		m.source, m.seq, m.heard = n.Source, n.Seq, s.now()
 	}
 	s.mu.Unlock()
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -10,7 +10,9 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -27,12 +29,13 @@
 const (
 	leaseTerm = 2500 * time.Millisecond // an agent pulls again at once, and after pullWait at the latest
 	pullWait  = 1200 * time.Millisecond // how long an edge agent's pull waits for news
-	coreWait  = 2 * time.Second         // the same between members; bytes between regions are dear
-	heard     = 3 * time.Second         // a member counts as heard for so long after its last answer: coreWait and a second
+	coreWait  = 2500 * time.Millisecond // the same between members; bytes between regions are dear
+	heard     = 3500 * time.Millisecond // a member counts as heard for so long after its last answer: coreWait and a second
 	memory    = 30 * time.Second        // an agent that is gone counts into n for so long: longer than a request lasts
 	tomb      = 60 * time.Second        // a life that has left is remembered for so long: longer than a late pulse takes
 	tick      = 250 * time.Millisecond
 	gather    = 15 * time.Millisecond // news is held for so long, so that what comes together goes together
+	unhurried = time.Second           // the same for counts of releases, which come all the time and change little
 	patience  = strand.Patience(1500 * time.Millisecond)
 )
 
@@ -51,17 +54,18 @@
 	now      func() time.Time
 	n, f     int
 	disk     *vault.Vault
-	calls    *caller
+	client   *http.Client
 	me       Member
 
 	mu        sync.Mutex
 	acceptor  *pact.Acceptor
 	caught    bool
+	was       bool                 // sound, when last looked
 	open      map[string]time.Time // registers held without a known end, and when to bring them to one
 	feed      *lore.Feed
 	roll      *lore.Roll
 	news      chan struct{} // closed when the feed has news
-	due       bool
+	wakes     time.Time     // when it will be; zero where nothing is new
 	members   map[string]*member
 	reach     map[string]map[string]uint64 // by source's key: what each puller has of this feed
 	tombs     map[string]time.Time
@@ -69,6 +73,7 @@
 	contacts  []string             // control addresses of some members
 	deciding  map[string]bool      // services whose release is being decided
 	diskFails fails
+	counts    counts
 }
 
 type member struct {
@@ -97,7 +102,7 @@
 		return nil, err
 	}
 	s := &Steward{settings: c, log: o.Log, now: o.Now, n: c.CoreSize(o.PerZone), f: c.Lost(o.PerZone), disk: disk,
-		calls: newCaller(), me: Member{c.Node, c.Zone, net.JoinHostPort(c.IP, c.Peer())},
+		client: Client(), me: Member{c.Node, c.Zone, net.JoinHostPort(c.IP, c.Peer())},
 		open: map[string]time.Time{}, news: make(chan struct{}), members: map[string]*member{},
 		reach: map[string]map[string]uint64{}, tombs: map[string]time.Time{}, apps: map[string]*lore.App{},
 		deciding: map[string]bool{}, contacts: c.FirstContacts}
@@ -172,11 +177,16 @@
 	}
 	go s.find(work)
 	go func() {
+		told := time.Now()
 		for t := time.NewTicker(tick); ; {
 			select {
-			case <-t.C:
+			case now := <-t.C:
 				s.minute()
 				s.repair(work)
+				if now.Sub(told) > 10*time.Second {
+					told = now
+					s.counts.write(s.log)
+				}
 			case <-work.Done():
 				t.Stop()
 				return
@@ -204,17 +214,31 @@
 	if !s.feed.Merge(it) {
 		return false
 	}
-	if !s.due {
-		s.due = true
-		time.AfterFunc(gather, func() {
+	wait := gather
+	if strings.HasPrefix(it.Key, lore.TrialKey) {
+		if t, ok := lore.ReadTally(it); ok && t.Vote == "" {
+			wait = unhurried
+		}
+	}
+	s.wakeIn(wait)
+	return true
+}
+
+// wakeIn wakes those who wait for news, in a while; under the lock.
+func (s *Steward) wakeIn(wait time.Duration) {
+	if at := s.now().Add(wait); s.wakes.IsZero() || at.Before(s.wakes) {
+		s.wakes = at
+		time.AfterFunc(wait, func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			s.due = false
+			if s.wakes.IsZero() || s.now().Before(s.wakes) {
+				return // woken already, by what was more urgent
+			}
+			s.wakes = time.Time{}
 			close(s.news)
 			s.news = make(chan struct{})
 		})
 	}
-	return true
 }
 
 // minute does what time brings: leases that ran out, appliances fallen silent, lives long gone.
@@ -222,6 +246,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
+	if sound := s.sound(now); sound != s.was {
+		s.was = sound
+		s.wakeIn(0)
+	}
 	for _, key := range s.roll.Lapsed(now) {
 		if it, ok := s.feed.Get(key); ok {
 			if l, ok := lore.ReadLease(it); ok && l.Home == s.me.Node && !l.Ended {
@@ -281,6 +309,30 @@
 	return s.caught && 2*near > s.n
 }
 
+// counts are told in the log every so often.
+type counts struct {
+	pulses, pulls, lookups, rounds, calls atomic.Int64
+	bytes                                 [3]atomic.Int64 // sent to other agents: in the zone, the region, beyond
+}
+
+func (c *counts) write(log *zap.Logger) {
+	log.Info("counts", zap.Int64("pulses", c.pulses.Load()), zap.Int64("pulls", c.pulls.Load()), zap.Int64("lookups", c.lookups.Load()),
+		zap.Int64("rounds", c.rounds.Load()), zap.Int64("calls", c.calls.Load()),
+		zap.Int64s("bytes", []int64{c.bytes[0].Load(), c.bytes[1].Load(), c.bytes[2].Load()}))
+}
+
+// sentTo counts what goes to an agent of a zone.
+func (s *Steward) sentTo(zone string, n int) {
+	far := 2
+	switch {
+	case zone == s.me.Zone:
+		far = 0
+	case s.settings.Zones[zone] == s.settings.Region:
+		far = 1
+	}
+	s.counts.bytes[far].Add(int64(n))
+}
+
 // fails counts failures of the disk and says when they begin and end.
 type fails struct {
 	mu  sync.Mutex
