--- a/lore/known.go
+++ b/lore/known.go
@@ -108,20 +108,18 @@
 		a.Warm = now.Add(left).UnixMilli()
 	}
 	if held != nil {
-		was, wasAt, heard := *held, held.Warm, held.Heard
+		was, wasAt := *held, held.Warm
 		was.Warm, was.Heard = a.Warm, a.Heard
 		moved := a.Warm != 0 && abs(a.Warm-wasAt) > warmSlack.Milliseconds() || a.Warm == 0 && wasAt > a.Heard+warmSlack.Milliseconds()
-		if was == *a && !moved && a.Heard-heard < again.Milliseconds() {
+		if was == *a && !moved {
 			return Item{}, a, false
 		}
 	}
 	return a.item(id, Version(p.CallCount, false)), a, true
 }
 
-const (
-	warmSlack = 250 * time.Millisecond // by which the end of a warm-up may move without being news
-	again     = 20 * time.Second       // after which a life is told again, so that copies need not keep it for ever
-)
+// warmSlack is by how much the end of a warm-up may move without being news.
+const warmSlack = 250 * time.Millisecond
 
 // Version is the version of an appliance's item: its count of calls, and behind it the word that none followed.
 func Version(count int64, silent bool) uint64 {
--- a/relay/news.go
+++ b/relay/news.go
@@ -218,7 +218,7 @@
 	for _, it := range got.Items {
 		if id, ok := strings.CutPrefix(it.Key, lore.AppKey); ok {
 			if a, ok := lore.ReadApp(it); ok {
-				r.sway.Hear(id, a, now)
+				r.sway.Hear(id, it.Version, a, now)
 				all[id] = true
 			}
 		} else if key, ok := strings.CutPrefix(it.Key, lore.TrialKey); ok {
--- a/steward/packing.go
+++ b/steward/packing.go
@@ -9,7 +9,7 @@
 )
 
 // worthPacking is the size in bytes from which a message is packed: below it a packet or two hold it as it is.
-const worthPacking = 4 << 10
+const worthPacking = 1400
 
 // pack makes a large message smaller, as bytes between zones and regions are dear.
 func pack(body []byte) (packed []byte, coding string) {
--- a/steward/peers.go
+++ b/steward/peers.go
@@ -230,6 +230,7 @@
 		return
 	}
 	s.members[m.Node] = &member{Member: m}
+	s.notes[memberKey+m.Node] = m.Zone + " " + m.Addr
 	s.log.Info("member found", zap.String("member", m.Node), zap.Int("known", len(s.members)+1))
 }
 
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -34,8 +34,9 @@
 	memory    = 30 * time.Second        // an agent that is gone counts into n for so long: longer than a request lasts
 	tomb      = 60 * time.Second        // a life that has left is remembered for so long: longer than a late pulse takes
 	tick      = 250 * time.Millisecond
-	gather    = 15 * time.Millisecond // news is held for so long, so that what comes together goes together
-	unhurried = time.Second           // the same for counts of releases, which come all the time and change little
+	gather    = 15 * time.Millisecond  // news is held for so long, so that what comes together goes together
+	company   = 200 * time.Millisecond // the same for what is new and can wait: appliances that came, leases
+	unhurried = time.Second            // the same for counts of releases, which come all the time and change little
 	patience  = strand.Patience(1500 * time.Millisecond)
 )
 
@@ -70,10 +71,12 @@
 	reach     map[string]map[string]uint64 // by source's key: what each puller has of this feed
 	tombs     map[string]time.Time
 	apps      map[string]*lore.App // the newest of what pulses here have said
+	notes     map[string]string    // to be noted on the disk
 	contacts  []string             // control addresses of some members
 	deciding  map[string]bool      // services whose release is being decided
 	diskFails fails
 	counts    counts
+	noted     uint64 // how far the feed has been noted on the disk
 }
 
 type member struct {
@@ -105,7 +108,7 @@
 		client: Client(), me: Member{c.Node, c.Zone, net.JoinHostPort(c.IP, c.Peer())},
 		open: map[string]time.Time{}, news: make(chan struct{}), members: map[string]*member{},
 		reach: map[string]map[string]uint64{}, tombs: map[string]time.Time{}, apps: map[string]*lore.App{},
-		deciding: map[string]bool{}, contacts: c.FirstContacts}
+		deciding: map[string]bool{}, contacts: c.FirstContacts, notes: map[string]string{}}
 	s.diskFails.log = o.Log
 	s.feed = lore.NewFeed(c.Node + "@" + strconv.FormatInt(o.Now().UnixNano(), 36))
 	s.roll = lore.NewRoll(leaseTerm, memory)
@@ -143,6 +146,7 @@
 			s.open[e.Key] = s.now().Add(settle)
 		}
 	}
+	s.recall()
 	s.log.Info("state read", zap.Int("registers", len(entries)), zap.Bool("caughtUp", born), zap.Int64("cut", disk.Cut),
 		zap.Int("core", s.n), zap.Int("mayLose", s.f))
 	return s, nil
@@ -182,6 +186,7 @@
 			select {
 			case now := <-t.C:
 				s.minute()
+				s.note()
 				s.repair(work)
 				if now.Sub(told) > 10*time.Second {
 					told = now
@@ -214,14 +219,26 @@
 	if !s.feed.Merge(it) {
 		return false
 	}
-	wait := gather
-	if strings.HasPrefix(it.Key, lore.TrialKey) {
-		if t, ok := lore.ReadTally(it); ok && t.Vote == "" {
-			wait = unhurried
+	s.wakeIn(hurry(it))
+	return true
+}
+
+// hurry is how long an item may wait for others to go with: what agents must stop for goes at once.
+func hurry(it lore.Item) time.Duration {
+	switch {
+	case strings.HasPrefix(it.Key, lore.RegKey):
+		return gather
+	case strings.HasPrefix(it.Key, lore.AppKey):
+		if a, ok := lore.ReadApp(it); ok && (a.Phase == lore.Emptying || a.Phase == lore.Left) {
+			return gather
+		}
+	case strings.HasPrefix(it.Key, lore.TrialKey):
+		if t, ok := lore.ReadTally(it); ok && t.Vote != "" {
+			return gather
 		}
+		return unhurried
 	}
-	s.wakeIn(wait)
-	return true
+	return company
 }
 
 // wakeIn wakes those who wait for news, in a while; under the lock.
@@ -309,6 +326,55 @@
 	return s.caught && 2*near > s.n
 }
 
+// Keys in the vault of what is only good to have: where members and appliances were, so that after a loss of power of all
+// a core is whole, and requests have somewhere to go, before everyone has been heard of anew.
+const (
+	memberKey = "m/"
+	appKey    = "a/"
+)
+
+// note notes on the disk who and what is known; what has changed since the last time.
+func (s *Steward) note() {
+	s.mu.Lock()
+	if s.feed.Seq() != s.noted {
+		for _, it := range s.feed.Since(s.noted, func(key string) bool { return strings.HasPrefix(key, lore.AppKey) }) {
+			text := ""
+			if a, ok := lore.ReadApp(it); ok && a.Phase == lore.Ready {
+				text = strconv.FormatUint(it.Version, 16) + " " + it.Body
+			}
+			s.notes[appKey+it.Key] = text
+		}
+		s.noted = s.feed.Seq()
+	}
+	notes := s.notes
+	s.notes = map[string]string{}
+	s.mu.Unlock()
+	s.disk.Note(notes)
+}
+
+// recall takes up what was noted. An appliance counts as cold until its pulse says otherwise, and as silent if none
+// comes: it may have gone, or gone cold, while this agent was away.
+func (s *Steward) recall() {
+	for node, text := range s.disk.Load(memberKey) {
+		if zone, addr, ok := strings.Cut(text, " "); ok && node != s.me.Node {
+			s.members[node] = &member{Member: Member{node, zone, addr}}
+		}
+	}
+	now := s.now()
+	for key, text := range s.disk.Load(appKey) {
+		number, body, _ := strings.Cut(text, " ")
+		version, err := strconv.ParseUint(number, 16, 64)
+		a, ok := lore.ReadApp(lore.Item{Body: body})
+		if err != nil || !ok {
+			continue
+		}
+		a.Home, a.Heard, a.Warm = s.me.Node, now.UnixMilli(), now.Add(2*s.settings.Bounds.Pulse).UnixMilli()
+		id := strings.TrimPrefix(key, lore.AppKey)
+		s.tell(a.WithPhase(id, lore.Ready, version))
+		s.roll.Pulsed(id, now)
+	}
+}
+
 // counts are told in the log every so often.
 type counts struct {
 	pulses, pulls, lookups, rounds, calls atomic.Int64
--- a/sway/sway.go
+++ b/sway/sway.go
@@ -18,13 +18,14 @@
 type App struct {
 	ID string
 	lore.App
-	Out   int // requests of this relay that are out there
-	Far   int // 0 in this zone, 1 in this region, 2 beyond
-	known time.Time
-	cold  time.Time // until when it is cold
-	next  time.Time // when a cold one may be sent the next request
-	doubt doubt
-	took  gauge.Mean // answer times against what the route usually takes
+	Out     int // requests of this relay that are out there
+	Far     int // 0 in this zone, 1 in this region, 2 beyond
+	known   time.Time
+	version uint64
+	cold    time.Time // until when it is cold
+	next    time.Time // when a cold one may be sent the next request
+	doubt   doubt
+	took    gauge.Mean // answer times against what the route usually takes
 }
 
 // Request is one client's try.
@@ -138,9 +139,12 @@
 	return x
 }
 
-// Hear takes what the core tells of an appliance.
-func (s *Sway) Hear(id string, told *lore.App, now time.Time) {
+// Hear takes what the core tells of an appliance, under a version: an older one changes nothing.
+func (s *Sway) Hear(id string, version uint64, told *lore.App, now time.Time) {
 	a := s.apps[id]
+	if a != nil && a.version >= version {
+		return // an older word, by another way
+	}
 	if told.Phase == lore.Left {
 		s.forget(id)
 		return
@@ -152,7 +156,7 @@
 		x.apps = append(x.apps, a)
 		sort.Slice(x.apps, func(i, j int) bool { return x.apps[i].ID < x.apps[j].ID })
 	}
-	a.App = *told
+	a.App, a.version = *told, version
 	switch {
 	case told.Zone == s.zone:
 		a.Far = 0
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -135,6 +135,27 @@
 	return nil
 }
 
+// Note writes values, and drops those that are empty, without waiting for the disk: what is good to have and may be lost.
+func (v *Vault) Note(values map[string]string) {
+	if len(values) == 0 {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	_ = v.db.Update(func(tx *buntdb.Tx) error {
+		for k, x := range values {
+			if x == "" {
+				if _, err := tx.Delete(k); err != nil && !errors.Is(err, buntdb.ErrNotFound) {
+					return err
+				}
+			} else if _, _, err := tx.Set(k, seal(x), nil); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
 // Load reads all values whose keys begin so; the keys come without it.
 func (v *Vault) Load(prefix string) map[string]string {
 	out := map[string]string{}
