--- a/steward/peers.go
+++ b/steward/peers.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -45,7 +46,6 @@
 	if err != nil {
 		return err
 	}
-	s.sentTo(m.Zone, len(body))
 	ctx, cancel := context.WithTimeout(ctx, slowest)
 	defer cancel()
 	return Post(ctx, s.client, m.Addr, path, body, out)
@@ -83,10 +83,19 @@
 // inside serves other agents.
 func (s *Steward) inside() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc(PullPath, s.servePull)
-	mux.HandleFunc(TallyPath, s.serveTally)
-	for _, path := range []string{preparePath, acceptPath, readPath, refusePath} {
+	serve := func(path string, h http.HandlerFunc) {
+		c := &pathCount{}
+		s.byPath[path] = c
 		mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+			c.calls.Add(1)
+			c.in.Add(max(0, r.ContentLength))
+			h(&counted{w, c}, r)
+		})
+	}
+	serve(PullPath, s.servePull)
+	serve(TallyPath, s.serveTally)
+	for _, path := range []string{preparePath, acceptPath, readPath, refusePath} {
+		serve(path, func(w http.ResponseWriter, r *http.Request) {
 			a := &Ask{}
 			if !read(w, r, a) {
 				return
@@ -103,6 +112,19 @@
 	return mux
 }
 
+// pathCount counts the calls of one path and their bytes, as packed.
+type pathCount struct{ calls, in, out atomic.Int64 }
+
+type counted struct {
+	http.ResponseWriter
+	c *pathCount
+}
+
+func (w *counted) Write(p []byte) (int, error) {
+	w.c.out.Add(int64(len(p)))
+	return w.ResponseWriter.Write(p)
+}
+
 func read(w http.ResponseWriter, r *http.Request, into easyjson.Unmarshaler) bool {
 	data, err := unpack(http.MaxBytesReader(w, r.Body, longestAsk), r.Header.Get("Content-Encoding"))
 	if err == nil {
@@ -141,7 +163,11 @@
 	s.mu.Lock()
 	s.meet(p)
 	since, knows := p.Vector[s.feed.Source]
-	s.reached(p.From.Node+"/"+p.Role, since)
+	if p.Meet {
+		since = s.feed.Seq()
+	} else {
+		s.reached(p.From.Node+"/"+p.Role, since)
+	}
 	wanted := s.wantedBy(p.Role)
 	items := s.feed.Since(since, wanted)
 	sound := s.sound(s.now())
@@ -160,12 +186,11 @@
 	}
 	n := &News{Source: s.feed.Source, Seq: s.feed.Seq(), Items: items, Whole: since == 0, Sound: s.sound(s.now())}
 	n.Agents, n.Here = s.roll.Count(p.From.Zone, s.now())
-	n.Members = append(n.Members, s.me)
-	for _, m := range s.members {
-		n.Members = append(n.Members, m.Member)
-	}
-	if p.Role == Core && len(s.members)+1 >= s.n {
-		n.Members = nil // it has been told
+	if p.Meet || p.Role == Edge {
+		n.Members = append(n.Members, s.me)
+		for _, m := range s.members {
+			n.Members = append(n.Members, m.Member)
+		}
 	}
 	s.mu.Unlock()
 	s.counts.pulls.Add(1)
@@ -285,7 +310,7 @@
 
 // pull asks one agent once and takes up what it tells.
 func (s *Steward) pull(ctx context.Context, from Member, wait time.Duration) error {
-	p := &Pull{From: s.me, Role: Core, Vector: map[string]uint64{}, WaitMs: wait.Milliseconds()}
+	p := &Pull{From: s.me, Role: Core, Vector: map[string]uint64{}, WaitMs: wait.Milliseconds(), Meet: from.Node == ""}
 	s.mu.Lock()
 	if m := s.members[from.Node]; m != nil && m.source != "" {
 		p.Vector[m.source] = m.seq
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -76,7 +76,8 @@
 	deciding  map[string]bool      // services whose release is being decided
 	diskFails fails
 	counts    counts
-	noted     uint64 // how far the feed has been noted on the disk
+	byPath    map[string]*pathCount // of the calls between agents
+	noted     uint64                // how far the feed has been noted on the disk
 }
 
 type member struct {
@@ -108,7 +109,8 @@
 		client: Client(), me: Member{c.Node, c.Zone, net.JoinHostPort(c.IP, c.Peer())},
 		open: map[string]time.Time{}, news: make(chan struct{}), members: map[string]*member{},
 		reach: map[string]map[string]uint64{}, tombs: map[string]time.Time{}, apps: map[string]*lore.App{},
-		deciding: map[string]bool{}, contacts: c.FirstContacts, notes: map[string]string{}}
+		deciding: map[string]bool{}, contacts: c.FirstContacts, notes: map[string]string{},
+		byPath: map[string]*pathCount{}}
 	s.diskFails.log = o.Log
 	s.feed = lore.NewFeed(c.Node + "@" + strconv.FormatInt(o.Now().UnixNano(), 36))
 	s.roll = lore.NewRoll(leaseTerm, memory)
@@ -191,6 +193,9 @@
 				if now.Sub(told) > 10*time.Second {
 					told = now
 					s.counts.write(s.log)
+					for path, c := range s.byPath {
+						s.log.Info("calls", zap.String("path", path), zap.Int64("calls", c.calls.Load()), zap.Int64("in", c.in.Load()), zap.Int64("out", c.out.Load()))
+					}
 				}
 			case <-work.Done():
 				t.Stop()
--- a/steward/words.go
+++ b/steward/words.go
@@ -23,6 +23,7 @@
 	Front  string            `json:"c"` // where clients reach an edge agent; empty while they should not
 	Life   uint64            `json:"l"` // the caller's life, and how often its lease has changed
 	Ended  bool              `json:"e,omitempty"`
+	Meet   bool              `json:"m,omitempty"` // asks only who the members are
 }
 
 // Roles of agents.
--- a/steward/words_easyjson.go
+++ b/steward/words_easyjson.go
@@ -261,6 +261,12 @@
 			} else {
 				out.Ended = bool(in.Bool())
 			}
+		case "m":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Meet = bool(in.Bool())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -326,6 +332,11 @@
 		out.RawString(prefix)
 		out.Bool(bool(in.Ended))
 	}
+	if in.Meet {
+		const prefix string = ",\"m\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Meet))
+	}
 	out.RawByte('}')
 }
 
