--- a/lore/known.go
+++ b/lore/known.go
@@ -173,7 +173,7 @@
 	Faults  [2]float64 `json:"f"`
 	Sent    float64    `json:"s"` // requests sent to the trial, with those whose outcome is open
 	Reached float64    `json:"d"` // requests that reached the service since the order
-	Busy    float64    `json:"u"` // outcomes of the trial under as much load as the earlier build bears
+	Busy    [2]float64 `json:"u"` // outcomes and payoffs of the trial while all its requests went to one appliance
 	Vote    string     `json:"o,omitempty"`
 }
 
--- a/lore/known_easyjson.go
+++ b/lore/known_easyjson.go
@@ -122,7 +122,22 @@
 			if in.IsNull() {
 				in.Skip()
 			} else {
-				out.Busy = float64(in.Float64())
+				in.Delim('[')
+				v4 := 0
+				for !in.IsDelim(']') {
+					if v4 < 2 {
+						if in.IsNull() {
+							in.Skip()
+						} else {
+							(out.Busy)[v4] = float64(in.Float64())
+						}
+						v4++
+					} else {
+						in.SkipRecursive()
+					}
+					in.WantComma()
+				}
+				in.Delim(']')
 			}
 		case "o":
 			if in.IsNull() {
@@ -158,11 +173,11 @@
 		const prefix string = ",\"t\":"
 		out.RawString(prefix)
 		out.RawByte('[')
-		for v4 := range in.Tried {
-			if v4 > 0 {
+		for v5 := range in.Tried {
+			if v5 > 0 {
 				out.RawByte(',')
 			}
-			out.Float64(float64((in.Tried)[v4]))
+			out.Float64(float64((in.Tried)[v5]))
 		}
 		out.RawByte(']')
 	}
@@ -170,11 +185,11 @@
 		const prefix string = ",\"p\":"
 		out.RawString(prefix)
 		out.RawByte('[')
-		for v5 := range in.Paid {
-			if v5 > 0 {
+		for v6 := range in.Paid {
+			if v6 > 0 {
 				out.RawByte(',')
 			}
-			out.Float64(float64((in.Paid)[v5]))
+			out.Float64(float64((in.Paid)[v6]))
 		}
 		out.RawByte(']')
 	}
@@ -182,11 +197,11 @@
 		const prefix string = ",\"f\":"
 		out.RawString(prefix)
 		out.RawByte('[')
-		for v6 := range in.Faults {
-			if v6 > 0 {
+		for v7 := range in.Faults {
+			if v7 > 0 {
 				out.RawByte(',')
 			}
-			out.Float64(float64((in.Faults)[v6]))
+			out.Float64(float64((in.Faults)[v7]))
 		}
 		out.RawByte(']')
 	}
@@ -203,7 +218,14 @@
 	{
 		const prefix string = ",\"u\":"
 		out.RawString(prefix)
-		out.Float64(float64(in.Busy))
+		out.RawByte('[')
+		for v8 := range in.Busy {
+			if v8 > 0 {
+				out.RawByte(',')
+			}
+			out.Float64(float64((in.Busy)[v8]))
+		}
+		out.RawByte(']')
 	}
 	if in.Vote != "" {
 		const prefix string = ",\"o\":"
--- a/sway/sway.go
+++ b/sway/sway.go
@@ -286,6 +286,14 @@
 
 // best is the appliance of a build with the least cost, of those that may have the request.
 func (s *Sway) best(x *service, r *Request, arm int, now time.Time) *App {
+	if arm == 1 && x.trial.loading(now) {
+		for _, a := range x.apps { // by id: all agents take the same one
+			if s.may(x, r, a, arm, now) {
+				return a
+			}
+		}
+		return nil
+	}
 	var best *App
 	least := 0.0
 	for _, a := range x.apps {
@@ -413,7 +421,7 @@
 		}
 	}
 	if x.trial != nil {
-		x.trial.outcome(r, o)
+		x.trial.outcome(r, o, now)
 	}
 	s.Serve(r.Service, now)
 }
