--- a/decide/state.go
+++ b/decide/state.go
@@ -927,3 +927,24 @@
 	b.demand.Add(b.now, demandHalf, 1)
 	t.flow.demand.Add(b.now, demandHalf, 1)
 }
+
+// usual is the mean time of recent answers; a tenth of a second until there are some.
+func (b *Balancer) usual() time.Duration {
+	return time.Duration(b.times.Read(b.now, timesHalf, 0.1, 1) * float64(time.Second))
+}
+
+func (b *Balancer) mean(w *workload) time.Duration {
+	prior := w.goal.Seconds() / 4 // goals are set a few times the usual time
+	return time.Duration(w.all.Read(b.now, timesHalf, prior, 2) * float64(time.Second))
+}
+
+// hearers is how many agents, from number 0, hear all counts and judge: every one where shares of all must
+// stand for a vote, else six, of whom some live when half of all die.
+func (b *Balancer) hearers() int {
+	all := int(term(b, "agents", 1.0))
+	shared := term(b, "may.tell", false) || term(b, "tally.every", time.Duration(0)) > 0
+	if term(b, "trial.control", "") == "single" && shared {
+		return min(all, 6)
+	}
+	return all
+}
