--- a/cmd/accord/seat/seat.go
+++ b/cmd/accord/seat/seat.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/integrii/flaggy"
 	"go.uber.org/zap"
@@ -89,25 +90,45 @@
 	return fine
 }
 
-// onChange reads the settings again at SIGHUP. A file that can't be read changes nothing.
+// look is how often the settings file is looked at, as it may change without a signal: as long as contacts may lag.
+const look = 3 * time.Second
+
+// onChange reads the settings again at SIGHUP, and when the file has changed. One that can't be read changes nothing.
 func onChange(ctx context.Context, path string, log *zap.Logger, reload func(*boot.Settings)) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
+	t := time.NewTicker(look)
+	defer t.Stop()
+	seen := stamp(path)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hup:
-			s, err := boot.Read(path)
-			if err != nil {
-				log.Warn("the settings stay as they are", zap.Error(err))
+		case <-t.C:
+			if stamp(path) == seen {
 				continue
 			}
-			reload(s)
-			log.Info("settings read again")
 		}
+		seen = stamp(path)
+		s, err := boot.Read(path)
+		if err != nil {
+			log.Warn("the settings stay as they are", zap.Error(err))
+			continue
+		}
+		reload(s)
+		log.Info("settings read again")
+	}
+}
+
+// stamp tells one state of a file from another.
+func stamp(path string) string {
+	st, err := os.Stat(path)
+	if err != nil {
+		return ""
 	}
+	return fmt.Sprint(st.Size(), st.ModTime().UnixNano())
 }
 
 func logger(level string) (*zap.Logger, error) {
--- a/relay/news.go
+++ b/relay/news.go
@@ -48,7 +48,7 @@
 		members: map[string]steward.Member{}, vector: map[string]uint64{}, at: map[string]string{}, tried: map[string]time.Time{},
 		values: map[string]pact.Value{}, told: map[string]string{}, changed: uint64(time.Now().UnixMilli())}
 	n.client = steward.Client()
-	n.reload(r.settings.FirstContacts)
+	n.reload(append([]string{net.JoinHostPort(r.settings.IP, "0")}, r.settings.FirstContacts...)) // there may be a steward here
 	return n
 }
 
