--- a/relay/front.go
+++ b/relay/front.go
@@ -320,6 +320,10 @@
 // await waits in line for a place; nil where none came in time.
 func (r *Relay) await(ctx context.Context, req *sway.Request, till time.Time) *sway.App {
 	r.counts.waited.Add(1)
+	select {
+	case r.waits <- struct{}{}:
+	default:
+	}
 	t := time.NewTimer(time.Until(till))
 	defer t.Stop()
 	select {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -42,12 +42,13 @@
 	terms    *strand.Terms
 	news     *news
 	front    *front
+	waits    chan struct{} // told when a request begins to wait
 	counts   counts
 }
 
 // New makes a relay.
 func New(o Options) *Relay {
-	r := &Relay{settings: o.Settings, log: o.Log, sway: sway.New(o.Settings, rand.Float64)}
+	r := &Relay{settings: o.Settings, log: o.Log, sway: sway.New(o.Settings, rand.Float64), waits: make(chan struct{}, 1)}
 	memory := int64(o.Settings.Limits.RAMMb) << 20
 	if memory <= 0 {
 		memory = 256 << 20
@@ -78,7 +79,8 @@
 const (
 	dialTime = 600 * time.Millisecond // some times the way between regions and back, and a lost packet's second try not
 	idle     = 4 * time.Second        // appliances close idle connections later than this unless they say otherwise
-	beat     = 20 * time.Millisecond  // in which those who wait for a place are looked at
+	beat     = 20 * time.Millisecond  // in which those who wait for a place are looked at, while there are some
+	calm     = 12 * beat              // the same while there are none: each look wakes the process
 	telling  = time.Second            // in which counts of a release are told
 )
 
@@ -111,17 +113,25 @@
 
 // pace looks at those who wait, and tells the counts of releases.
 func (r *Relay) pace(ctx context.Context) {
-	t := time.NewTicker(beat)
+	t := time.NewTicker(calm)
 	defer t.Stop()
 	told, counted := time.Now(), time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-r.waits:
+			t.Reset(beat)
 		case now := <-t.C:
 			r.mu.Lock()
 			r.sway.ServeAll(now)
+			wait := r.sway.Waiting()
 			r.mu.Unlock()
+			if wait {
+				t.Reset(beat)
+			} else {
+				t.Reset(calm)
+			}
 			if now.Sub(told) > telling {
 				told = now
 				go r.news.tell(ctx)
--- a/steward/peers.go
+++ b/steward/peers.go
@@ -293,8 +293,12 @@
 				}
 			}
 		}
+		pause := tick
+		if len(pulling)+1 >= s.n {
+			pause = 8 * tick // the core is whole: only a member at a new address is still to be found
+		}
 		select {
-		case <-time.After(tick):
+		case <-time.After(pause):
 		case <-ctx.Done():
 		}
 	}
--- a/sway/sway.go
+++ b/sway/sway.go
@@ -299,6 +299,16 @@
 	}
 }
 
+// Waiting tells whether any request waits for a place.
+func (s *Sway) Waiting() bool {
+	for _, x := range s.services {
+		if len(x.queue) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // best is the appliance of a build with the least cost, of those that may have the request.
 func (s *Sway) best(x *service, r *Request, arm int, now time.Time) *App {
 	if arm == 1 && x.trial.loading(now) {
