--- a/lore/roll.go
+++ b/lore/roll.go
@@ -15,7 +15,8 @@
 
 // NewRoll begins an empty roll.
 func NewRoll(term, memory time.Duration) *Roll {
-	return &Roll{term: term, memory: memory, granted: map[string]time.Time{}, seen: map[string]time.Time{}, zones: map[string]string{}, pulsed: map[string]time.Time{}}
+	return &Roll{term: term, memory: memory, granted: map[string]time.Time{}, seen: map[string]time.Time{},
+		zones: map[string]string{}, pulsed: map[string]time.Time{}}
 }
 
 // Renew notes that an agent has called here, by its lease's key.
--- a/pact/pact.go
+++ b/pact/pact.go
@@ -185,7 +185,8 @@
 
 // NewRound begins a round of n members of which f may lose their disks.
 func NewRound(b Ballot, n, f int, changes map[string]Change) *Round {
-	return &Round{Ballot: b, need: n - f, ask: f + 1, changes: changes, told: map[string]bool{}, took: map[string]bool{}, best: map[string]Entry{}}
+	return &Round{Ballot: b, need: n - f, ask: f + 1, changes: changes,
+		told: map[string]bool{}, took: map[string]bool{}, best: map[string]Entry{}}
 }
 
 // Keys are the registers of the round.
--- a/plan/table.go
+++ b/plan/table.go
@@ -1,7 +1,6 @@
 package plan
 
 import (
-	"math"
 	"sort"
 	"strings"
 	"time"
@@ -144,7 +143,8 @@
 	if t.hosts[host][r.PathStart] != nil {
 		return
 	}
-	w := &Way{Name: name, Harmless: r.Kind == "harmless", Rank: r.Rank, Tries: max(1, r.Tries), Shares: r.Shares, Homes: set(r.HomeRegions)}
+	w := &Way{Name: name, Harmless: r.Kind == "harmless", Rank: r.Rank, Tries: max(1, r.Tries), Shares: r.Shares,
+		Homes: set(r.HomeRegions)}
 	w.GiveUp, _ = boot.Span(r.GiveUp)
 	w.Target, _ = boot.Span(orZero(r.TargetTime))
 	if r.Service != "" {
@@ -271,6 +271,3 @@
 	r := &Release{}
 	return r, v.Body != "" && easyjson.Unmarshal([]byte(v.Body), r) == nil
 }
-
-// Cap is the trial's attempts that may have been made when so many requests have reached the service since the order.
-func Cap(share, leeway, requests float64) float64 { return math.Max(0, share*requests+leeway) }
--- a/steward/outside.go
+++ b/steward/outside.go
@@ -249,7 +249,8 @@
 	out := plan.Items{Items: []plan.Item{}}
 	for key, v := range s.values("item/") {
 		if kind, name, ok := plan.SplitKey(key); ok && !v.Gone {
-			out.Items = append(out.Items, plan.Item{Type: kind, Metadata: plan.Meta{Name: name, Version: plan.FormatVersion(v.Version)}, Body: json.RawMessage(v.Body)})
+			meta := plan.Meta{Name: name, Version: plan.FormatVersion(v.Version)}
+			out.Items = append(out.Items, plan.Item{Type: kind, Metadata: meta, Body: json.RawMessage(v.Body)})
 		}
 	}
 	sort.Slice(out.Items, func(i, j int) bool {
@@ -417,13 +418,12 @@
 }
 
 const (
-	valid     = 3 * time.Second // how long clients keep an answer: as long as a lost agent stays in some
-	mostTold  = 64              // addresses in an answer
-	farFronts = 1               // agents of the same region told besides, where a zone has only one
+	valid    = 3 * time.Second // how long clients keep an answer: as long as a lost agent stays in some
+	mostTold = 64              // addresses in an answer
 )
 
-// fronts lists where clients of a zone should go: to the agents there, and where those are one or none, to others of the
-// region, then to any. Under the lock.
+// fronts lists where clients of a zone should go: to the agents there; where there are none to others of the region, then
+// to any. Under the lock.
 func (s *Steward) fronts(zone, region string) []string {
 	now := s.now()
 	var near, mid, far []string
--- a/steward/peers.go
+++ b/steward/peers.go
@@ -209,12 +209,7 @@
 
 // reached notes how far a puller has come; under the lock. A waiting acknowledgement looks at it.
 func (s *Steward) reached(who string, seq uint64) {
-	m := s.reach[""]
-	if m == nil {
-		m = map[string]uint64{}
-		s.reach[""] = m
-	}
-	m[who] = seq
+	s.reach[who] = seq
 }
 
 // meet takes up who calls: a lease for an edge agent, a member of the core; under the lock.
@@ -383,7 +378,7 @@
 	for {
 		s.mu.Lock()
 		seq := s.feed.SeqOf(key)
-		for who, has := range s.reach[""] {
+		for who, has := range s.reach {
 			if has >= seq && seq > 0 && strings.HasSuffix(who, "/"+Core) {
 				s.mu.Unlock()
 				return true
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -70,7 +70,7 @@
 	news      chan struct{} // closed when the feed has news
 	wakes     time.Time     // when it will be; zero where nothing is new
 	members   map[string]*member
-	reach     map[string]map[string]uint64 // by source's key: what each puller has of this feed
+	reach     map[string]uint64 // what each puller, by node and role, has of this feed
 	tombs     map[string]time.Time
 	apps      map[string]*lore.App // the newest of what pulses here have said
 	notes     map[string]string    // to be noted on the disk
@@ -110,7 +110,7 @@
 	s := &Steward{settings: c, log: o.Log, now: o.Now, n: c.CoreSize(o.PerZone), f: c.Lost(o.PerZone), disk: disk,
 		client: Client(), me: Member{c.Node, c.Zone, net.JoinHostPort(c.IP, c.Peer())},
 		open: map[string]time.Time{}, news: make(chan struct{}), members: map[string]*member{},
-		reach: map[string]map[string]uint64{}, tombs: map[string]time.Time{}, apps: map[string]*lore.App{},
+		reach: map[string]uint64{}, tombs: map[string]time.Time{}, apps: map[string]*lore.App{},
 		deciding: map[string]bool{}, contacts: c.FirstContacts, notes: map[string]string{},
 		byPath: map[string]*pathCount{}}
 	s.diskFails.log = o.Log
@@ -191,7 +191,6 @@
 			case now := <-t.C:
 				s.minute()
 				s.note()
-				s.repair(work)
 				if now.Sub(told) > 10*time.Second {
 					told = now
 					s.counts.write(s.log)
@@ -205,6 +204,17 @@
 			}
 		}
 	}()
+	go func() { // apart from the above: a round waits for members that may be silent
+		for t := time.NewTicker(tick); ; {
+			select {
+			case <-t.C:
+				s.repair(work)
+			case <-work.Done():
+				t.Stop()
+				return
+			}
+		}
+	}()
 	s.log.Info("steward started", zap.String("node", s.settings.Node))
 	<-ctx.Done()
 	s.mu.Lock()
--- a/sway/doubt.go
+++ b/sway/doubt.go
@@ -13,7 +13,6 @@
 	till    time.Time // it rests until then
 	since   time.Time // when it last took no connection
 	down    bool      // it has taken none since
-	silence bool      // no pulse of it comes
 }
 
 const (
@@ -21,8 +20,6 @@
 	restMost  = 4 * time.Second // some pulses: by then the core has said whether it is there
 )
 
-func (d *doubt) silent(time.Time) { d.silence = true }
-
 // open tells whether the appliance may have a request in spite of the doubt.
 func (d *doubt) open(a *App, r *Request, now time.Time) bool {
 	if d.till.After(now) {
@@ -37,8 +34,6 @@
 	return true
 }
 
-func (d *doubt) sent(time.Time) {}
-
 // ended weighs how a send ended.
 func (d *doubt) ended(a *App, o Outcome, now time.Time) {
 	switch {
--- a/sway/sway.go
+++ b/sway/sway.go
@@ -185,9 +185,6 @@
 	} else if told.Warm == 0 && told.Phase == lore.Ready && a.doubt.since.Before(time.UnixMilli(told.Heard).Add(-clocks)) {
 		a.cold = time.Time{} // its own word, and newer than what made us doubt
 	}
-	if told.Phase == lore.Silent {
-		a.doubt.silent(now)
-	}
 }
 
 // clocks is by how far the times of day of two machines may stand apart, as the pages call them close.
@@ -393,7 +390,6 @@
 	a.Out++
 	r.Sends++
 	r.tried = append(r.tried, a.ID)
-	a.doubt.sent(now)
 	if a.cold.After(now) {
 		a.next = now.Add(s.coldGap(a))
 	}
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -1,7 +1,7 @@
 // Package vault keeps a member's lasting state in one buntdb file. What buntdb does not promise is added here: a write
 // counts only when the file's sync has come back without an error (buntdb passes sync errors over), every value carries a
-// checksum over itself and its key, and a tail that a loss of power has torn or left full of holes is cut off before the file is opened. All that
-// stands behind the first flaw was written after the last sync and was never spoken of.
+// checksum over itself and its key, and a tail that a loss of power has torn or left full of holes is cut off before the
+// file is opened. All that stands behind the first flaw was written after the last sync and was never spoken of.
 package vault
 
 import (
