--- a/boot/boot.go
+++ b/boot/boot.go
@@ -2,6 +2,7 @@
 package boot
 
 import (
+	"cmp"
 	"os"
 	"sort"
 	"strconv"
@@ -146,11 +147,8 @@
 			return errors.Wrapf(err, "%q", row)
 		}
 	}
-	for name, p := range spans {
-		if *p == 0 {
-			*p = map[string]time.Duration{"inTouch": 5 * time.Second, "leeway": 5 * time.Second}[name]
-		}
-	}
+	const usual = 5 * time.Second // where the table lacks them
+	b.InTouch, b.Leeway = cmp.Or(b.InTouch, usual), cmp.Or(b.Leeway, usual)
 	return nil
 }
 
--- a/plan/check.go
+++ b/plan/check.go
@@ -1,7 +1,6 @@
 package plan
 
 import (
-	"bytes"
 	"strings"
 	"time"
 
@@ -97,9 +96,7 @@
 		if err := checkItem(it); err != nil {
 			return nil, err
 		}
-		var b bytes.Buffer
-		b.Write(it.Body)
-		if err := put(it.Type, it.Metadata.Name, it.Metadata.Version, pact.Value{Body: b.String()}); err != nil {
+		if err := put(it.Type, it.Metadata.Name, it.Metadata.Version, pact.Value{Body: string(it.Body)}); err != nil {
 			return nil, err
 		}
 	}
--- a/plan/table.go
+++ b/plan/table.go
@@ -31,6 +31,7 @@
 	Shares         []Share
 	Homes          map[string]bool // nil: anywhere
 	total          float64
+	tenant         string
 }
 
 // Pick picks the service by a number drawn from [0, 1).
@@ -107,24 +108,12 @@
 			t.add(name, x)
 		}
 	}
-	for _, key := range names { // where route and tenant have homes, both bind
-		kind, name, _ := SplitKey(key)
-		if kind != Routes || values[key].Gone {
-			continue
-		}
-		got, err := readItem(kind, name, values[key].Body)
-		if err != nil {
-			continue
-		}
-		r := got.(*Route)
-		w := t.hosts[strings.ToLower(r.Host)][r.PathStart]
-		if h := homes[r.Tenant]; r.Tenant != "" && h != nil && w != nil && w.Name == name {
-			w.Homes = both(w.Homes, h)
-		}
-	}
 	for host, ways := range t.hosts {
 		seen := map[int]bool{}
-		for p := range ways {
+		for p, w := range ways {
+			if h := homes[w.tenant]; w.tenant != "" && h != nil { // where route and tenant have homes, both bind
+				w.Homes = both(w.Homes, h)
+			}
 			if !seen[len(p)] {
 				seen[len(p)] = true
 				t.lengths[host] = append(t.lengths[host], len(p))
@@ -144,7 +133,7 @@
 		return
 	}
 	w := &Way{Name: name, Harmless: r.Kind == "harmless", Rank: r.Rank, Tries: max(1, r.Tries), Shares: r.Shares,
-		Homes: set(r.HomeRegions)}
+		Homes: set(r.HomeRegions), tenant: r.Tenant}
 	w.GiveUp, _ = boot.Span(r.GiveUp)
 	w.Target, _ = boot.Span(orZero(r.TargetTime))
 	if r.Service != "" {
--- a/plan/wire.go
+++ b/plan/wire.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strconv"
 
 	"github.com/go-faster/errors"
@@ -123,11 +124,4 @@
 }
 
 // FormatVersion writes a version as the protocol has it.
-func FormatVersion(v uint64) string {
-	const digits = "0000000"
-	s := strconv.FormatUint(v, 16)
-	if len(s) < 8 {
-		s = digits[:8-len(s)] + s
-	}
-	return s
-}
+func FormatVersion(v uint64) string { return fmt.Sprintf("%08x", v) }
--- a/relay/front.go
+++ b/relay/front.go
@@ -288,10 +288,7 @@
 		now = time.Now()
 		r.mu.Lock()
 		r.sway.Ended(req, app, out.Outcome, now)
-		again := out.err != nil || !out.Served
-		if again {
-			again = rest == nil && r.sway.Again(req, out.Outcome, now)
-		}
+		again := rest == nil && r.sway.Again(req, out.Outcome, now)
 		r.mu.Unlock()
 		if again {
 			r.counts.again.Add(1)
--- a/relay/send.go
+++ b/relay/send.go
@@ -147,7 +147,6 @@
 func (r *Relay) take(s *sent, resp *http.Response) error {
 	s.length = resp.ContentLength
 	if resp.Request != nil && resp.Request.Method == http.MethodHead {
-		s.length = resp.ContentLength
 		return resp.Body.Close()
 	}
 	room := resp.ContentLength
--- a/steward/core.go
+++ b/steward/core.go
@@ -71,8 +71,10 @@
 	case acceptPath:
 		changed, r.Refused = s.acceptor.Accept(a.Ballot, a.Values)
 	case readPath:
-		if r.Same = digest(s.acceptor.All()) == a.Digest; !r.Same {
-			r.Held = s.acceptor.All()
+		if all := s.acceptor.All(); digest(all) == a.Digest {
+			r.Same = true
+		} else {
+			r.Held = all
 		}
 	case refusePath:
 		if s.acceptor.Refuse(a.Ballot) {
--- a/steward/peers.go
+++ b/steward/peers.go
@@ -204,7 +204,7 @@
 	if role == Core {
 		return nil
 	}
-	return func(key string) bool { return key[0] != lore.LeaseKey[0] }
+	return func(key string) bool { return !strings.HasPrefix(key, lore.LeaseKey) }
 }
 
 // reached notes how far a puller has come; under the lock. A waiting acknowledgement looks at it.
@@ -342,7 +342,7 @@
 
 // take merges an item that another agent has told; under the lock.
 func (s *Steward) take(it lore.Item) (changed []pact.Entry) {
-	if len(it.Key) > len(lore.RegKey) && it.Key[:len(lore.RegKey)] == lore.RegKey {
+	if strings.HasPrefix(it.Key, lore.RegKey) {
 		e := pact.Entry{}
 		if easyjson.Unmarshal([]byte(it.Body), &e) == nil && e.Chosen {
 			return s.learn([]pact.Entry{e})
@@ -352,7 +352,7 @@
 	if !s.tell(it) {
 		return nil
 	}
-	if id, ok := cutPrefix(it.Key, lore.AppKey); ok {
+	if id, ok := strings.CutPrefix(it.Key, lore.AppKey); ok {
 		a, ok := lore.ReadApp(it)
 		if ok && a.Home != s.me.Node {
 			s.roll.Unwatch(id)
@@ -365,13 +365,6 @@
 	return nil
 }
 
-func cutPrefix(s, prefix string) (string, bool) {
-	if len(s) < len(prefix) || s[:len(prefix)] != prefix {
-		return "", false
-	}
-	return s[len(prefix):], true
-}
-
 // held waits until another member holds an item too; false where none does in time. One in each zone, so that the loss of
 // a zone takes one of them at most.
 func (s *Steward) held(ctx context.Context, key string) bool {
@@ -401,7 +394,7 @@
 	}
 	s.mu.Lock()
 	for _, it := range n.Items {
-		if _, ok := cutPrefix(it.Key, lore.TrialKey); ok {
+		if _, ok := strings.CutPrefix(it.Key, lore.TrialKey); ok {
 			s.tell(it)
 		}
 	}
