--- a/steward/core.go
+++ b/steward/core.go
@@ -13,6 +13,7 @@
 
 	"sagelever/lore"
 	"sagelever/pact"
+	"sagelever/vault"
 )
 
 const (
@@ -33,24 +34,24 @@
 	bornKey  = "born"
 )
 
-// persist writes entries, and the floor where told, to the disk. It is called without the lock.
-func (s *Steward) persist(entries []pact.Entry, floor *pact.Ballot) error {
+// persist hands entries, and the floor where told, to the disk. It is called under the lock that they were changed under,
+// so that of two states of a register the older is never written over the newer; its word is waited for without the lock.
+func (s *Steward) persist(entries []pact.Entry, floor *pact.Ballot) vault.Word {
 	values := make(map[string]string, len(entries)+1)
 	for _, e := range entries {
-		b, err := easyjson.Marshal(e)
-		if err != nil {
-			return err
-		}
+		b, _ := easyjson.Marshal(e) // texts and whole numbers only: it cannot fail
 		values[entryKey+e.Key] = string(b)
 	}
 	if floor != nil {
-		b, err := easyjson.Marshal(&Ask{Ballot: *floor})
-		if err != nil {
-			return err
-		}
+		b, _ := easyjson.Marshal(&Ask{Ballot: *floor})
 		values[floorKey] = string(b)
 	}
-	err := s.disk.Put(values)
+	return s.disk.Add(values)
+}
+
+// lasting waits for the disk's word.
+func (s *Steward) lasting(w vault.Word) error {
+	err := w.Wait()
 	s.diskFails.note(err)
 	return err
 }
@@ -83,12 +84,13 @@
 		}
 		r.Held, r.Refused = s.acceptor.All(), s.acceptor.Floor()
 	}
+	word := s.persist(changed, floor)
 	s.mu.Unlock()
 	if path != refusePath && r.Refused != (pact.Ballot{}) {
 		r.OK, r.Held = false, nil
 		return r, nil
 	}
-	if err := s.persist(changed, floor); err != nil { // what is not on the disk is not said
+	if err := s.lasting(word); err != nil { // what is not on the disk is not said
 		return nil, err
 	}
 	for _, e := range changed {
@@ -230,7 +232,7 @@
 	}
 	chosen := r.Chosen()
 	changed := s.learn(chosen)
-	go s.persist(changed, nil) // that it is chosen need not last: whoever finds it unsettled settles it again
+	s.persist(changed, nil) // that it is chosen need not last: whoever finds it unsettled settles it again
 	return chosen, nil
 }
 
@@ -251,8 +253,9 @@
 		if !got.Same {
 			s.mu.Lock()
 			changed := s.learn(got.Held)
+			word := s.persist(changed, nil)
 			s.mu.Unlock()
-			if s.persist(changed, nil) != nil {
+			if s.lasting(word) != nil {
 				return false
 			}
 			for _, e := range changed {
@@ -288,8 +291,9 @@
 			s.acceptor.Refuse(b)
 			s.learn(held)
 			all, floor := s.acceptor.All(), s.acceptor.Floor()
+			word := s.persist(all, &floor)
 			s.mu.Unlock()
-			if err = s.persist(all, &floor); err == nil {
+			if err = s.lasting(word); err == nil {
 				err = s.disk.Put(map[string]string{bornKey: "caught up"})
 			}
 			if err == nil {
--- a/steward/peers.go
+++ b/steward/peers.go
@@ -336,8 +336,9 @@
 	if m := s.members[from.Node]; m != nil {
 		m.source, m.seq, m.heard = n.Source, n.Seq, s.now()
 	}
+	word := s.persist(changed, nil)
 	s.mu.Unlock()
-	return s.persist(changed, nil)
+	return s.lasting(word)
 }
 
 // take merges an item that another agent has told; under the lock.
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -151,7 +151,7 @@
 		}
 	}
 	s.recall()
-	s.log.Info("state read", zap.Int("registers", len(entries)), zap.Bool("caughtUp", born), zap.Int64("cut", disk.Cut),
+	s.log.Info("state read", zap.Int("registers", len(entries)), zap.Bool("caughtUp", born), zap.Int64("cut", disk.Cut), zap.Bool("putAside", disk.Aside),
 		zap.Int("core", s.n), zap.Int("mayLose", s.f))
 	return s, nil
 }
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -1,17 +1,15 @@
-// Package vault keeps a member's lasting state in one buntdb file. What buntdb does not promise is added here: a write
-// counts only when the file's sync has come back without an error (buntdb passes sync errors over), every value carries a
-// checksum over itself and its key, and a tail that a loss of power has torn or left full of holes is cut off before the
-// file is opened. All that stands behind the first flaw was written after the last sync and was never spoken of.
+// Package vault keeps a member's lasting state in one file of buntdb's. buntdb holds the values, reads the file and writes
+// it anew; appending is done here, since what a member's word rests on is not promised there: a write counts only when its
+// sync has come back without an error, a write that failed in part is cut back, and after a failed sync, of which nobody
+// knows what it has covered, the whole file is written anew before anything counts again. Every value carries a checksum
+// over itself and its key. A tail that a loss of power has torn or left full of holes is cut off when the file is opened:
+// what stands behind the first flaw was written after the last sync and was never spoken of. Where a later mark says that
+// the flawed part had been synced, the file is put aside: its member has lost its disk.
 package vault
 
 import (
-	"bufio"
 	"bytes"
-	"fmt"
-	"hash/crc32"
-	"io"
 	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,139 +19,298 @@
 )
 
 const (
-	file    = "state.db"
-	fresh   = "state.new"
-	bad     = "state.bad"
-	compact = 8 << 20 // bytes over which the file is written anew when it is opened; a disk has 64 MB
+	file  = "state.db"
+	fresh = "state.new"
+	bad   = "state.bad"
+	mark  = "synced" // a key that stands in the file alone: up to which byte it was synced when this was written
+
+	least   = 1 << 20 // bytes below which the file is not written anew
+	surplus = 4       // how many times larger than what is in use the file may grow: a byte kept is written 4/3 times
 )
 
 // Vault is an open store.
 type Vault struct {
-	mu   sync.Mutex // one write and its sync at a time
-	db   *buntdb.DB
-	sync *os.File
-	Cut  int64 // bytes cut off when it was opened
+	files Files
+	least int64
+	Cut   int64 // bytes cut off when it was opened
+	Aside bool  // a file was found damaged where it had been synced, and put aside
+
+	mu     sync.Mutex
+	next   *batch // what the next write takes
+	busy   bool   // one is being written
+	idle   *sync.Cond
+	closed bool
+
+	// What follows belongs to the one who writes.
+	db     *buntdb.DB // in memory: all that the file holds
+	out    File
+	size   int64 // bytes written
+	synced int64 // of these, surely on the disk
+	live   int64 // bytes that a file written anew would have, about
+	broken bool  // what is on the disk behind synced is not known
+	Syncs  int64 // for measurements: how often the disk was waited for
+}
+
+// batch is what several callers have written together.
+type batch struct {
+	values map[string]string // empty: dropped
+	sync   bool
+	done   chan struct{}
+	err    error
 }
 
-// Open opens the store in a folder, or begins one. An unreadable file is put aside and reported as empty: its member has
-// then lost its disk.
+func newBatch() *batch { return &batch{values: map[string]string{}, done: make(chan struct{})} }
+
+// Word is the disk's word on a write.
+type Word struct{ b *batch }
+
+// Wait returns when the write is on the disk, or an error where it may not be.
+func (w Word) Wait() error {
+	if w.b == nil {
+		return nil
+	}
+	<-w.b.done
+	return w.b.err
+}
+
+// Open opens the store in a folder, or begins one.
 func Open(folder string) (*Vault, error) {
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return nil, errors.Wrap(err, "vault")
 	}
-	path := filepath.Join(folder, file)
-	v := &Vault{}
-	var err error
-	if v.Cut, err = salvage(path); err != nil {
+	return OpenOn(Folder(folder))
+}
+
+// OpenOn opens the store on a disk that is handed in.
+func OpenOn(files Files) (*Vault, error) { return openOn(files, least) }
+
+func openOn(files Files, least int64) (*Vault, error) {
+	v := &Vault{files: files, least: least, next: newBatch()}
+	v.idle = sync.NewCond(&v.mu)
+	data, err := files.Read(file)
+	if errors.Is(err, os.ErrNotExist) {
+		data, err = nil, nil
+	}
+	if err != nil {
 		return nil, errors.Wrap(err, "vault")
 	}
-	if v.db, err = buntdb.Open(path); err != nil {
-		if os.Rename(path, filepath.Join(folder, bad)) != nil {
-			return nil, errors.Wrap(err, "vault")
-		}
-		if v.db, err = buntdb.Open(path); err != nil {
-			return nil, errors.Wrap(err, "vault")
+	good, sound := readable(data)
+	if !sound {
+		if err := files.Rename(file, bad); err != nil {
+			return nil, errors.Wrap(err, "vault: put aside")
 		}
+		v.Aside, data, good = true, nil, 0
+	}
+	v.Cut = int64(len(data) - good)
+	if v.db, err = buntdb.Open(":memory:"); err != nil {
+		return nil, errors.Wrap(err, "vault")
+	}
+	if err := v.db.Load(bytes.NewReader(data[:good])); err != nil {
+		return nil, errors.Wrap(err, "vault")
 	}
-	if err := v.db.SetConfig(buntdb.Config{SyncPolicy: buntdb.Never, AutoShrinkDisabled: true}); err != nil {
+	_ = v.db.Update(func(tx *buntdb.Tx) error { // what is not there need not go
+		_, _ = tx.Delete(mark)
+		return tx.AscendKeys("*", func(k, x string) bool {
+			v.live += recordSize(k, x)
+			return true
+		})
+	})
+	_ = files.Remove(fresh) // half of a file that a crash has left
+	if v.out, err = files.Append(file); err != nil {
 		return nil, errors.Wrap(err, "vault")
 	}
-	if err := v.shrink(folder, path); err != nil {
-		return nil, errors.Wrap(err, "vault: compaction")
+	v.size = int64(good)
+	if v.Cut > 0 {
+		if err := v.out.Truncate(v.size); err != nil {
+			return nil, errors.Wrap(err, "vault")
+		}
 	}
-	if v.sync, err = os.OpenFile(path, os.O_RDWR, 0); err != nil {
+	// What was read was perhaps never synced; before anything is said of it, it is.
+	if err := v.out.Sync(); err != nil {
 		return nil, errors.Wrap(err, "vault")
 	}
-	if err := syncFolder(folder); err != nil {
+	if err := files.SyncFolder(); err != nil {
 		return nil, errors.Wrap(err, "vault")
 	}
+	v.synced = v.size
+	if v.size > v.most() {
+		if err := v.anew(); err != nil {
+			return nil, errors.Wrap(err, "vault: compaction")
+		}
+	}
 	return v, nil
 }
 
-// shrink writes the file anew where it has grown large: whole, synced, renamed, and the folder synced. A crash leaves the
-// old file or the new one.
-func (v *Vault) shrink(folder, path string) error {
-	if st, err := os.Stat(path); err != nil || st.Size() < compact {
-		return err
-	}
-	next := filepath.Join(folder, fresh)
-	f, err := os.Create(next)
-	if err != nil {
-		return err
+// most is how large the file may become before it is written anew.
+func (v *Vault) most() int64 { return max(v.least, surplus*v.live) }
+
+// Put writes the values together and returns once they are on the disk. After an error nothing is promised.
+func (v *Vault) Put(values map[string]string) error { return v.Add(values).Wait() }
+
+// Add hands in values to be written together, in the order of the calls, and gives the disk's word on them. It does not
+// wait itself, so that a caller can hand in what it has changed before anyone else changes it again: of two states of one
+// value the older must never be written over the newer.
+func (v *Vault) Add(values map[string]string) Word {
+	if len(values) == 0 {
+		return Word{}
 	}
-	err = v.db.Save(f)
-	if err == nil {
-		err = f.Sync()
+	return Word{v.hand(values, true)}
+}
+
+// Note writes values, and drops those that are empty, without waiting for the disk: what is good to have and may be lost.
+func (v *Vault) Note(values map[string]string) {
+	if len(values) > 0 {
+		v.hand(values, false)
 	}
-	f.Close()
-	if err != nil {
-		return err
+}
+
+func (v *Vault) hand(values map[string]string, sync bool) *batch {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	b := v.next
+	if v.closed {
+		b = newBatch()
+		b.err = errors.New("vault: closed")
+		close(b.done)
+		return b
 	}
-	v.db.Close()
-	if err := os.Rename(next, path); err != nil {
-		return err
+	for k, x := range values {
+		b.values[k] = x
 	}
-	if err := syncFolder(folder); err != nil {
-		return err
+	b.sync = b.sync || sync
+	if !v.busy {
+		v.busy = true
+		go v.run()
 	}
-	if v.db, err = buntdb.Open(path); err != nil {
-		return err
+	return b
+}
+
+// run writes batch after batch until there is none: all that comes while the disk is busy goes with one sync.
+func (v *Vault) run() {
+	for {
+		v.mu.Lock()
+		b := v.next
+		if len(b.values) == 0 {
+			v.busy = false
+			v.idle.Broadcast()
+			v.mu.Unlock()
+			return
+		}
+		v.next = newBatch()
+		v.mu.Unlock()
+		if b.err = v.write(b); b.err != nil {
+			b.err = errors.Wrap(b.err, "vault")
+		}
+		close(b.done)
 	}
-	return v.db.SetConfig(buntdb.Config{SyncPolicy: buntdb.Never, AutoShrinkDisabled: true})
 }
 
-func syncFolder(folder string) error {
-	d, err := os.Open(folder)
+// write brings a batch to the disk, and into the tables.
+func (v *Vault) write(b *batch) error {
+	if v.broken {
+		if err := v.anew(); err != nil {
+			return err
+		}
+	}
+	text := appendSet(nil, mark, strconv.FormatInt(v.synced, 10))
+	for k, x := range b.values {
+		if x == "" {
+			text = appendDel(text, k)
+		} else {
+			text = appendSet(text, k, x)
+		}
+	}
+	n, err := v.out.Write(text)
+	if err == nil && n < len(text) {
+		err = errors.New("a short write")
+	}
 	if err != nil {
+		if n > 0 && v.out.Truncate(v.size) != nil {
+			v.broken = true
+		}
 		return err
 	}
-	defer d.Close()
-	return d.Sync()
+	v.size += int64(len(text))
+	if b.sync {
+		v.Syncs++
+		if err := v.out.Sync(); err != nil {
+			v.broken = true
+			return err
+		}
+		v.synced = v.size
+	}
+	v.keep(b)
+	if v.size > v.most() {
+		if v.anew() != nil { // the file as it was goes on; the next write tries again
+			v.broken = true
+		}
+	}
+	return nil
 }
 
-// Put writes the values in one transaction and returns once they are on the disk. After an error nothing is promised.
-func (v *Vault) Put(values map[string]string) error {
-	if len(values) == 0 {
-		return nil
-	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	err := v.db.Update(func(tx *buntdb.Tx) error {
-		for k, x := range values {
-			if _, _, err := tx.Set(k, seal(k, x), nil); err != nil {
-				return err
+// keep takes a batch that was written into the tables.
+func (v *Vault) keep(b *batch) {
+	_ = v.db.Update(func(tx *buntdb.Tx) error { // in memory: it cannot fail but for keys that are not there
+		for k, x := range b.values {
+			if x == "" {
+				if old, err := tx.Delete(k); err == nil {
+					v.live -= recordSize(k, old)
+				}
+				continue
 			}
+			sealed := seal(k, x)
+			if old, replaced, _ := tx.Set(k, sealed, nil); replaced {
+				v.live -= recordSize(k, old)
+			}
+			v.live += recordSize(k, sealed)
 		}
 		return nil
 	})
+}
+
+// anew writes the file anew: whole, synced, renamed, and the folder synced before anything is appended to it. A crash
+// leaves the old file or the new one, and all that was ever acknowledged stands in both.
+func (v *Vault) anew() error {
+	f, err := v.files.Create(fresh)
+	if err != nil {
+		return err
+	}
+	c := &counter{w: f}
+	err = v.db.Save(c)
 	if err == nil {
-		err = v.sync.Sync()
+		v.Syncs++
+		err = f.Sync()
+	}
+	if err == nil {
+		err = v.files.Rename(fresh, file)
 	}
 	if err != nil {
-		return errors.Wrap(err, "vault")
+		f.Close()
+		return err
 	}
+	v.out.Close()
+	v.out, v.size, v.synced, v.live = f, c.n, c.n, c.n
+	// From here on the new file is the one that is appended to; whether it lasts is known once the folder has been synced.
+	if err := v.files.SyncFolder(); err != nil {
+		return err
+	}
+	v.broken = false
 	return nil
 }
 
-// Note writes values, and drops those that are empty, without waiting for the disk: what is good to have and may be lost.
-func (v *Vault) Note(values map[string]string) {
-	if len(values) == 0 {
-		return
+// counter counts what is written, and makes a short write an error.
+type counter struct {
+	w File
+	n int64
+}
+
+func (c *counter) Write(p []byte) (int, error) {
+	n, err := c.w.Write(p)
+	c.n += int64(n)
+	if err == nil && n < len(p) {
+		err = errors.New("a short write")
 	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	_ = v.db.Update(func(tx *buntdb.Tx) error {
-		for k, x := range values {
-			if x == "" {
-				if _, err := tx.Delete(k); err != nil && !errors.Is(err, buntdb.ErrNotFound) {
-					return err
-				}
-			} else if _, _, err := tx.Set(k, seal(k, x), nil); err != nil {
-				return err
-			}
-		}
-		return nil
-	})
+	return n, err
 }
 
 // Load reads all values whose keys begin so; the keys come without it.
@@ -170,87 +327,16 @@
 	return out
 }
 
-// Close closes the store.
-func (v *Vault) Close() error {
-	v.sync.Close()
-	return v.db.Close()
-}
-
-const sealLen = 8
-
-func seal(key, x string) string {
-	return fmt.Sprintf("%08x", crc32.ChecksumIEEE([]byte(key+"\n"+x))) + x
-}
-
-func open(key, x string) (string, bool) {
-	if len(x) < sealLen || seal(key, x[sealLen:])[:sealLen] != x[:sealLen] {
-		return "", false
-	}
-	return x[sealLen:], true
-}
-
-// salvage cuts a file behind its last command that can be read, and syncs it.
-func salvage(path string) (cut int64, err error) {
-	data, err := os.ReadFile(path)
-	if errors.Is(err, os.ErrNotExist) {
-		return 0, nil
-	}
-	if err != nil {
-		return 0, err
-	}
-	good := readable(data)
-	if good == len(data) {
-		return 0, nil
-	}
-	f, err := os.OpenFile(path, os.O_RDWR, 0)
-	if err != nil {
-		return 0, err
-	}
-	defer f.Close()
-	if err := f.Truncate(int64(good)); err != nil {
-		return 0, err
-	}
-	return int64(len(data) - good), f.Sync()
-}
+// Size is how large the file is, and how large it would be if it were written anew; for what is written when none is.
+func (v *Vault) Size() (now, inUse int64) { return v.size, v.live }
 
-// readable is how many bytes from the start are whole commands with sound values.
-func readable(data []byte) (good int) {
-	r := bufio.NewReader(bytes.NewReader(data))
-	number := func(lead byte) (int, int, bool) {
-		line, err := r.ReadString('\n')
-		if err != nil || len(line) < 4 || line[0] != lead || line[len(line)-2] != '\r' {
-			return 0, 0, false
-		}
-		n, err := strconv.Atoi(line[1 : len(line)-2])
-		return n, len(line), err == nil && n >= 0 && n <= len(data)
-	}
-	for {
-		n, size, ok := number('*')
-		if !ok || n < 1 || n > 8 {
-			return good
-		}
-		parts := make([]string, 0, n)
-		for range n {
-			l, head, ok := number('$')
-			if !ok {
-				return good
-			}
-			b := make([]byte, l+2)
-			if _, err := io.ReadFull(r, b); err != nil || b[l] != '\r' || b[l+1] != '\n' {
-				return good
-			}
-			parts = append(parts, string(b[:l]))
-			size += head + l + 2
-		}
-		switch {
-		case strings.EqualFold(parts[0], "set") && len(parts) == 3:
-			if _, ok := open(parts[1], parts[2]); !ok {
-				return good
-			}
-		case strings.EqualFold(parts[0], "del") && len(parts) == 2:
-		default:
-			return good
-		}
-		good += size
+// Close writes what was handed in and closes the store.
+func (v *Vault) Close() error {
+	v.mu.Lock()
+	v.closed = true
+	for v.busy {
+		v.idle.Wait()
 	}
+	v.mu.Unlock()
+	return v.out.Close()
 }
