--- a/lore/roll.go
+++ b/lore/roll.go
@@ -8,6 +8,7 @@
 	term    time.Duration // of a lease
 	memory  time.Duration // for which a lapsed agent still counts into n: it may be cut off, and sending
 	granted map[string]time.Time
+	awaited map[string]bool      // granted in a life before, and not renewed since
 	seen    map[string]time.Time // when a lease was last known to be held, wherever granted
 	zones   map[string]string
 	pulsed  map[string]time.Time
@@ -15,13 +16,23 @@
 
 // NewRoll begins an empty roll.
 func NewRoll(term, memory time.Duration) *Roll {
-	return &Roll{term: term, memory: memory, granted: map[string]time.Time{}, seen: map[string]time.Time{},
+	return &Roll{term: term, memory: memory, granted: map[string]time.Time{}, awaited: map[string]bool{}, seen: map[string]time.Time{},
 		zones: map[string]string{}, pulsed: map[string]time.Time{}}
 }
 
 // Renew notes that an agent has called here, by its lease's key.
 func (r *Roll) Renew(key, zone string, now time.Time) {
 	r.granted[key], r.seen[key], r.zones[key] = now, now, zone
+	delete(r.awaited, key)
+}
+
+// Expect notes a lease that was granted here in a life before: it may be held, so that it counts, and it lapses like any
+// other; but nobody is sent there before it is renewed.
+func (r *Roll) Expect(key, zone string, now time.Time) {
+	if _, known := r.granted[key]; !known {
+		r.Renew(key, zone, now)
+		r.awaited[key] = true
+	}
 }
 
 // Lapsed lists the leases granted here that ran out; each is told once.
@@ -30,13 +41,14 @@
 		if now.Sub(at) > r.term {
 			keys = append(keys, k)
 			delete(r.granted, k)
+			delete(r.awaited, k)
 		}
 	}
 	return keys
 }
 
 // Granted tells whether an agent holds a lease from here.
-func (r *Roll) Granted(key string) bool { _, ok := r.granted[key]; return ok }
+func (r *Roll) Granted(key string) bool { _, ok := r.granted[key]; return ok && !r.awaited[key] }
 
 // Hold notes a lease that another agent grants; grantor tells whether that one is heard.
 func (r *Roll) Hold(key, zone string, now time.Time) { r.seen[key], r.zones[key] = now, zone }
--- /dev/null
+++ b/moot/moot.go
@@ -0,0 +1,361 @@
+// Package moot is one member of the core as a pure machine: a state, a message, the next state and messages out. It holds
+// the lasting registers (items of the configuration, releases, cleared zones), who is a member and who holds a lease, and
+// what is known of appliances; it keeps the rounds in which values are chosen, read, brought to an end and caught up with.
+// Network, disk, clock and luck are handed in, so that a whole core is stepped in one process by a seed.
+package moot
+
+import (
+	"hash/fnv"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/mailru/easyjson"
+
+	"sagelever/lore"
+	"sagelever/pact"
+)
+
+const (
+	LeaseTerm = 2500 * time.Millisecond // an agent pulls again at once, and after EdgeWait at the latest
+	EdgeWait  = 1200 * time.Millisecond // how long an edge agent's pull waits for news
+	CoreWait  = 2500 * time.Millisecond // the same between members; bytes between regions are dear
+	Heard     = 3500 * time.Millisecond // a member counts as heard for so long after its last answer: CoreWait and a second
+	memory    = 30 * time.Second        // an agent that is gone counts into n for so long: longer than a request lasts
+	tomb      = 60 * time.Second        // a life that has left is remembered for so long: longer than a late pulse takes
+
+	gather    = 15 * time.Millisecond  // news is held for so long, so that what comes together goes together
+	company   = 200 * time.Millisecond // the same for what is new and can wait: appliances that came, leases
+	unhurried = time.Second            // the same for counts of releases, which come all the time and change little
+
+	attempt = 800 * time.Millisecond // of one round; callers give an agent a second
+	between = 60 * time.Millisecond  // twice what a message takes between regions, about: the least pause after a refusal
+	settle  = 700 * time.Millisecond // after which a value without a known end is brought to one by whoever holds it
+
+	// Ahead is by how much a ballot's number may lie before this member's time of day. A member that lost its disk has
+	// forgotten its promises, but knows with this bound that none was later, and refuses all from before: see catchUp.
+	Ahead = 10 * time.Second
+)
+
+// Reasons why something was not done; whoever asked may ask another member, or again.
+var (
+	ErrFew      = errors.New("too few members answer")
+	ErrCatching = errors.New("this member is catching up")
+	ErrUnsound  = errors.New("this agent does not hear most of the core")
+)
+
+// Config is what a member is told.
+type Config struct {
+	Me      Member
+	Source  string            // this member and its life, as the version before names it
+	N, F    int               // members of the core, and how many may lose their disks at once
+	Zones   map[string]string // zone to region
+	Silence time.Duration     // after which an appliance that pulsed here counts as silent
+	Luck    func() float64    // from [0, 1): spreads what several members would do at one moment
+}
+
+// Memory is what a member's disk held.
+type Memory struct {
+	Entries []pact.Entry
+	Floor   pact.Ballot
+	Caught  bool // the disk is the member's own: never lost, or caught up since
+	Members []Member
+	Items   []Kept      // what was known of agents and appliances
+	Come    lore.Vector // and how far that goes
+}
+
+// Kept is an item with where it came from.
+type Kept struct {
+	Item   lore.Item
+	Origin string
+	Number uint64
+}
+
+// Out is what a step has brought. Saves are to be handed to the disk in their order, before the next step; all else has no
+// order.
+type Out struct {
+	Sends   []Send
+	Saves   []Save
+	Answers []Answer
+	Done    []Done
+	Lines   []Line        // changes of state, for the log
+	Gone    []string      // items that were forgotten
+	News    time.Duration // whoever waits for news is to be woken after so long; below zero: there is none
+}
+
+// Send is a message to another member; its reply goes to Replied, under the number.
+type Send struct {
+	Number uint64
+	To     Member
+	Path   string
+	Ask    *Ask
+}
+
+// Save is to be on the disk, whole, before Saved is told so. Number zero wants no word.
+type Save struct {
+	Number  uint64
+	Entries []pact.Entry
+	Floor   *pact.Ballot
+	Caught  bool // the disk counts from now on
+}
+
+// Answer goes to another member's call.
+type Answer struct {
+	Call  uint64
+	Reply *Reply
+	Err   error
+}
+
+// Done is the end of what was begun under a number.
+type Done struct {
+	Number uint64
+	Values map[string]pact.Value // as chosen
+	Err    error
+}
+
+// Line says that a state has changed.
+type Line struct {
+	Text string
+	With []string // names and values
+}
+
+// Machine is one member.
+type Machine struct {
+	c        Config
+	acceptor *pact.Acceptor
+	caught   bool
+	leaving  bool
+	was      bool                 // sound, when last looked
+	open     map[string]time.Time // registers held without a known end, and when to bring them to one
+
+	number uint64
+	tasks  map[uint64]*task
+	sent   map[uint64]sent
+	saving map[uint64]func(now time.Time, err error)
+
+	feed     *lore.Feed
+	kept     uint64 // up to which number of its own this member's disk held what it told in a life before
+	roll     *lore.Roll
+	members  map[string]*member
+	reach    map[string]reached // how far each member has come that pulls here, by node
+	tombs    map[string]time.Time
+	apps     map[string]*lore.App // the newest of what pulses here have said
+	deciding map[string]bool      // services whose release is being decided
+
+	out Out
+}
+
+type member struct {
+	Member
+	source string // as the version before numbers
+	seq    uint64
+	wire   int
+	heard  time.Time
+	begun  bool      // heard since this member started
+	lost   time.Time // since when it is not heard any more; zero while it is
+}
+
+// New takes up what a disk held.
+func New(c Config, was Memory, now time.Time) *Machine {
+	m := &Machine{c: c, acceptor: pact.NewAcceptor(was.Entries, was.Floor), caught: was.Caught, open: map[string]time.Time{},
+		tasks: map[uint64]*task{}, sent: map[uint64]sent{}, saving: map[uint64]func(time.Time, error){},
+		members: map[string]*member{}, reach: map[string]reached{}, tombs: map[string]time.Time{},
+		apps: map[string]*lore.App{}, deciding: map[string]bool{}, out: Out{News: -1}}
+	origin := originOf(c.Me.Node)
+	// Seconds, and room for as many items in each as any core tells: numbers of a later life lie above.
+	m.feed = lore.NewFeed(c.Source, origin, max(uint64(now.Unix())<<8, was.Come[origin]))
+	m.roll = lore.NewRoll(LeaseTerm, memory)
+	for _, x := range was.Members {
+		if x.Node != c.Me.Node {
+			m.members[x.Node] = &member{Member: x}
+		}
+	}
+	m.recall(was, now)
+	for _, e := range m.acceptor.All() {
+		if e.Chosen {
+			m.publish(e)
+		} else {
+			m.open[e.Key] = now.Add(settle)
+		}
+	}
+	if !m.caught {
+		m.catchUp(now)
+	}
+	return m
+}
+
+// originOf is a member as its numbers are told: short, as it goes with every pull.
+func originOf(node string) string {
+	h := fnv.New64a()
+	h.Write([]byte(node))
+	return strconv.FormatUint(h.Sum64()>>12, 36)
+}
+
+// Take hands over what the steps since the last call have brought.
+func (m *Machine) Take() Out {
+	out := m.out
+	m.out = Out{News: -1}
+	return out
+}
+
+func (m *Machine) say(text string, with ...string) {
+	m.out.Lines = append(m.out.Lines, Line{text, with})
+}
+
+// save has entries brought to the disk, and then goes on. Where nothing has changed it goes on at once.
+func (m *Machine) save(now time.Time, s Save, then func(now time.Time, err error)) {
+	if len(s.Entries) == 0 && s.Floor == nil && !s.Caught {
+		if then != nil {
+			then(now, nil)
+		}
+		return
+	}
+	if then != nil {
+		m.number++
+		s.Number = m.number
+		m.saving[s.Number] = then
+	}
+	m.out.Saves = append(m.out.Saves, s)
+}
+
+// Saved takes the disk's word on a save.
+func (m *Machine) Saved(now time.Time, number uint64, err error) {
+	if then := m.saving[number]; then != nil {
+		delete(m.saving, number)
+		then(now, err)
+	}
+}
+
+// Asked takes another member's message, or this one's own; the answer comes under the call's number. What it says is on the
+// disk by then.
+func (m *Machine) Asked(now time.Time, call uint64, path string, a *Ask) {
+	m.serve(now, path, a, func(_ time.Time, r *Reply, err error) {
+		m.out.Answers = append(m.out.Answers, Answer{call, r, err})
+	})
+}
+
+func (m *Machine) serve(now time.Time, path string, a *Ask, then func(now time.Time, r *Reply, err error)) {
+	if !m.caught {
+		then(now, nil, ErrCatching)
+		return
+	}
+	r := &Reply{OK: true}
+	var changed []pact.Entry
+	var floor *pact.Ballot
+	switch path {
+	case PreparePath, AcceptPath:
+		if !m.timely(now, a.Ballot, Ahead) {
+			then(now, &Reply{}, nil)
+			return
+		}
+		if path == PreparePath {
+			r.Held, changed, r.Refused = m.acceptor.Prepare(a.Ballot, a.Keys)
+		} else {
+			changed, r.Refused = m.acceptor.Accept(a.Ballot, a.Values)
+		}
+		if r.Refused != (pact.Ballot{}) {
+			r.OK, r.Held = false, nil
+			then(now, r, nil)
+			return
+		}
+	case ReadPath:
+		if all := m.acceptor.All(); Digest(all) == a.Digest {
+			r.Same = true
+		} else {
+			r.Held = all
+		}
+	case RefusePath:
+		if !m.timely(now, a.Ballot, 2*Ahead) {
+			then(now, nil, errors.New("the times of day stand too far apart"))
+			return
+		}
+		if m.acceptor.Refuse(a.Ballot) {
+			f := m.acceptor.Floor()
+			floor = &f
+		}
+		r.Held, r.Refused = m.acceptor.All(), m.acceptor.Floor()
+	}
+	m.save(now, Save{Entries: changed, Floor: floor}, func(now time.Time, err error) {
+		if err != nil { // what is not on the disk is not said
+			then(now, nil, err)
+			return
+		}
+		for _, e := range changed {
+			m.unsettled(now, e)
+		}
+		then(now, r, nil)
+	})
+}
+
+// timely tells whether a ballot's number lies at most so far ahead of the time of day.
+func (m *Machine) timely(now time.Time, b pact.Ballot, ahead time.Duration) bool {
+	return b.N <= uint64(now.Add(ahead).UnixMilli())
+}
+
+// unsettled notes a register whose newest value this member holds without knowing that it is chosen.
+func (m *Machine) unsettled(now time.Time, e pact.Entry) {
+	if held := m.acceptor.Get(e.Key); held.Chosen || held.Accepted == (pact.Ballot{}) {
+		return
+	}
+	if _, noted := m.open[e.Key]; !noted {
+		m.open[e.Key] = now.Add(settle + time.Duration(m.c.Luck()*float64(settle)))
+	}
+}
+
+// learn takes up what is known to be chosen, or was accepted elsewhere, and tells on what is chosen.
+func (m *Machine) learn(now time.Time, entries []pact.Entry) []pact.Entry {
+	changed := m.acceptor.Learn(entries)
+	for _, e := range changed {
+		if e.Chosen {
+			delete(m.open, e.Key)
+			m.publish(e)
+		} else {
+			m.unsettled(now, e)
+		}
+	}
+	return changed
+}
+
+// publish tells a chosen value.
+func (m *Machine) publish(e pact.Entry) {
+	m.tell(lore.Item{Key: lore.RegKey + e.Key, Version: e.Value.Version, Body: regBody(e)})
+}
+
+func regBody(e pact.Entry) string {
+	b, _ := easyjson.Marshal(pact.Entry{Key: e.Key, Accepted: e.Accepted, Value: e.Value, Chosen: true})
+	return string(b)
+}
+
+// Digest is equal for members that hold the same: of a chosen value its version says all, whichever ballot it came by.
+func Digest(entries []pact.Entry) (sum uint64) {
+	for _, e := range entries { // the sum does not depend on their order
+		h := fnv.New64a()
+		h.Write([]byte(e.Key))
+		n, who := e.Accepted.N, e.Accepted.Who
+		if e.Chosen {
+			n, who = e.Value.Version, ""
+		}
+		h.Write([]byte{0, byte(n), byte(n >> 8), byte(n >> 16), byte(n >> 24), byte(n >> 32), byte(n >> 40)})
+		h.Write([]byte(who))
+		sum += h.Sum64()
+	}
+	return sum
+}
+
+// Values are the registers as this member holds them.
+func (m *Machine) Values(prefix string) map[string]pact.Value {
+	out := map[string]pact.Value{}
+	for _, e := range m.acceptor.All() {
+		if strings.HasPrefix(e.Key, prefix) {
+			out[e.Key] = e.Value
+		}
+	}
+	return out
+}
+
+// Held is a register as this member holds it.
+func (m *Machine) Held(key string) pact.Entry { return m.acceptor.Get(key) }
+
+// Caught tells whether this member counts.
+func (m *Machine) Caught() bool { return m.caught }
--- a/steward/words.go
+++ b/moot/words.go
@@ -1,4 +1,4 @@
-package steward
+package moot
 
 import (
 	"sagelever/lore"
@@ -12,16 +12,21 @@
 	Addr string `json:"a"` // where its peers call it
 }
 
-// Pull asks a steward for what is new since the number that the caller has seen of it. It renews the caller's lease.
+// Wire is the version of these words. The first one pulled by the source's own numbers.
+const Wire = 2
+
+// Pull asks a steward for what the caller lacks. It renews the caller's lease.
 //
 //easyjson:json
 type Pull struct {
 	From   Member            `json:"f"`
 	Role   string            `json:"r"` // Core or Edge
-	Vector map[string]uint64 `json:"v"` // by source
-	WaitMs int64             `json:"w"` // how long the answer may wait for news
-	Front  string            `json:"c"` // where clients reach an edge agent; empty while they should not
-	Life   uint64            `json:"l"` // the caller's life, and how often its lease has changed
+	Wire   int               `json:"g,omitempty"`
+	Vector map[string]uint64 `json:"v,omitempty"` // how far it has come, by the source's own numbers, with the first version
+	Come   lore.Vector       `json:"u,omitempty"` // how far it has come, by every source's numbers
+	WaitMs int64             `json:"w"`           // how long the answer may wait for news
+	Front  string            `json:"c"`           // where clients reach an edge agent; empty while they should not
+	Life   uint64            `json:"l"`           // the caller's life, and how often its lease has changed
 	Ended  bool              `json:"e,omitempty"`
 	Meet   bool              `json:"m,omitempty"` // asks only who the members are
 }
@@ -37,8 +42,11 @@
 //easyjson:json
 type News struct {
 	Source  string      `json:"s"`
+	Wire    int         `json:"g,omitempty"`
 	Seq     uint64      `json:"q"`
 	Items   []lore.Item `json:"i"`
+	Origins []string    `json:"j,omitempty"` // of the items
+	Come    lore.Vector `json:"u,omitempty"` // how far one that has taken these has come, where further than it said
 	Whole   bool        `json:"w,omitempty"` // all that the source has
 	Sound   bool        `json:"o"`           // the source has caught up and hears more than half of the core
 	Agents  int         `json:"n"`           // edge agents with a lease now or lately
@@ -48,6 +56,14 @@
 	Now     int64       `json:"t"`           // Unix milliseconds at the source
 }
 
+// Origin is who told an item first; the source where the message does not say.
+func (n *News) Origin(it lore.Item) string {
+	if it.From >= 0 && it.From < len(n.Origins) {
+		return n.Origins[it.From]
+	}
+	return ""
+}
+
 // Ask is a message of a round: a promise is asked where Values is empty.
 //
 //easyjson:json
@@ -67,3 +83,13 @@
 	Held    []pact.Entry `json:"h,omitempty"`
 	Refused pact.Ballot  `json:"r"`
 }
+
+// Kinds of asks, as the paths of calls.
+const (
+	PullPath    = "/pull"
+	TallyPath   = "/tally"
+	PreparePath = "/prepare"
+	AcceptPath  = "/accept"
+	ReadPath    = "/read"
+	RefusePath  = "/refuse"
+)
--- a/pact/pact.go
+++ b/pact/pact.go
@@ -224,6 +224,14 @@
 	return len(r.took) >= r.need
 }
 
+// Hopeless tells whether the round can't end well with as many replies as are still to come.
+func (r *Round) Hopeless(open int) bool {
+	if r.values == nil {
+		return len(r.told)+open < r.ask
+	}
+	return len(r.took)+open < r.need
+}
+
 // Refused takes a member's refusal and the ballot it holds to.
 func (r *Round) Refused(b Ballot) {
 	if r.refused.Less(b) {
--- a/plan/check.go
+++ b/plan/check.go
@@ -25,12 +25,15 @@
 	deepest       = 32               // levels of JSON in a call; the protocol's have six
 )
 
+// ItemKey begins the keys of the registers that hold items.
+const ItemKey = "item/"
+
 // Key is the register that holds an item.
-func Key(kind, name string) string { return "item/" + kind + "/" + name }
+func Key(kind, name string) string { return ItemKey + kind + "/" + name }
 
 // SplitKey reads the register's name of an item.
 func SplitKey(key string) (kind, name string, ok bool) {
-	rest, ok := strings.CutPrefix(key, "item/")
+	rest, ok := strings.CutPrefix(key, ItemKey)
 	if !ok {
 		return "", "", false
 	}
--- a/relay/news.go
+++ b/relay/news.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"sort"
@@ -14,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"sagelever/lore"
+	"sagelever/moot"
 	"sagelever/pact"
 	"sagelever/plan"
 	"sagelever/steward"
@@ -31,9 +33,10 @@
 	life   string
 
 	mu      sync.Mutex
-	members map[string]steward.Member // by address
-	vector  map[string]uint64
-	at      map[string]string // the source that an address was last
+	members map[string]moot.Member // by address
+	come    lore.Vector            // how far this relay has come, by every source's numbers
+	vector  map[string]uint64      // the same for a source that speaks the version before, by its own
+	at      map[string]string      // which such a source an address was last
 	tried   map[string]time.Time
 	now     string // the address pulled from
 	values  map[string]pact.Value
@@ -45,7 +48,7 @@
 
 func newNews(r *Relay) *news {
 	n := &news{r: r, life: r.settings.Node + "@" + strconv.FormatInt(time.Now().UnixNano(), 36),
-		members: map[string]steward.Member{}, vector: map[string]uint64{}, at: map[string]string{}, tried: map[string]time.Time{},
+		members: map[string]moot.Member{}, come: lore.Vector{}, vector: map[string]uint64{}, at: map[string]string{}, tried: map[string]time.Time{},
 		values: map[string]pact.Value{}, told: map[string]string{}, changed: uint64(time.Now().UnixMilli())}
 	n.client = steward.Client()
 	n.reload(append([]string{net.JoinHostPort(r.settings.IP, "0")}, r.settings.FirstContacts...)) // there may be a steward here
@@ -60,7 +63,7 @@
 		if host, _, err := net.SplitHostPort(c); err == nil {
 			addr := net.JoinHostPort(host, n.r.settings.Peer())
 			if _, known := n.members[addr]; !known {
-				n.members[addr] = steward.Member{Addr: addr}
+				n.members[addr] = moot.Member{Addr: addr}
 			}
 		}
 	}
@@ -144,7 +147,7 @@
 }
 
 // call is this relay's word to the core.
-func (n *news) call(addr string, wait time.Duration) *steward.Pull {
+func (n *news) call(addr string, wait time.Duration) *moot.Pull {
 	front := ""
 	if n.r.ready() {
 		front = n.r.settings.Listens["front"]
@@ -155,15 +158,15 @@
 		n.front = front
 		n.changed = max(n.changed+1, uint64(time.Now().UnixMilli()))
 	}
-	p := &steward.Pull{From: steward.Member{Node: n.r.settings.Node, Zone: n.r.settings.Zone}, Role: steward.Edge,
-		Vector: map[string]uint64{}, WaitMs: wait.Milliseconds(), Front: n.front, Life: n.changed}
+	p := &moot.Pull{From: moot.Member{Node: n.r.settings.Node, Zone: n.r.settings.Zone}, Role: moot.Edge,
+		Wire: moot.Wire, Come: maps.Clone(n.come), WaitMs: wait.Milliseconds(), Front: n.front, Life: n.changed}
 	if source := n.at[addr]; source != "" {
-		p.Vector[source] = n.vector[source]
+		p.Vector = map[string]uint64{source: n.vector[source]}
 	}
 	return p
 }
 
-func (n *news) pull(ctx context.Context, addr string, wait time.Duration) (*steward.News, error) {
+func (n *news) pull(ctx context.Context, addr string, wait time.Duration) (*moot.News, error) {
 	p := n.call(addr, wait)
 	body, err := easyjson.Marshal(p)
 	if err != nil {
@@ -171,8 +174,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
 	defer cancel()
-	got := &steward.News{}
-	if err := steward.Post(ctx, n.client, addr, steward.PullPath, body, got); err != nil {
+	got := &moot.News{}
+	if err := steward.Post(ctx, n.client, addr, moot.PullPath, body, got); err != nil {
 		return nil, err
 	}
 	n.take(addr, got)
@@ -180,13 +183,10 @@
 }
 
 // take takes up news: the configuration as a table swapped whole, the appliances, and what others count of releases.
-func (n *news) take(addr string, got *steward.News) {
+func (n *news) take(addr string, got *moot.News) {
 	now := time.Now()
 	n.mu.Lock()
-	if old := n.at[addr]; old != got.Source {
-		delete(n.vector, old)
-	}
-	n.at[addr], n.vector[got.Source], n.now = got.Source, got.Seq, addr
+	n.reach(addr, got)
 	for _, m := range got.Members {
 		n.members[m.Addr] = m
 	}
@@ -250,6 +250,23 @@
 	}
 }
 
+// reach notes how far this relay has come with what an address has told; under the lock.
+func (n *news) reach(addr string, got *moot.News) {
+	n.now = addr
+	delete(n.vector, n.at[addr])
+	delete(n.at, addr)
+	if got.Wire < moot.Wire {
+		n.at[addr], n.vector[got.Source] = got.Source, got.Seq
+		return
+	}
+	if got.Whole { // what it holds of others is what this source has told
+		n.come = lore.Vector{}
+	}
+	for origin, x := range got.Come {
+		n.come[origin] = max(n.come[origin], x)
+	}
+}
+
 // announce tells the core at once that the lease has changed.
 func (n *news) announce(ctx context.Context) {
 	n.mu.Lock()
@@ -273,7 +290,7 @@
 	if body, err := easyjson.Marshal(p); err == nil {
 		ctx, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
 		defer cancel()
-		_ = steward.Post(ctx, n.client, addr, steward.PullPath, body, nil)
+		_ = steward.Post(ctx, n.client, addr, moot.PullPath, body, nil)
 	}
 }
 
@@ -287,7 +304,7 @@
 	}
 	n.mu.Lock()
 	addr := n.now
-	out := &steward.News{}
+	out := &moot.News{}
 	for service, t := range tallies {
 		n.turns++
 		it := t.Item(service, n.turns)
@@ -306,7 +323,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	if steward.Post(ctx, n.client, addr, steward.TallyPath, body, nil) != nil {
+	if steward.Post(ctx, n.client, addr, moot.TallyPath, body, nil) != nil {
 		n.mu.Lock()
 		clear(n.told)
 		n.mu.Unlock()
--- a/steward/outside.go
+++ b/steward/outside.go
@@ -13,10 +13,10 @@
 
 	"github.com/gorilla/mux"
 	"github.com/mailru/easyjson"
-	"go.uber.org/zap"
 
 	"sagelever/boot"
 	"sagelever/lore"
+	"sagelever/moot"
 	"sagelever/pact"
 	"sagelever/plan"
 )
@@ -86,10 +86,10 @@
 // able answers 503 where this member lacks contact with the core.
 func (s *Steward) able(w http.ResponseWriter) bool {
 	s.mu.Lock()
-	ok := s.sound(s.now())
+	ok := s.m.Sound(s.now())
 	s.mu.Unlock()
 	if !ok {
-		later(w, "this agent does not hear most of the core")
+		later(w, moot.ErrUnsound.Error())
 	}
 	return ok
 }
@@ -113,10 +113,8 @@
 		return
 	}
 	s.counts.pulses.Add(1)
-	s.mu.Lock()
-	s.hear(id, p)
-	next := s.nearest(p.Zone)
-	s.mu.Unlock()
+	var near moot.Member
+	s.step(func(now time.Time) { near = s.m.Pulse(now, id, p) })
 	if p.Phase == lore.Emptying {
 		ctx, cancel := context.WithTimeout(r.Context(), callTime)
 		defer cancel()
@@ -125,50 +123,21 @@
 			return
 		}
 	}
-	text, _ := json.Marshal(map[string]string{"nextBeatTo": next})
-	if next == "" {
-		text = []byte("{}")
+	text := []byte("{}")
+	if next := s.control(near); next != "" {
+		text, _ = json.Marshal(map[string]string{"nextBeatTo": next})
 	}
 	answerJSON(w, text)
 }
 
-// hear merges a pulse; under the lock.
-func (s *Steward) hear(id string, p *lore.Pulse) {
-	key, now := lore.AppKey+id, s.now()
-	it, known := s.feed.Get(key)
-	if known && it.Version >= lore.Version(p.CallCount, false) {
-		return // late, or from a life that has left
-	}
-	held := s.apps[id]
-	if told, ok := lore.ReadApp(it); known && ok && (held == nil || told.Home != s.me.Node || told.Phase != held.Phase) {
-		held = told
-	}
-	next, app, news := lore.News(id, p, held, s.me.Node, now)
-	if news {
-		s.tell(next)
-	} else {
-		app.Heard = held.Heard // when it was last told
-	}
-	s.apps[id] = app
-	s.roll.Pulsed(id, now)
-}
-
-// nearest is where an appliance of a zone had best send its pulses: the member that stands there, while it is heard.
-// Under the lock.
-func (s *Steward) nearest(zone string) string {
+// control is where a member takes the calls of appliances: all machines of a system have the same ports.
+func (s *Steward) control(m moot.Member) string {
 	_, port, err := net.SplitHostPort(s.settings.Listens["control"])
-	if err != nil || zone == s.me.Zone {
+	host, _, err2 := net.SplitHostPort(m.Addr)
+	if err != nil || err2 != nil {
 		return ""
 	}
-	for node, m := range s.members {
-		if m.Zone == zone && s.heardOf(node, s.now()) {
-			host, _, err := net.SplitHostPort(m.Addr)
-			if err == nil {
-				return net.JoinHostPort(host, port)
-			}
-		}
-	}
-	return ""
+	return net.JoinHostPort(host, port)
 }
 
 func (s *Steward) signOff(w http.ResponseWriter, r *http.Request) {
@@ -177,17 +146,7 @@
 		return
 	}
 	key := lore.AppKey + id
-	s.mu.Lock()
-	it, known := s.feed.Get(key)
-	a, read := lore.ReadApp(it)
-	if !known || !read {
-		a = &lore.App{}
-	}
-	s.tell(a.WithPhase(id, lore.Left, lore.LeftVersion))
-	s.tombs[key] = s.now().Add(tomb)
-	s.roll.Unwatch(id)
-	delete(s.apps, id)
-	s.mu.Unlock()
+	s.step(func(now time.Time) { s.m.SignOff(now, id) })
 	ctx, cancel := context.WithTimeout(r.Context(), callTime)
 	defer cancel()
 	if !s.held(ctx, key) {
@@ -216,11 +175,12 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), callTime+time.Duration(len(sent))*3*time.Millisecond)
 	defer cancel()
-	if err := s.sync(ctx); err != nil {
+	held, err := s.read(ctx, plan.ItemKey)
+	if err != nil {
 		later(w, err.Error())
 		return
 	}
-	if err := plan.Check(s.values("item/"), sent); err != nil {
+	if err := plan.Check(held, sent); err != nil {
 		refuse(w, err)
 		return
 	}
@@ -242,12 +202,13 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), callTime)
 	defer cancel()
-	if err := s.sync(ctx); err != nil {
+	held, err := s.read(ctx, plan.ItemKey)
+	if err != nil {
 		later(w, err.Error())
 		return
 	}
 	out := plan.Items{Items: []plan.Item{}}
-	for key, v := range s.values("item/") {
+	for key, v := range held {
 		if kind, name, ok := plan.SplitKey(key); ok && !v.Gone {
 			meta := plan.Meta{Name: name, Version: plan.FormatVersion(v.Version)}
 			out.Items = append(out.Items, plan.Item{Type: kind, Metadata: meta, Body: json.RawMessage(v.Body)})
@@ -320,23 +281,13 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), callTime)
 	defer cancel()
-	if err := s.sync(ctx); err != nil {
+	key := plan.ReleaseKey(service)
+	held, err := s.read(ctx, key)
+	if err != nil {
 		later(w, err.Error())
 		return
 	}
-	key := plan.ReleaseKey(service)
-	s.mu.Lock()
-	e := s.acceptor.Get(key)
-	s.mu.Unlock()
-	if e.Accepted != (pact.Ballot{}) && !e.Chosen {
-		values, err := s.decide(ctx, map[string]pact.Change{key: func(held pact.Value) pact.Value { return held }})
-		if err != nil {
-			later(w, err.Error())
-			return
-		}
-		e.Value = values[key]
-	}
-	rel, ok := plan.ReadRelease(e.Value)
+	rel, ok := plan.ReadRelease(held[key])
 	if !ok {
 		http.Error(w, "there is no release of this service", http.StatusNotFound)
 		return
@@ -345,54 +296,6 @@
 	answerJSON(w, text)
 }
 
-// countVotes decides the releases on which the agents' votes say so.
-func (s *Steward) countVotes() {
-	s.mu.Lock()
-	due := map[string]pact.Change{}
-	for service, phase := range s.voted() {
-		e := s.acceptor.Get(plan.ReleaseKey(service))
-		rel, ok := plan.ReadRelease(e.Value)
-		if ok && rel.Phase == plan.InService && !s.deciding[service] {
-			due[service] = plan.Decide(rel.Number, phase)
-			s.deciding[service] = true
-			s.log.Info("release decided by votes", zap.String("service", service), zap.String("phase", phase))
-		}
-	}
-	s.mu.Unlock()
-	for service, change := range due {
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), 4*callTime)
-			defer cancel()
-			_, _ = s.decide(ctx, map[string]pact.Change{plan.ReleaseKey(service): change}) // the votes stand, and come again
-			s.mu.Lock()
-			delete(s.deciding, service)
-			s.mu.Unlock()
-		}()
-	}
-}
-
-// voted is what the votes known here add up to, by service; under the lock.
-func (s *Steward) voted() map[string]string {
-	tallies := map[string][]*lore.Tally{}
-	s.feed.Each(lore.TrialKey, func(it lore.Item) {
-		service, _, _ := strings.Cut(it.Key[len(lore.TrialKey):], "/")
-		if t, ok := lore.ReadTally(it); ok {
-			tallies[service] = append(tallies[service], t)
-		}
-	})
-	out := map[string]string{}
-	for service, list := range tallies {
-		rel, ok := plan.ReadRelease(s.acceptor.Get(plan.ReleaseKey(service)).Value)
-		if !ok || rel.Phase != plan.InService {
-			continue
-		}
-		if phase := plan.Count(rel.Number, list); phase != "" {
-			out[service] = phase
-		}
-	}
-	return out
-}
-
 // directory answers clients that look for an agent.
 func (s *Steward) directory() http.Handler {
 	r := mux.NewRouter()
@@ -400,7 +303,7 @@
 		s.counts.lookups.Add(1)
 		q := r.URL.Query()
 		s.mu.Lock()
-		fronts := s.fronts(q.Get("zone"), q.Get("region"))
+		fronts := s.m.Fronts(s.now(), q.Get("zone"), q.Get("region"), mostTold)
 		s.mu.Unlock()
 		if len(fronts) == 0 {
 			later(w, "no agent is ready")
@@ -421,36 +324,3 @@
 	valid    = 3 * time.Second // how long clients keep an answer: as long as a lost agent stays in some
 	mostTold = 64              // addresses in an answer
 )
-
-// fronts lists where clients of a zone should go: to the agents there; where there are none to others of the region, then
-// to any. Under the lock.
-func (s *Steward) fronts(zone, region string) []string {
-	now := s.now()
-	var near, mid, far []string
-	s.feed.Each(lore.LeaseKey, func(it lore.Item) {
-		l, ok := lore.ReadLease(it)
-		if !ok || l.Ended || l.Front == "" || l.Role != Edge {
-			return
-		}
-		if l.Home == s.me.Node && !s.roll.Granted(it.Key) || !s.heardOf(l.Home, now) {
-			return
-		}
-		switch {
-		case l.Zone == zone:
-			near = append(near, l.Front)
-		case s.settings.Zones[l.Zone] == region:
-			mid = append(mid, l.Front)
-		default:
-			far = append(far, l.Front)
-		}
-	})
-	sort.Strings(mid)
-	out := near
-	if len(out) == 0 {
-		out = mid
-	}
-	if len(out) == 0 {
-		out = far
-	}
-	return out[:min(len(out), mostTold)]
-}
--- a/steward/peers.go
+++ b/steward/peers.go
@@ -5,26 +5,13 @@
 	"context"
 	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/mailru/easyjson"
-	"go.uber.org/zap"
 
-	"sagelever/lore"
-	"sagelever/pact"
-)
-
-// Paths on the port between agents.
-const (
-	PullPath    = "/pull"
-	TallyPath   = "/tally"
-	preparePath = "/prepare"
-	acceptPath  = "/accept"
-	readPath    = "/read"
-	refusePath  = "/refuse"
+	"sagelever/moot"
 )
 
 const (
@@ -42,16 +29,6 @@
 	}}
 }
 
-func (s *Steward) post(ctx context.Context, m Member, path string, in easyjson.Marshaler, out easyjson.Unmarshaler) error {
-	body, err := easyjson.Marshal(in)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, slowest)
-	defer cancel()
-	return Post(ctx, s.client, m.Addr, path, body, out)
-}
-
 // Post makes one call on the port between agents.
 func Post(ctx context.Context, client *http.Client, addr, path string, body []byte, out easyjson.Unmarshaler) error {
 	packed, coding := pack(body)
@@ -93,15 +70,15 @@
 			h(&counted{w, c}, r)
 		})
 	}
-	serve(PullPath, s.servePull)
-	serve(TallyPath, s.serveTally)
-	for _, path := range []string{preparePath, acceptPath, readPath, refusePath} {
+	serve(moot.PullPath, s.servePull)
+	serve(moot.TallyPath, s.serveTally)
+	for _, path := range []string{moot.PreparePath, moot.AcceptPath, moot.ReadPath, moot.RefusePath} {
 		serve(path, func(w http.ResponseWriter, r *http.Request) {
-			a := &Ask{}
+			a := &moot.Ask{}
 			if !read(w, r, a) {
 				return
 			}
-			got, err := s.answer(path, a)
+			got, err := s.answer(r.Context(), path, a)
 			if err != nil {
 				http.Error(w, err.Error(), http.StatusServiceUnavailable)
 				return
@@ -155,141 +132,57 @@
 
 // servePull answers with what is new, at once or when there is some.
 func (s *Steward) servePull(w http.ResponseWriter, r *http.Request) {
-	p := &Pull{}
+	p := &moot.Pull{}
 	if !read(w, r, p) {
 		return
 	}
-	until := time.NewTimer(time.Duration(max(0, min(p.WaitMs, 10_000))) * time.Millisecond)
-	defer until.Stop()
+	end := time.NewTimer(time.Duration(max(0, min(p.WaitMs, 10_000))) * time.Millisecond)
+	defer end.Stop()
+	var wait *moot.Waiting
+	s.step(func(now time.Time) { wait = s.m.Pulled(now, p) })
 	s.mu.Lock()
-	behind := s.meet(p)
-	since, knows := p.Vector[s.feed.Source]
-	if p.Meet {
-		since = s.feed.Seq()
-	} else {
-		s.reached(p.From.Node+"/"+p.Role, since)
-	}
-	wanted := s.wantedBy(p.Role)
-	items := s.feed.Since(since, wanted)
-	sound := s.sound(s.now())
-	for len(items) == 0 && knows && !s.leaving && s.sound(s.now()) == sound {
+	n, ready := s.m.Answer(s.now(), wait)
+	for !ready {
 		news := s.news
 		s.mu.Unlock()
+		ended := false
 		select {
 		case <-news:
-		case <-until.C:
-			knows = false
+		case <-end.C:
+			ended = true
 		case <-r.Context().Done():
 			return
 		}
 		s.mu.Lock()
-		items = s.feed.Since(since, wanted)
-	}
-	n := &News{Source: s.feed.Source, Seq: s.feed.Seq(), Items: items, Whole: since == 0, Sound: s.sound(s.now()),
-		Life: behind, Now: s.now().UnixMilli()}
-	n.Agents, n.Here = s.roll.Count(p.From.Zone, s.now())
-	if p.Meet || p.Role == Edge {
-		n.Members = append(n.Members, s.me)
-		for _, m := range s.members {
-			n.Members = append(n.Members, m.Member)
-		}
+		n, ready = s.m.Answer(s.now(), wait)
+		ready = ready || ended
 	}
 	s.mu.Unlock()
 	s.counts.pulls.Add(1)
 	s.sentTo(p.From.Zone, write(w, n))
 }
 
-// wantedBy is what a puller is told: edge agents need no leases.
-func (s *Steward) wantedBy(role string) func(string) bool {
-	if role == Core {
-		return nil
-	}
-	return func(key string) bool { return !strings.HasPrefix(key, lore.LeaseKey) }
-}
-
-// reached notes how far a puller has come; under the lock. A waiting acknowledgement looks at it.
-func (s *Steward) reached(who string, seq uint64) {
-	s.reach[who] = seq
-}
-
-// meet takes up who calls: a lease for an edge agent, a member of the core; under the lock.
-func (s *Steward) meet(p *Pull) (behind uint64) {
-	now := s.now()
-	if p.Role == Core {
-		s.join(p.From)
-		return 0
-	}
-	l := &lore.Lease{Node: p.From.Node, Role: p.Role, Zone: p.From.Zone, Front: p.Front, Home: s.me.Node, Ended: p.Ended}
-	it := l.Item(p.Life << 8)
-	old, known := s.feed.Get(it.Key)
-	was, read := lore.ReadLease(old)
-	if p.Ended {
-		if !known || old.Version < p.Life<<8|0xff {
-			it.Version = p.Life<<8 | 0xff
-			s.tell(it)
-		}
-		return 0
-	}
-	s.roll.Renew(it.Key, l.Zone, now)
-	if known && read && *was == *l && old.Version>>8 == p.Life {
-		return 0
-	}
-	if known && old.Version >= it.Version {
-		if old.Version>>8 > p.Life || old.Version&0xff == 0xff {
-			// A word from before, or of an agent whose time of day has gone back: it is told, and comes again.
-			return old.Version >> 8
-		}
-		it.Version = old.Version + 1 // it has moved here, or is back after it lapsed
-	}
-	s.tell(it)
-	return 0
-}
-
-func (s *Steward) join(m Member) {
-	if m.Node == s.me.Node || m.Node == "" || len(s.members) >= 4*s.n {
-		return
-	}
-	if known := s.members[m.Node]; known != nil {
-		known.Member = m
-		return
-	}
-	s.members[m.Node] = &member{Member: m}
-	s.notes[memberKey+m.Node] = m.Zone + " " + m.Addr
-	s.log.Info("member found", zap.String("member", m.Node), zap.Int("known", len(s.members)+1))
-}
-
-func (s *Steward) peers() []Member {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := make([]Member, 0, len(s.members))
-	for _, m := range s.members {
-		out = append(out, m.Member)
-	}
-	return out
-}
-
 // find keeps a pull going to every member known, and to the first contacts until the core is whole.
 func (s *Steward) find(ctx context.Context) {
 	pulling := map[string]bool{}
 	for ctx.Err() == nil {
-		for _, m := range s.peers() {
+		s.mu.Lock()
+		members, contacts := s.m.Members(), s.contacts
+		s.mu.Unlock()
+		for _, m := range members {
 			if !pulling[m.Addr] {
 				pulling[m.Addr] = true
 				go s.follow(ctx, m)
 			}
 		}
+		pause := tick
 		if len(pulling)+1 < s.n {
-			s.mu.Lock()
-			contacts := s.contacts
-			s.mu.Unlock()
 			for _, c := range contacts {
 				if host, _, err := net.SplitHostPort(c); err == nil && host != s.settings.IP {
-					go s.pull(ctx, Member{Addr: net.JoinHostPort(host, s.settings.Peer())}, 0)
+					go s.pull(ctx, moot.Member{Addr: net.JoinHostPort(host, s.settings.Peer())}, 0)
 				}
 			}
-		}
-		pause := tick
-		if len(pulling)+1 >= s.n {
+		} else {
 			pause = 8 * tick // the core is whole: only a member at a new address is still to be found
 		}
 		select {
@@ -300,9 +193,9 @@
 }
 
 // follow pulls one member's news for as long as this agent runs.
-func (s *Steward) follow(ctx context.Context, m Member) {
+func (s *Steward) follow(ctx context.Context, m moot.Member) {
 	for ctx.Err() == nil {
-		if s.pull(ctx, m, coreWait) != nil {
+		if s.pull(ctx, m, moot.CoreWait) != nil {
 			select {
 			case <-time.After(tick):
 			case <-ctx.Done():
@@ -312,75 +205,35 @@
 }
 
 // pull asks one agent once and takes up what it tells.
-func (s *Steward) pull(ctx context.Context, from Member, wait time.Duration) error {
-	p := &Pull{From: s.me, Role: Core, Vector: map[string]uint64{}, WaitMs: wait.Milliseconds(), Meet: from.Node == ""}
+func (s *Steward) pull(ctx context.Context, from moot.Member, wait time.Duration) error {
 	s.mu.Lock()
-	if m := s.members[from.Node]; m != nil && m.source != "" {
-		p.Vector[m.source] = m.seq
-	}
+	p := s.m.Ask(from, wait)
 	s.mu.Unlock()
+	body, err := easyjson.Marshal(p)
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
 	defer cancel()
-	n := &News{}
-	if err := s.post(ctx, from, PullPath, p, n); err != nil {
+	n := &moot.News{}
+	if err := Post(ctx, s.client, from.Addr, moot.PullPath, body, n); err != nil {
 		return err
 	}
-	s.mu.Lock()
-	var changed []pact.Entry
-	for _, it := range n.Items {
-		changed = append(changed, s.take(it)...)
-	}
-	for _, m := range n.Members {
-		s.join(m)
-	}
-	if m := s.members[from.Node]; m != nil {
-		m.source, m.seq, m.heard = n.Source, n.Seq, s.now()
-	}
-	word := s.persist(changed, nil)
-	s.mu.Unlock()
-	return s.lasting(word)
-}
-
-// take merges an item that another agent has told; under the lock.
-func (s *Steward) take(it lore.Item) (changed []pact.Entry) {
-	if strings.HasPrefix(it.Key, lore.RegKey) {
-		e := pact.Entry{}
-		if easyjson.Unmarshal([]byte(it.Body), &e) == nil && e.Chosen {
-			return s.learn([]pact.Entry{e})
-		}
-		return nil
-	}
-	if !s.tell(it) {
-		return nil
-	}
-	if id, ok := strings.CutPrefix(it.Key, lore.AppKey); ok {
-		a, ok := lore.ReadApp(it)
-		if ok && a.Home != s.me.Node {
-			s.roll.Unwatch(id)
-			delete(s.apps, id)
-		}
-		if ok && (a.Phase == lore.Left || a.Phase == lore.Silent) {
-			s.tombs[it.Key] = s.now().Add(tomb)
-		}
-	}
+	s.step(func(now time.Time) { s.m.Told(now, from, n) })
 	return nil
 }
 
-// held waits until another member holds an item too; false where none does in time. One in each zone, so that the loss of
-// a zone takes one of them at most.
+// held waits until another member holds an item too; false where none does in time.
 func (s *Steward) held(ctx context.Context, key string) bool {
 	for {
 		s.mu.Lock()
-		seq := s.feed.SeqOf(key)
-		for who, has := range s.reach {
-			if has >= seq && seq > 0 && strings.HasSuffix(who, "/"+Core) {
-				s.mu.Unlock()
-				return true
-			}
-		}
+		held := s.m.HeldToo(key)
 		s.mu.Unlock()
+		if held {
+			return true
+		}
 		select {
-		case <-time.After(gather):
+		case <-time.After(15 * time.Millisecond):
 		case <-ctx.Done():
 			return false
 		}
@@ -389,17 +242,10 @@
 
 // serveTally takes what an edge agent has seen of a release.
 func (s *Steward) serveTally(w http.ResponseWriter, r *http.Request) {
-	n := &News{}
+	n := &moot.News{}
 	if !read(w, r, n) {
 		return
 	}
-	s.mu.Lock()
-	for _, it := range n.Items {
-		if _, ok := strings.CutPrefix(it.Key, lore.TrialKey); ok {
-			s.tell(it)
-		}
-	}
-	s.mu.Unlock()
-	s.countVotes()
+	s.step(func(now time.Time) { s.m.Tally(now, n.Items) })
 	w.WriteHeader(http.StatusOK)
 }
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -9,7 +9,9 @@
 
 import (
 	"bytes"
+	"maps"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -157,11 +159,13 @@
 	return Word{v.hand(values, true)}
 }
 
-// Note writes values, and drops those that are empty, without waiting for the disk: what is good to have and may be lost.
-func (v *Vault) Note(values map[string]string) {
-	if len(values) > 0 {
-		v.hand(values, false)
+// Note writes values, and drops those that are empty, without a sync: what is good to have and may be lost. A loss of
+// power leaves a beginning of it, in the order of the keys. The word says whether it was written.
+func (v *Vault) Note(values map[string]string) Word {
+	if len(values) == 0 {
+		return Word{}
 	}
+	return Word{v.hand(values, false)}
 }
 
 func (v *Vault) hand(values map[string]string, sync bool) *batch {
@@ -213,8 +217,8 @@
 		}
 	}
 	text := appendSet(nil, mark, strconv.FormatInt(v.synced, 10))
-	for k, x := range b.values {
-		if x == "" {
+	for _, k := range slices.Sorted(maps.Keys(b.values)) { // what a torn tail has of a batch is its beginning, in this order
+		if x := b.values[k]; x == "" {
 			text = appendDel(text, k)
 		} else {
 			text = appendSet(text, k, x)
