--- a/lore/known.go
+++ b/lore/known.go
@@ -139,6 +139,15 @@
 	return a.item(id, version)
 }
 
+// Fallen is the item of a life that has fallen silent behind its last word. One that was leaving is gone: as a silent one
+// it might get work again.
+func (a App) Fallen(id string, version uint64) Item {
+	if a.Phase == Emptying {
+		return a.WithPhase(id, Left, version|1)
+	}
+	return a.WithPhase(id, Silent, version|1)
+}
+
 // ReadApp reads the body of an appliance's item.
 func ReadApp(it Item) (*App, bool) {
 	a := &App{}
--- a/lore/lore.go
+++ b/lore/lore.go
@@ -5,6 +5,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sort"
 	"strings"
 )
@@ -20,6 +21,21 @@
 	Seq  uint64 `json:"q,omitempty"`
 }
 
+// After tells whether an item prevails over one that is held under its key. Two members may give a lease one version, as
+// when an agent moves in the moment in which its lease lapses: then one that is held prevails over one that has ended, and
+// else the later text, so that all copies come to the same.
+func (it Item) After(held Item) bool {
+	if it.Version != held.Version || it.Body == held.Body || !strings.HasPrefix(it.Key, LeaseKey) {
+		return it.Version > held.Version
+	}
+	a, ok := ReadLease(it)
+	b, ok2 := ReadLease(held)
+	if !ok || !ok2 || a.Ended == b.Ended {
+		return it.Body > held.Body
+	}
+	return b.Ended
+}
+
 // Kinds of items, by the beginnings of their keys.
 const (
 	AppKey   = "app/"   // an appliance's life, by its id
@@ -41,18 +57,16 @@
 
 // Feed is what one source knows.
 type Feed struct {
-	Source  string // the source and its life, by which the version before numbers
-	Origin  string // the source, whatever its life
-	seq     uint64
-	slots   map[string]*slot
-	vector  Vector
-	dropped Vector // for each origin the highest number that was forgotten
+	Source string // the source and its life, by which the version before numbers
+	Origin string // the same, short, as it goes with every pull: the source's name, a point, and its life
+	seq    uint64
+	slots  map[string]*slot
+	vector Vector
 }
 
-// NewFeed begins an empty source. Its numbers begin above those of a life before, of which first must be an upper bound;
-// Behind mends it where it is none.
-func NewFeed(source, origin string, first uint64) *Feed {
-	return &Feed{Source: source, Origin: origin, slots: map[string]*slot{}, vector: Vector{origin: first}, dropped: Vector{}}
+// NewFeed begins an empty source. A life numbers anew: what the one before has told and lost is not claimed by this one.
+func NewFeed(source, origin string) *Feed {
+	return &Feed{Source: source, Origin: origin, slots: map[string]*slot{}, vector: Vector{origin: 0}}
 }
 
 // Seq is the number of the newest item, in the order in which items became new here.
@@ -63,7 +77,7 @@
 
 // Merge takes an item that is told here first; it tells whether it was new.
 func (f *Feed) Merge(it Item) bool {
-	if s := f.slots[it.Key]; s != nil && s.item.Version >= it.Version {
+	if s := f.slots[it.Key]; s != nil && !it.After(s.item) {
 		return false
 	}
 	f.vector[f.Origin]++
@@ -73,11 +87,20 @@
 
 // Take takes an item as another agent has told it; it tells whether it was new.
 func (f *Feed) Take(it Item, origin string, number uint64) bool {
-	if s := f.slots[it.Key]; s != nil && s.item.Version >= it.Version {
-		return false
+	s := f.slots[it.Key]
+	if s == nil || it.After(s.item) {
+		f.put(it, origin, number)
+		return true
 	}
-	f.put(it, origin, number)
-	return true
+	if s.item.Version == it.Version && s.item.Body == it.Body && origin > s.origin && source(origin) == source(s.origin) {
+		s.origin, s.number = origin, number // its source has told it anew in a later life: see Renew
+	}
+	return false
+}
+
+func source(origin string) string {
+	name, _, _ := strings.Cut(origin, ".")
+	return name
 }
 
 func (f *Feed) put(it Item, origin string, number uint64) {
@@ -86,8 +109,7 @@
 	f.slots[it.Key] = &slot{item: it, seq: f.seq, origin: origin, number: number}
 }
 
-// Reach notes that nothing is lacking up to these numbers, once all items that came with them are taken. Of its own
-// numbers a feed knows best; Behind sees to those.
+// Reach notes that nothing is lacking up to these numbers, once all items that came with them are taken.
 func (f *Feed) Reach(v Vector) {
 	for origin, n := range v {
 		if origin != f.Origin {
@@ -96,20 +118,35 @@
 	}
 }
 
-// Behind guards against a source whose numbers fell below those of its life before, as when its time of day went back:
-// others would hold its news for old. Whoever has come further than it has itself makes it number its own items anew.
-func (f *Feed) Behind(v Vector) bool {
-	seen, own := v[f.Origin], f.vector[f.Origin]
-	if seen <= own {
-		return false
+// Prune forgets how far it has come with lives of which nothing is left: whoever holds something of them tells it again.
+func (f *Feed) Prune() {
+	left := map[string]bool{f.Origin: true}
+	for _, s := range f.slots {
+		left[s.origin] = true
+	}
+	maps.DeleteFunc(f.vector, func(origin string, _ uint64) bool { return !left[origin] })
+}
+
+// lives is of how many lives before of its own a source keeps items as they were told.
+const lives = 2
+
+// Renew tells anew what this source told in lives long before, so that vectors do not grow with lives.
+func (f *Feed) Renew() (renewed int) {
+	var own []string
+	for _, s := range f.slots {
+		if s.origin != f.Origin && source(s.origin) == source(f.Origin) && !slices.Contains(own, s.origin) {
+			own = append(own, s.origin)
+		}
 	}
-	f.vector[f.Origin] = seen
-	for _, key := range f.keys(func(s *slot) bool { return s.origin == f.Origin }) {
-		f.vector[f.Origin]++
-		f.seq++
-		f.slots[key].seq, f.slots[key].number = f.seq, f.vector[f.Origin]
+	slices.Sort(own)
+	for _, origin := range own[:max(0, len(own)-lives)] {
+		for _, key := range f.keys(func(s *slot) bool { return s.origin == origin }) {
+			f.vector[f.Origin]++
+			f.put(f.slots[key].item, f.Origin, f.vector[f.Origin])
+			renewed++
+		}
 	}
-	return true
+	return renewed
 }
 
 // keys lists those whose items are wanted, in the order in which they became new.
@@ -149,22 +186,7 @@
 }
 
 // Drop forgets an item.
-func (f *Feed) Drop(key string) {
-	if s := f.slots[key]; s != nil {
-		f.dropped[s.origin] = max(f.dropped[s.origin], s.number)
-		delete(f.slots, key)
-	}
-}
-
-// Beyond tells whether one that has come so far may hold what was forgotten here since: it has to be told all.
-func (f *Feed) Beyond(v Vector) bool {
-	for origin, n := range f.dropped {
-		if v[origin] < n {
-			return true
-		}
-	}
-	return false
-}
+func (f *Feed) Drop(key string) { delete(f.slots, key) }
 
 // Lacks lists what one that has come so far lacks, in order; origins go with it. Of what came from other sources only
 // what was here by a number of this feed's: what came later is on its way to everyone already.
@@ -196,10 +218,11 @@
 	return out
 }
 
-// Only forgets what one that has told all it has does not hold, though it has come further: it was forgotten there.
-func (f *Feed) Only(told map[string]bool, v Vector) (gone []string) {
+// Only takes the place of all that was told here by others, but for what is kept, by what one has told who tells all:
+// what it does not have was forgotten, or is told again by whoever has it.
+func (f *Feed) Only(told map[string]bool, v Vector, kept func(Item) bool) (gone []string) {
 	for k, s := range f.slots {
-		if !told[k] && s.origin != f.Origin && s.number <= v[s.origin] {
+		if !told[k] && s.origin != f.Origin && !kept(s.item) {
 			gone = append(gone, k)
 		}
 	}
@@ -207,6 +230,8 @@
 	for _, k := range gone {
 		f.Drop(k)
 	}
+	f.vector = Vector{f.Origin: f.vector[f.Origin]}
+	f.Reach(v)
 	return gone
 }
 
--- a/lore/roll.go
+++ b/lore/roll.go
@@ -1,6 +1,9 @@
 package lore
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Roll says who is there: leases granted here, agents heard of through their grantors, and appliances whose pulses come
 // here. Its clock is handed in.
@@ -44,6 +47,7 @@
 			delete(r.awaited, k)
 		}
 	}
+	slices.Sort(keys)
 	return keys
 }
 
@@ -83,5 +87,6 @@
 			delete(r.pulsed, id)
 		}
 	}
+	slices.Sort(ids)
 	return ids
 }
--- a/moot/know.go
+++ b/moot/know.go
@@ -70,10 +70,7 @@
 func (m *Machine) Pulled(now time.Time, p *Pull) *Waiting {
 	w := &Waiting{p: p, by: m.feed.Seq(), come: m.feed.Vector(), sound: m.Sound(now), behind: m.meet(now, p)}
 	if p.Wire >= Wire {
-		w.whole = len(p.Come) == 0 || m.feed.Beyond(p.Come)
-		if m.feed.Behind(p.Come) {
-			m.wake(gather)
-		}
+		w.whole = len(p.Come) == 0
 	}
 	if p.Role == Core && !p.Meet && m.members[p.From.Node] != nil {
 		was, known := m.reach[p.From.Node]
@@ -90,6 +87,7 @@
 // Answer is the news for a pull, and whether to send it: otherwise there is none, and it may wait unless that is its end.
 func (m *Machine) Answer(now time.Time, w *Waiting) (n *News, ready bool) {
 	p := w.p
+	m.lapse(now)
 	sound := m.Sound(now)
 	n = &News{Source: m.feed.Source, Wire: Wire, Seq: m.feed.Seq(), Sound: sound, Life: w.behind, Now: now.UnixMilli()}
 	n.Agents, n.Here = m.roll.Count(p.From.Zone, now)
@@ -198,14 +196,17 @@
 	return out
 }
 
-// Ask is what this member asks another for: all that it lacks.
-func (m *Machine) Ask(to Member, wait time.Duration) *Pull {
-	p := &Pull{From: m.c.Me, Role: Core, Wire: Wire, WaitMs: wait.Milliseconds(), Meet: to.Node == ""}
+// Ask is what this member asks another for: all that it lacks. Where it has not heard of the other lately the answer is
+// not to wait for news, as it is news itself that the other is there.
+func (m *Machine) Ask(now time.Time, to Member) *Pull {
+	p := &Pull{From: m.c.Me, Role: Core, Wire: Wire, Meet: to.Node == ""}
 	if !p.Meet {
-		p.Come = m.feed.Vector()
+		if m.heardOf(to.Node, now) {
+			p.WaitMs = CoreWait.Milliseconds()
+		}
 		x := m.members[to.Node]
-		if x == nil || !x.begun { // it may hold what this one told in a life before, and lost
-			p.Come[m.feed.Origin] = m.kept
+		if x == nil || !x.begun && m.known || x.begun && now.Sub(x.heard) < bound {
+			p.Come = m.feed.Vector()
 		}
 		if x != nil && x.source != "" {
 			p.Vector = map[string]uint64{x.source: x.seq} // the version before goes by this
@@ -231,17 +232,15 @@
 	}
 	if n.Wire >= Wire {
 		if n.Whole {
-			for _, key := range m.feed.Only(told, n.Come) {
+			for _, key := range m.feed.Only(told, n.Come, func(it lore.Item) bool { return strings.HasPrefix(it.Key, lore.RegKey) }) {
 				m.out.Gone = append(m.out.Gone, key)
 				if id, ok := strings.CutPrefix(key, lore.AppKey); ok {
 					delete(m.apps, id)
 				}
 			}
 		}
-		if m.feed.Behind(n.Come) {
-			m.wake(gather)
-		}
 		m.feed.Reach(n.Come)
+		m.known = true
 	}
 	if x := m.members[from.Node]; x != nil {
 		x.heard, x.begun, x.wire = now, true, n.Wire
@@ -300,9 +299,14 @@
 // recall takes up what was kept. An appliance counts as cold until its pulse says otherwise, and as silent if none comes:
 // it may have gone, or gone cold, while this agent was away.
 func (m *Machine) recall(was Memory, now time.Time) {
-	m.kept = was.Come[m.feed.Origin]
+	slices.SortFunc(was.Items, func(a, b Kept) int { return strings.Compare(a.Item.Key, b.Item.Key) })
+	old := now.Sub(was.Noted) > bound
 	for _, k := range was.Items {
 		it := k.Item
+		if old && !strings.HasPrefix(it.Key, lore.RegKey) && k.Origin != "" {
+			m.out.Gone = append(m.out.Gone, it.Key)
+			continue
+		}
 		if name, ok := strings.CutPrefix(it.Key, lore.RegKey); ok { // its content stands in the register
 			e := m.acceptor.Get(name)
 			if !e.Chosen || e.Value.Version != it.Version {
@@ -324,12 +328,18 @@
 		}
 		m.watch(now, it)
 	}
-	m.feed.Reach(was.Come)
+	if !old {
+		m.feed.Reach(was.Come)
+		m.known = len(was.Come) > 0
+	}
 }
 
 // Keep is what has become known since a number, to be kept on the disk where it is good to have, and how far it goes once
 // it is; what was forgotten is told by keys that are not there any more.
 func (m *Machine) Keep(since uint64) (items []Kept, come lore.Vector, seq uint64) {
+	if len(m.saving) > 0 || m.unsaved { // registers are part of how far this goes
+		return nil, nil, since
+	}
 	for _, it := range m.feed.Since(since, nil) {
 		origin, number := m.feed.Where(it.Key)
 		if strings.HasPrefix(it.Key, lore.RegKey) {
@@ -486,15 +496,12 @@
 		m.wake(0)
 	}
 	m.mend(now)
-	for _, key := range m.roll.Lapsed(now) {
-		if it, ok := m.feed.Get(key); ok {
-			if l, ok := lore.ReadLease(it); ok && l.Home == m.c.Me.Node && !l.Ended {
-				l.Ended, l.Front = true, ""
-				m.tell(l.Item(it.Version + 1))
-				m.say("lease ran out", "agent", l.Node, "role", l.Role)
-			}
-		}
+	m.resave(now)
+	m.feed.Prune()
+	if m.feed.Renew() > 0 {
+		m.wake(unhurried)
 	}
+	m.lapse(now)
 	for _, id := range m.roll.Silent(m.c.Silence, now) {
 		key := lore.AppKey + id
 		it, ok := m.feed.Get(key)
@@ -503,7 +510,7 @@
 		if !ok || !read || a.Home != m.c.Me.Node || a.Phase == lore.Left {
 			continue
 		}
-		m.tell(a.WithPhase(id, lore.Silent, it.Version|1))
+		m.tell(a.Fallen(id, it.Version))
 		m.tombs[key] = now.Add(tomb)
 	}
 	m.orphans(now)
@@ -520,8 +527,8 @@
 			m.tombs[it.Key] = now.Add(tomb)
 		}
 	})
-	for key, at := range m.tombs {
-		if now.Before(at) {
+	for _, key := range slices.Sorted(maps.Keys(m.tombs)) {
+		if now.Before(m.tombs[key]) {
 			continue
 		}
 		delete(m.tombs, key)
@@ -533,6 +540,19 @@
 	}
 }
 
+// lapse ends the leases granted here that ran out. It comes before all that is told of them: a process that was held up
+// must not speak of leases as they were before.
+func (m *Machine) lapse(now time.Time) {
+	for _, key := range m.roll.Lapsed(now) {
+		it, ok := m.feed.Get(key)
+		if l, read := lore.ReadLease(it); ok && read && l.Home == m.c.Me.Node && !l.Ended {
+			l.Ended, l.Front = true, ""
+			m.tell(l.Item(it.Version + 1))
+			m.say("lease ran out", "agent", l.Node, "role", l.Role)
+		}
+	}
+}
+
 // orphans tells the silence of appliances whose member is gone and that have found no other: the first by name of those
 // that are there does it for all.
 func (m *Machine) orphans(now time.Time) {
@@ -556,7 +576,7 @@
 			return
 		}
 		if x := m.members[a.Home]; x != nil && !x.lost.IsZero() && now.Sub(x.lost) > m.c.Silence {
-			found = append(found, a.WithPhase(strings.TrimPrefix(it.Key, lore.AppKey), lore.Silent, it.Version|1))
+			found = append(found, a.Fallen(strings.TrimPrefix(it.Key, lore.AppKey), it.Version))
 		}
 	})
 	for _, it := range found {
@@ -569,6 +589,7 @@
 // to any.
 func (m *Machine) Fronts(now time.Time, zone, region string, most int) []string {
 	var near, mid, far []string
+	m.lapse(now)
 	m.feed.Each(lore.LeaseKey, func(it lore.Item) {
 		l, ok := lore.ReadLease(it)
 		if !ok || l.Ended || l.Front == "" || l.Role != Edge {
--- a/moot/moot.go
+++ b/moot/moot.go
@@ -5,7 +5,10 @@
 package moot
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
 	"hash/fnv"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -23,6 +26,7 @@
 	CoreWait  = 2500 * time.Millisecond // the same between members; bytes between regions are dear
 	Heard     = 3500 * time.Millisecond // a member counts as heard for so long after its last answer: CoreWait and a second
 	memory    = 30 * time.Second        // an agent that is gone counts into n for so long: longer than a request lasts
+	bound     = 30 * time.Second        // for so long what a missing agent should have had is kept for it: half of tomb; beyond it pulls whole
 	tomb      = 60 * time.Second        // a life that has left is remembered for so long: longer than a late pulse takes
 
 	gather    = 15 * time.Millisecond  // news is held for so long, so that what comes together goes together
@@ -61,8 +65,9 @@
 	Floor   pact.Ballot
 	Caught  bool // the disk is the member's own: never lost, or caught up since
 	Members []Member
-	Items   []Kept      // what was known of agents and appliances
+	Items   []Kept      // what was known
 	Come    lore.Vector // and how far that goes
+	Noted   time.Time   // when it was last so
 }
 
 // Kept is an item with where it came from.
@@ -92,7 +97,7 @@
 	Ask    *Ask
 }
 
-// Save is to be on the disk, whole, before Saved is told so. Number zero wants no word.
+// Save is to be on the disk, whole, before Saved is told so under its number.
 type Save struct {
 	Number  uint64
 	Entries []pact.Entry
@@ -129,13 +134,14 @@
 	was      bool                 // sound, when last looked
 	open     map[string]time.Time // registers held without a known end, and when to bring them to one
 
-	number uint64
-	tasks  map[uint64]*task
-	sent   map[uint64]sent
-	saving map[uint64]func(now time.Time, err error)
+	number  uint64
+	tasks   map[uint64]*task
+	sent    map[uint64]sent
+	saving  map[uint64]func(now time.Time, err error)
+	unsaved bool // the disk has refused something
 
 	feed     *lore.Feed
-	kept     uint64 // up to which number of its own this member's disk held what it told in a life before
+	known    bool // the feed is as far as its vector says
 	roll     *lore.Roll
 	members  map[string]*member
 	reach    map[string]reached // how far each member has come that pulls here, by node
@@ -162,9 +168,7 @@
 		tasks: map[uint64]*task{}, sent: map[uint64]sent{}, saving: map[uint64]func(time.Time, error){},
 		members: map[string]*member{}, reach: map[string]reached{}, tombs: map[string]time.Time{},
 		apps: map[string]*lore.App{}, deciding: map[string]bool{}, out: Out{News: -1}}
-	origin := originOf(c.Me.Node)
-	// Seconds, and room for as many items in each as any core tells: numbers of a later life lie above.
-	m.feed = lore.NewFeed(c.Source, origin, max(uint64(now.Unix())<<8, was.Come[origin]))
+	m.feed = lore.NewFeed(c.Source, originOf(c.Me.Node, now, c.Luck()))
 	m.roll = lore.NewRoll(LeaseTerm, memory)
 	for _, x := range was.Members {
 		if x.Node != c.Me.Node {
@@ -172,7 +176,9 @@
 		}
 	}
 	m.recall(was, now)
-	for _, e := range m.acceptor.All() {
+	all := m.acceptor.All()
+	slices.SortFunc(all, func(a, b pact.Entry) int { return strings.Compare(a.Key, b.Key) })
+	for _, e := range all {
 		if e.Chosen {
 			m.publish(e)
 		} else {
@@ -185,11 +191,12 @@
 	return m
 }
 
-// originOf is a member as its numbers are told: short, as it goes with every pull.
-func originOf(node string) string {
+// originOf names a member and its life in the numbers of what it tells: short, as it goes with every pull.
+func originOf(node string, now time.Time, luck float64) string {
 	h := fnv.New64a()
 	h.Write([]byte(node))
-	return strconv.FormatUint(h.Sum64()>>12, 36)
+	life := uint64(now.UnixMilli())<<5 | uint64(luck*32)
+	return strconv.FormatUint(h.Sum64()>>24, 36) + "." + strconv.FormatUint(life, 36)
 }
 
 // Take hands over what the steps since the last call have brought.
@@ -211,22 +218,37 @@
 		}
 		return
 	}
-	if then != nil {
-		m.number++
-		s.Number = m.number
-		m.saving[s.Number] = then
-	}
+	m.number++
+	s.Number = m.number
+	m.saving[s.Number] = then
 	m.out.Saves = append(m.out.Saves, s)
 }
 
 // Saved takes the disk's word on a save.
 func (m *Machine) Saved(now time.Time, number uint64, err error) {
-	if then := m.saving[number]; then != nil {
-		delete(m.saving, number)
+	then, known := m.saving[number]
+	if !known {
+		return
+	}
+	delete(m.saving, number)
+	if err != nil {
+		m.unsaved = true
+	}
+	if then != nil {
 		then(now, err)
 	}
 }
 
+// resave brings all to the disk again after it has refused something: what was learned meanwhile is told by nobody again.
+func (m *Machine) resave(now time.Time) {
+	if !m.unsaved || len(m.saving) > 0 {
+		return
+	}
+	m.unsaved = false // a failure sets it again
+	floor := m.acceptor.Floor()
+	m.save(now, Save{Entries: m.acceptor.All(), Floor: &floor}, nil)
+}
+
 // Asked takes another member's message, or this one's own; the answer comes under the call's number. What it says is on the
 // disk by then.
 func (m *Machine) Asked(now time.Time, call uint64, path string, a *Ask) {
@@ -276,15 +298,14 @@
 		}
 		r.Held, r.Refused = m.acceptor.All(), m.acceptor.Floor()
 	}
+	for _, e := range changed { // whether or not the disk takes it
+		m.unsettled(now, e)
+	}
 	m.save(now, Save{Entries: changed, Floor: floor}, func(now time.Time, err error) {
 		if err != nil { // what is not on the disk is not said
-			then(now, nil, err)
-			return
-		}
-		for _, e := range changed {
-			m.unsettled(now, e)
+			r = nil
 		}
-		then(now, r, nil)
+		then(now, r, err)
 	})
 }
 
@@ -327,20 +348,22 @@
 	return string(b)
 }
 
-// Digest is equal for members that hold the same: of a chosen value its version says all, whichever ballot it came by.
-func Digest(entries []pact.Entry) (sum uint64) {
-	for _, e := range entries { // the sum does not depend on their order
-		h := fnv.New64a()
-		h.Write([]byte(e.Key))
+// Digest is equal for members that hold the same, and for others by a chance of one in 2^64: of a chosen value its version
+// says all, whichever ballot it came by. A sum of weak hashes, which needs no order, once took versions 20 and 11 of two
+// registers for 21 and 8.
+func Digest(entries []pact.Entry) uint64 {
+	slices.SortFunc(entries, func(a, b pact.Entry) int { return strings.Compare(a.Key, b.Key) })
+	var text []byte
+	for _, e := range entries {
 		n, who := e.Accepted.N, e.Accepted.Who
 		if e.Chosen {
 			n, who = e.Value.Version, ""
 		}
-		h.Write([]byte{0, byte(n), byte(n >> 8), byte(n >> 16), byte(n >> 24), byte(n >> 32), byte(n >> 40)})
-		h.Write([]byte(who))
-		sum += h.Sum64()
+		text = binary.BigEndian.AppendUint64(append(append(text, e.Key...), 0), n)
+		text = append(append(text, who...), 0)
 	}
-	return sum
+	sum := sha256.Sum256(text)
+	return binary.BigEndian.Uint64(sum[:])
 }
 
 // Values are the registers as this member holds them.
--- a/moot/round.go
+++ b/moot/round.go
@@ -1,6 +1,8 @@
 package moot
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -14,8 +16,9 @@
 	kind    int
 	until   time.Time // after which it has failed; zero: it goes on until it is done
 	changes map[string]pact.Change
-	prefix  string // of what a read is about
-	result  bool   // whoever began it wants to hear of it
+	prefix  string                // of what a read is about
+	values  map[string]pact.Value // what a read has found that is chosen
+	result  bool                  // whoever began it wants to hear of it
 	after   func()
 
 	try      int // numbers the attempts, so that late replies are told apart
@@ -89,6 +92,10 @@
 		}
 		m.ask(now, t, ReadPath, &Ask{Digest: Digest(m.acceptor.All())}, false)
 	case catching:
+		if len(m.members) <= m.c.F { // each answer holds all that there is: none is asked for in vain
+			m.pause(now, t)
+			return
+		}
 		// Its ballot lies after all that it can have promised before: those were Ahead of its time of day at most.
 		t.floor = pact.Ballot{N: uint64(now.Add(Ahead).UnixMilli()) + 1, Who: m.c.Me.Node}
 		m.ask(now, t, RefusePath, &Ask{Ballot: t.floor}, false)
@@ -98,10 +105,10 @@
 // ask sends a message to all members, this one too where its own word counts.
 func (m *Machine) ask(now time.Time, t *task, path string, a *Ask, self bool) {
 	t.waiting = 0
-	for node, x := range m.members {
+	for _, x := range m.Members() {
 		m.number++
-		m.sent[m.number] = sent{t.number, t.try, node}
-		m.out.Sends = append(m.out.Sends, Send{m.number, x.Member, path, a})
+		m.sent[m.number] = sent{t.number, t.try, x.Node}
+		m.out.Sends = append(m.out.Sends, Send{m.number, x, path, a})
 		t.waiting++
 	}
 	if self {
@@ -172,9 +179,7 @@
 	for _, e := range chosen {
 		values[e.Key] = e.Value
 	}
-	if t.kind == settling {
-		values = m.Values(t.prefix)
-	}
+	maps.Copy(values, t.values)
 	m.end(t, values, nil)
 }
 
@@ -202,14 +207,18 @@
 
 // read ends a read, once what it tells is chosen.
 func (m *Machine) read(now time.Time, t *task) {
-	t.kind, t.changes = settling, map[string]pact.Change{}
+	t.kind, t.changes, t.values = settling, map[string]pact.Change{}, map[string]pact.Value{}
 	for _, e := range m.acceptor.All() {
-		if strings.HasPrefix(e.Key, t.prefix) && !e.Chosen {
+		switch {
+		case !strings.HasPrefix(e.Key, t.prefix):
+		case e.Chosen:
+			t.values[e.Key] = e.Value
+		default:
 			t.changes[e.Key] = keep
 		}
 	}
 	if len(t.changes) == 0 {
-		m.end(t, m.Values(t.prefix), nil)
+		m.end(t, t.values, nil)
 		return
 	}
 	m.attempt(now, t)
@@ -254,7 +263,8 @@
 // mend brings values to an end whose writer is gone: each holder waits a while, by lot, and then writes them again.
 func (m *Machine) mend(now time.Time) {
 	due := map[string]pact.Change{}
-	for key, at := range m.open {
+	for _, key := range slices.Sorted(maps.Keys(m.open)) {
+		at := m.open[key]
 		if e := m.acceptor.Get(key); e.Chosen || e.Accepted == (pact.Ballot{}) {
 			delete(m.open, key)
 		} else if !now.Before(at) {
@@ -311,7 +321,8 @@
 
 // Tick does what is due by the clock among what is under way.
 func (m *Machine) Tick(now time.Time) {
-	for _, t := range m.tasks {
+	for _, number := range slices.Sorted(maps.Keys(m.tasks)) {
+		t := m.tasks[number]
 		switch {
 		case !t.until.IsZero() && !now.Before(t.until):
 			m.end(t, nil, ErrFew)
--- a/pact/pact.go
+++ b/pact/pact.go
@@ -8,6 +8,11 @@
 // from r others and has had them refuse the ballots from before: see Refuse.
 package pact
 
+import (
+	"maps"
+	"slices"
+)
+
 // Ballot orders rounds; the zero one is before all. Who tells apart rounds of two members with one number.
 type Ballot struct {
 	N   uint64 `json:"n"`
@@ -190,13 +195,7 @@
 }
 
 // Keys are the registers of the round.
-func (r *Round) Keys() []string {
-	keys := make([]string, 0, len(r.changes))
-	for k := range r.changes {
-		keys = append(keys, k)
-	}
-	return keys
-}
+func (r *Round) Keys() []string { return slices.Sorted(maps.Keys(r.changes)) }
 
 // Told takes a member's promise; values is what is to be accepted, once enough have promised.
 func (r *Round) Told(member string, held []Entry) (values []Entry) {
@@ -212,8 +211,8 @@
 	if len(r.told) < r.ask {
 		return nil
 	}
-	for k, change := range r.changes {
-		r.values = append(r.values, Entry{Key: k, Accepted: r.Ballot, Value: change(r.best[k].Value)})
+	for _, k := range r.Keys() {
+		r.values = append(r.values, Entry{Key: k, Accepted: r.Ballot, Value: r.changes[k](r.best[k].Value)})
 	}
 	return r.values
 }
--- a/relay/news.go
+++ b/relay/news.go
@@ -24,6 +24,7 @@
 const (
 	pullWait = 1200 * time.Millisecond // how long a pull waits for news
 	retry    = 100 * time.Millisecond
+	longAway = 30 * time.Second // after which it asks for all: stewards forget lives that have left a minute ago
 )
 
 // news pulls from the core what this relay lacks, by the number that it has seen of each source, and holds the lease.
@@ -34,6 +35,7 @@
 
 	mu      sync.Mutex
 	members map[string]moot.Member // by address
+	reached time.Time              // when it last heard news
 	come    lore.Vector            // how far this relay has come, by every source's numbers
 	vector  map[string]uint64      // the same for a source that speaks the version before, by its own
 	at      map[string]string      // which such a source an address was last
@@ -159,7 +161,10 @@
 		n.changed = max(n.changed+1, uint64(time.Now().UnixMilli()))
 	}
 	p := &moot.Pull{From: moot.Member{Node: n.r.settings.Node, Zone: n.r.settings.Zone}, Role: moot.Edge,
-		Wire: moot.Wire, Come: maps.Clone(n.come), WaitMs: wait.Milliseconds(), Front: n.front, Life: n.changed}
+		Wire: moot.Wire, WaitMs: wait.Milliseconds(), Front: n.front, Life: n.changed}
+	if time.Since(n.reached) < longAway {
+		p.Come = maps.Clone(n.come)
+	}
 	if source := n.at[addr]; source != "" {
 		p.Vector = map[string]uint64{source: n.vector[source]}
 	}
@@ -252,7 +257,7 @@
 
 // reach notes how far this relay has come with what an address has told; under the lock.
 func (n *news) reach(addr string, got *moot.News) {
-	n.now = addr
+	n.now, n.reached = addr, time.Now()
 	delete(n.vector, n.at[addr])
 	delete(n.at, addr)
 	if got.Wire < moot.Wire {
--- a/steward/drive.go
+++ b/steward/drive.go
@@ -48,13 +48,11 @@
 	out := s.m.Take()
 	for _, x := range out.Saves {
 		word := s.disk.Add(saved(x))
-		if x.Number != 0 {
-			go func() {
-				err := word.Wait()
-				s.diskFails.note(err)
-				s.step(func(now time.Time) { s.m.Saved(now, x.Number, err) })
-			}()
-		}
+		go func() {
+			err := word.Wait()
+			s.diskFails.note(err)
+			s.step(func(now time.Time) { s.m.Saved(now, x.Number, err) })
+		}()
 	}
 	bodies := map[*moot.Ask][]byte{}
 	for _, x := range out.Sends {
@@ -188,7 +186,8 @@
 	s.mu.Lock()
 	items, come, seq := s.m.Keep(s.noted)
 	notes := s.notes
-	if seq == s.noted && len(notes) == 0 {
+	now := s.now()
+	if seq == s.noted && len(notes) == 0 && now.Sub(s.notedAt) < stale {
 		s.mu.Unlock()
 		return
 	}
@@ -201,7 +200,10 @@
 			notes[memberKey+x.Node] = text
 		}
 	}
-	notes[comeKey] = formatCome(come)
+	if come != nil {
+		notes[comeKey] = formatCome(come, now)
+		s.notedAt = now
+	}
 	s.notes, s.noted = map[string]string{}, seq
 	word := s.disk.Note(notes)
 	s.mu.Unlock()
@@ -214,8 +216,12 @@
 	}()
 }
 
-func formatCome(come lore.Vector) string {
-	var parts []string
+// stale is for how long a note is not written again where nothing has changed: by its time a later life knows how old what
+// it remembers is.
+const stale = 5 * time.Second
+
+func formatCome(come lore.Vector, now time.Time) string {
+	parts := []string{strconv.FormatInt(now.UnixMilli(), 10)}
 	for origin, n := range come {
 		parts = append(parts, origin+"="+strconv.FormatUint(n, 16))
 	}
@@ -252,7 +258,12 @@
 		}
 	}
 	was.Come = lore.Vector{}
-	for _, part := range strings.Fields(s.disk.Load(comeKey)[""]) {
+	for i, part := range strings.Fields(s.disk.Load(comeKey)[""]) {
+		if i == 0 {
+			ms, _ := strconv.ParseInt(part, 10, 64)
+			was.Noted = time.UnixMilli(ms)
+			continue
+		}
 		origin, number, _ := strings.Cut(part, "=")
 		if n, err := strconv.ParseUint(number, 16, 64); err == nil {
 			was.Come[origin] = n
--- a/steward/peers.go
+++ b/steward/peers.go
@@ -179,7 +179,7 @@
 		if len(pulling)+1 < s.n {
 			for _, c := range contacts {
 				if host, _, err := net.SplitHostPort(c); err == nil && host != s.settings.IP {
-					go s.pull(ctx, moot.Member{Addr: net.JoinHostPort(host, s.settings.Peer())}, 0)
+					go s.pull(ctx, moot.Member{Addr: net.JoinHostPort(host, s.settings.Peer())})
 				}
 			}
 		} else {
@@ -195,7 +195,7 @@
 // follow pulls one member's news for as long as this agent runs.
 func (s *Steward) follow(ctx context.Context, m moot.Member) {
 	for ctx.Err() == nil {
-		if s.pull(ctx, m, moot.CoreWait) != nil {
+		if s.pull(ctx, m) != nil {
 			select {
 			case <-time.After(tick):
 			case <-ctx.Done():
@@ -205,15 +205,15 @@
 }
 
 // pull asks one agent once and takes up what it tells.
-func (s *Steward) pull(ctx context.Context, from moot.Member, wait time.Duration) error {
+func (s *Steward) pull(ctx context.Context, from moot.Member) error {
 	s.mu.Lock()
-	p := s.m.Ask(from, wait)
+	p := s.m.Ask(s.now(), from)
 	s.mu.Unlock()
 	body, err := easyjson.Marshal(p)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(p.WaitMs)*time.Millisecond+time.Second)
 	defer cancel()
 	n := &moot.News{}
 	if err := Post(ctx, s.client, from.Addr, moot.PullPath, body, n); err != nil {
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -54,7 +54,8 @@
 	news      chan struct{} // closed when there is news
 	wakes     time.Time     // when it will be; zero where nothing is new
 	notes     map[string]string
-	noted     uint64            // how far the machine's knowledge has been noted on the disk
+	noted     uint64 // how far the machine's knowledge has been noted on the disk
+	notedAt   time.Time
 	told      map[string]string // members as noted
 	contacts  []string          // control addresses of some members
 	diskFails fails
