--- a/lore/lore.go
+++ b/lore/lore.go
@@ -55,6 +55,16 @@
 	number uint64 // under which its origin told it
 }
 
+// Covers tells whether one that has come so far has come as far as another.
+func (v Vector) Covers(other Vector) bool {
+	for origin, n := range other {
+		if v[origin] < n {
+			return false
+		}
+	}
+	return true
+}
+
 // Feed is what one source knows.
 type Feed struct {
 	Source string // the source and its life, by which the version before numbers
--- a/moot/know.go
+++ b/moot/know.go
@@ -212,7 +212,7 @@
 		if x != nil {
 			x.asked = now
 		}
-		if x == nil || !x.begun && m.known || x.begun && now.Sub(x.heard) < bound {
+		if m.upToDate(now) {
 			p.Come = m.feed.Vector()
 		}
 		if x != nil && x.source != "" {
@@ -222,8 +222,33 @@
 	return p
 }
 
-// Told takes up what another member has told.
-func (m *Machine) Told(now time.Time, from Member, n *News) {
+// upToDate tells whether the feed is as far as its vector says, and was told news not long ago, by whomever: then all that
+// was forgotten since was heard of.
+func (m *Machine) upToDate(now time.Time) bool { return m.known && now.Sub(m.told) < bound }
+
+// Hold tells whether to put off pulling a member: at the start one is asked before the others, so that what this one lacks
+// is handed to it once and not by everybody. Where that one does not answer, the others are not held up for long.
+func (m *Machine) Hold(now time.Time, to Member) bool {
+	if m.heardAny || now.Sub(m.begun) > head {
+		return false
+	}
+	for _, x := range m.Members() {
+		if x.Node != to.Node && m.nearer(x, to) {
+			return true
+		}
+	}
+	return false
+}
+
+// nearer orders members: those of this region first, then by name.
+func (m *Machine) nearer(a, b Member) bool {
+	region := m.c.Zones[m.c.Me.Zone]
+	nearA, nearB := m.c.Zones[a.Zone] == region, m.c.Zones[b.Zone] == region
+	return nearA && !nearB || nearA == nearB && a.Node < b.Node
+}
+
+// Told takes up what another member has told in answer to a pull.
+func (m *Machine) Told(now time.Time, from Member, asked *Pull, n *News) {
 	var changed []pact.Entry
 	told := make(map[string]bool, len(n.Items))
 	for _, it := range n.Items {
@@ -237,20 +262,25 @@
 	for _, x := range n.Members {
 		m.join(x)
 	}
-	if n.Wire >= Wire {
-		if n.Whole {
+	if n.Wire >= Wire && !asked.Meet {
+		switch {
+		case n.Whole && !m.upToDate(now): // in the place of what was known before, part of which was forgotten since
 			for _, key := range m.feed.Only(told, n.Come, func(it lore.Item) bool { return strings.HasPrefix(it.Key, lore.RegKey) }) {
 				m.out.Gone = append(m.out.Gone, key)
 				if id, ok := strings.CutPrefix(key, lore.AppKey); ok {
 					delete(m.apps, id)
 				}
 			}
+			m.known = true
+		case n.Whole || m.feed.Vector().Covers(asked.Come): // else what it builds on was given up meanwhile
+			m.feed.Reach(n.Come)
 		}
-		m.feed.Reach(n.Come)
-		m.known = true
+	}
+	if !asked.Meet {
+		m.told = now
 	}
 	if x := m.members[from.Node]; x != nil {
-		x.heard, x.begun, x.wire = now, true, n.Wire
+		x.heard, x.begun, x.wire, m.heardAny = now, true, n.Wire, true
 		x.source, x.seq = "", 0
 		if n.Wire < Wire {
 			x.source, x.seq = n.Source, n.Seq
@@ -338,7 +368,7 @@
 	}
 	if !old {
 		m.feed.Reach(was.Come)
-		m.known = len(was.Come) > 0
+		m.known, m.told = len(was.Come) > 0, now
 	}
 }
 
--- a/moot/moot.go
+++ b/moot/moot.go
@@ -34,6 +34,7 @@
 	unhurried = time.Second            // the same for counts of releases, which come all the time and change little
 
 	attempt = 800 * time.Millisecond // of one round; callers give an agent a second
+	head    = 150 * time.Millisecond // by which one member is asked before the others: a dial between regions and back
 	stuck   = 250 * time.Millisecond // a pull that has gone on for so long may hang on a member that was down when it began
 	between = 60 * time.Millisecond  // twice what a message takes between regions, about: the least pause after a refusal
 	settle  = 700 * time.Millisecond // after which a value without a known end is brought to one by whoever holds it
@@ -144,7 +145,9 @@
 	unsaved bool // the disk has refused something
 
 	feed     *lore.Feed
-	known    bool // the feed is as far as its vector says
+	known    bool      // the feed is as far as its vector says
+	told     time.Time // when anyone last told this member news
+	heardAny bool      // in this life
 	roll     *lore.Roll
 	members  map[string]*member
 	reach    map[string]reached // how far each member has come that pulls here, by node
--- a/relay/news.go
+++ b/relay/news.go
@@ -214,15 +214,15 @@
 	if err := steward.Post(ctx, n.client, addr, moot.PullPath, body, got); err != nil {
 		return nil, err
 	}
-	n.take(addr, got)
+	n.take(addr, p, got)
 	return got, nil
 }
 
 // take takes up news: the configuration as a table swapped whole, the appliances, and what others count of releases.
-func (n *news) take(addr string, got *moot.News) {
+func (n *news) take(addr string, asked *moot.Pull, got *moot.News) {
 	now := time.Now()
 	n.mu.Lock()
-	n.reach(addr, got)
+	anew := n.reach(addr, asked, got)
 	for _, m := range got.Members {
 		n.members[m.Addr] = m
 	}
@@ -270,7 +270,7 @@
 			}
 		}
 	}
-	if got.Whole && got.Sound {
+	if anew && got.Sound {
 		r.sway.Only(all, now)
 	}
 	if len(got.Items) > 0 {
@@ -286,21 +286,26 @@
 	}
 }
 
-// reach notes how far this relay has come with what an address has told; under the lock.
-func (n *news) reach(addr string, got *moot.News) {
+// reach notes how far this relay has come with what an address has told, and tells whether that takes the place of what it
+// knew; under the lock. Several may be asked at once: an answer that builds on what was given up meanwhile claims nothing.
+func (n *news) reach(addr string, asked *moot.Pull, got *moot.News) (anew bool) {
+	stale := len(n.come) == 0 || time.Since(n.reached) >= longAway
 	n.now, n.reached = addr, time.Now()
 	delete(n.vector, n.at[addr])
 	delete(n.at, addr)
-	if got.Wire < moot.Wire {
+	switch {
+	case got.Wire < moot.Wire:
 		n.at[addr], n.vector[got.Source] = got.Source, got.Seq
-		return
-	}
-	if got.Whole { // what it holds of others is what this source has told
-		n.come = lore.Vector{}
-	}
-	for origin, x := range got.Come {
-		n.come[origin] = max(n.come[origin], x)
+		return got.Whole
+	case got.Whole && stale:
+		n.come = maps.Clone(got.Come)
+		return true
+	case got.Whole || n.come.Covers(asked.Come):
+		for origin, x := range got.Come {
+			n.come[origin] = max(n.come[origin], x)
+		}
 	}
+	return false
 }
 
 // announce tells the core at once that the lease has changed.
--- a/steward/peers.go
+++ b/steward/peers.go
@@ -196,6 +196,14 @@
 // is not asked without end.
 func (s *Steward) follow(ctx context.Context, m moot.Member) {
 	quick := 0
+	held := func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.m.Hold(s.now(), m)
+	}
+	for held() && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
 	for ctx.Err() == nil {
 		begun := time.Now()
 		one, again := context.WithCancel(ctx)
@@ -233,7 +241,7 @@
 	if err := Post(ctx, s.client, from.Addr, moot.PullPath, body, n); err != nil {
 		return 0, err
 	}
-	s.step(func(now time.Time) { s.m.Told(now, from, n) })
+	s.step(func(now time.Time) { s.m.Told(now, from, p, n) })
 	return len(n.Items), nil
 }
 
