--- a/lore/lore.go
+++ b/lore/lore.go
@@ -104,7 +104,7 @@
 		return true
 	}
 	if s.item.Version == it.Version && s.item.Body == it.Body && origin > s.origin && source(origin) == source(s.origin) {
-		s.origin, s.number = origin, number // its source has told it anew in a later life: see Renew
+		f.put(s.item, origin, number) // its source has told it anew in a later life: see Renew
 	}
 	return false
 }
@@ -129,6 +129,26 @@
 	}
 }
 
+// Unclaim takes back that what was told under some numbers was heard, as it is not there any more: whoever has it tells it
+// again. What came later from the same life is told on as this feed's own: nothing here lies beyond the vector, or it
+// could not be claimed when it is told, and where the life is over it never could.
+func (f *Feed) Unclaim(lost Vector) {
+	for origin, n := range lost {
+		if have, ok := f.vector[origin]; ok && have >= n && origin != f.Origin {
+			f.vector[origin] = n - 1
+		}
+	}
+	f.own()
+}
+
+// own takes over what lies beyond the vector.
+func (f *Feed) own() {
+	for _, key := range f.keys(func(s *slot) bool { return s.number > f.vector[s.origin] }) {
+		f.vector[f.Origin]++
+		f.put(f.slots[key].item, f.Origin, f.vector[f.Origin])
+	}
+}
+
 // Prune forgets how far it has come with lives of which nothing is left: whoever holds something of them tells it again.
 func (f *Feed) Prune() {
 	left := map[string]bool{f.Origin: true}
@@ -243,6 +263,7 @@
 	}
 	f.vector = Vector{f.Origin: f.vector[f.Origin]}
 	f.Reach(v)
+	f.own()
 	return gone
 }
 
--- a/moot/know.go
+++ b/moot/know.go
@@ -116,6 +116,13 @@
 			by, reach = m.feed.Seq(), m.feed.Vector()
 		}
 		n.Items, n.Origins = m.feed.Lacks(come, by, wanted)
+		if p.Role != Core { // members prune their own
+			for origin := range p.Come {
+				if _, left := reach[origin]; !left {
+					n.Drop = append(n.Drop, origin)
+				}
+			}
+		}
 		n.Whole = w.whole
 		reach[m.feed.Origin] = m.feed.Vector()[m.feed.Origin]
 		if n.Come = reach; !w.whole {
@@ -249,12 +256,14 @@
 
 // Told takes up what another member has told in answer to a pull.
 func (m *Machine) Told(now time.Time, from Member, asked *Pull, n *News) {
+	// An answer that builds on what was given up meanwhile claims nothing; what it brings is told on as this member's own.
+	claims := n.Whole || m.feed.Vector().Covers(asked.Come)
 	var changed []pact.Entry
 	told := make(map[string]bool, len(n.Items))
 	for _, it := range n.Items {
 		told[it.Key] = true
 		origin, number := "", it.Seq
-		if n.Wire >= Wire {
+		if n.Wire >= Wire && claims {
 			origin = n.Origin(it)
 		}
 		changed = append(changed, m.take(now, it, origin, number)...)
@@ -272,7 +281,7 @@
 				}
 			}
 			m.known = true
-		case n.Whole || m.feed.Vector().Covers(asked.Come): // else what it builds on was given up meanwhile
+		case claims:
 			m.feed.Reach(n.Come)
 		}
 	}
@@ -339,6 +348,7 @@
 func (m *Machine) recall(was Memory, now time.Time) {
 	slices.SortFunc(was.Items, func(a, b Kept) int { return strings.Compare(a.Item.Key, b.Item.Key) })
 	old := now.Sub(was.Noted) > bound
+	lost := lore.Vector{}
 	for _, k := range was.Items {
 		it := k.Item
 		if old && !strings.HasPrefix(it.Key, lore.RegKey) && k.Origin != "" {
@@ -347,7 +357,10 @@
 		}
 		if name, ok := strings.CutPrefix(it.Key, lore.RegKey); ok { // its content stands in the register
 			e := m.acceptor.Get(name)
-			if !e.Chosen || e.Value.Version != it.Version {
+			if !e.Chosen || e.Value.Version != it.Version { // written over meanwhile by what is not known to be chosen
+				if n, ok := lost[k.Origin]; !ok || k.Number < n {
+					lost[k.Origin] = k.Number
+				}
 				continue
 			}
 			it.Body = regBody(e)
@@ -370,6 +383,7 @@
 		m.feed.Reach(was.Come)
 		m.known, m.told = len(was.Come) > 0, now
 	}
+	m.feed.Unclaim(lost)
 }
 
 // Keep is what has become known since a number, to be kept on the disk where it is good to have, and how far it goes once
--- a/moot/moot_test.go
+++ b/moot/moot_test.go
@@ -221,6 +221,7 @@
 	if !x.up || x.frozen || !x.m.Sound(x.clock()) {
 		return
 	}
+	x.claimed()
 	for _, front := range x.m.Fronts(x.clock(), "z0", "r", 9) {
 		for _, e := range w.relays {
 			if since := w.now.Sub(e.renewed); e.name() == front && since > LeaseTerm+Heard+3*time.Second {
@@ -230,6 +231,18 @@
 	}
 }
 
+// claimed checks that a member claims all that it holds: what lies beyond its vector would be told again and again, or, when
+// the life that told it is over, never be claimed by anyone.
+func (x *node) claimed() {
+	items, origins := x.m.feed.Lacks(nil, x.m.feed.Seq(), nil)
+	come := x.m.feed.Vector()
+	for _, it := range items {
+		if origin := origins[it.From]; it.Seq > come[origin] {
+			x.w.fail("%s holds %s under number %d of %s, and has come to %d", x.me.Node, it.Key, it.Seq, origin, come[origin])
+		}
+	}
+}
+
 // run steps until a time.
 func (w *world) run(until time.Time) {
 	for w.wrong == "" && w.events.Len() > 0 && !w.events.list[0].at.After(until) {
@@ -282,6 +295,7 @@
 // amiss is what has not healed yet.
 func (w *world) amiss() string {
 	for _, x := range w.nodes {
+		x.claimed()
 		switch {
 		case !x.m.Caught():
 			return x.me.Node + " has not caught up"
--- a/moot/words.go
+++ b/moot/words.go
@@ -47,6 +47,7 @@
 	Items   []lore.Item `json:"i"`
 	Origins []string    `json:"j,omitempty"` // of the items
 	Come    lore.Vector `json:"u,omitempty"` // how far one that has taken these has come, where further than it said
+	Drop    []string    `json:"x,omitempty"` // of what an edge agent said: lives of which nothing is left
 	Whole   bool        `json:"w,omitempty"` // all that the source has
 	Sound   bool        `json:"o"`           // the source has caught up and hears more than half of the core
 	Agents  int         `json:"n"`           // edge agents with a lease now or lately
--- a/moot/words_easyjson.go
+++ b/moot/words_easyjson.go
@@ -588,6 +588,33 @@
 				}
 				in.Delim('}')
 			}
+		case "x":
+			if in.IsNull() {
+				in.Skip()
+				out.Drop = nil
+			} else {
+				in.Delim('[')
+				if out.Drop == nil {
+					if !in.IsDelim(']') {
+						out.Drop = make([]string, 0, 4)
+					} else {
+						out.Drop = []string{}
+					}
+				} else {
+					out.Drop = (out.Drop)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v11 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v11 = string(in.String())
+					}
+					out.Drop = append(out.Drop, v11)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		case "w":
 			if in.IsNull() {
 				in.Skip()
@@ -628,9 +655,9 @@
 					out.Members = (out.Members)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v11 Member
-					easyjsonF2f3c621DecodeSageleverMoot2(in, &v11)
-					out.Members = append(out.Members, v11)
+					var v12 Member
+					easyjsonF2f3c621DecodeSageleverMoot2(in, &v12)
+					out.Members = append(out.Members, v12)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -683,11 +710,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v12, v13 := range in.Items {
-				if v12 > 0 {
+			for v13, v14 := range in.Items {
+				if v13 > 0 {
 					out.RawByte(',')
 				}
-				easyjsonF2f3c621EncodeSageleverLore(out, v13)
+				easyjsonF2f3c621EncodeSageleverLore(out, v14)
 			}
 			out.RawByte(']')
 		}
@@ -697,11 +724,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v14, v15 := range in.Origins {
-				if v14 > 0 {
+			for v15, v16 := range in.Origins {
+				if v15 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v15))
+				out.String(string(v16))
 			}
 			out.RawByte(']')
 		}
@@ -711,20 +738,34 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('{')
-			v16First := true
-			for v16Name, v16Value := range in.Come {
-				if v16First {
-					v16First = false
+			v17First := true
+			for v17Name, v17Value := range in.Come {
+				if v17First {
+					v17First = false
 				} else {
 					out.RawByte(',')
 				}
-				out.String(string(v16Name))
+				out.String(string(v17Name))
 				out.RawByte(':')
-				out.Uint64(uint64(v16Value))
+				out.Uint64(uint64(v17Value))
 			}
 			out.RawByte('}')
 		}
 	}
+	if len(in.Drop) != 0 {
+		const prefix string = ",\"x\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v18, v19 := range in.Drop {
+				if v18 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v19))
+			}
+			out.RawByte(']')
+		}
+	}
 	if in.Whole {
 		const prefix string = ",\"w\":"
 		out.RawString(prefix)
@@ -750,11 +791,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v17, v18 := range in.Members {
-				if v17 > 0 {
+			for v20, v21 := range in.Members {
+				if v20 > 0 {
 					out.RawByte(',')
 				}
-				easyjsonF2f3c621EncodeSageleverMoot2(out, v18)
+				easyjsonF2f3c621EncodeSageleverMoot2(out, v21)
 			}
 			out.RawByte(']')
 		}
@@ -912,13 +953,13 @@
 					out.Keys = (out.Keys)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v19 string
+					var v22 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v19 = string(in.String())
+						v22 = string(in.String())
 					}
-					out.Keys = append(out.Keys, v19)
+					out.Keys = append(out.Keys, v22)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -939,13 +980,13 @@
 					out.Values = (out.Values)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v20 pact.Entry
+					var v23 pact.Entry
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v20).UnmarshalEasyJSON(in)
+						(v23).UnmarshalEasyJSON(in)
 					}
-					out.Values = append(out.Values, v20)
+					out.Values = append(out.Values, v23)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -980,11 +1021,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v21, v22 := range in.Keys {
-				if v21 > 0 {
+			for v24, v25 := range in.Keys {
+				if v24 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v22))
+				out.String(string(v25))
 			}
 			out.RawByte(']')
 		}
@@ -994,11 +1035,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v23, v24 := range in.Values {
-				if v23 > 0 {
+			for v26, v27 := range in.Values {
+				if v26 > 0 {
 					out.RawByte(',')
 				}
-				(v24).MarshalEasyJSON(out)
+				(v27).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
--- a/moot/world_test.go
+++ b/moot/world_test.go
@@ -712,12 +712,16 @@
 			if !e.up || e.life != life || ended {
 				return
 			}
+			w.log("edge", e.i, "from", y.i, "whole", n.Whole, "sound", n.Sound, "come", n.Come, "items", len(n.Items), "asked", p.Come)
 			if n.Whole {
 				e.come = lore.Vector{}
 			}
 			for o, x := range n.Come {
 				e.come[o] = max(e.come[o], x)
 			}
+			for _, o := range n.Drop {
+				delete(e.come, o)
+			}
 			for _, it := range n.Items {
 				r := pact.Entry{}
 				if strings.HasPrefix(it.Key, lore.RegKey) && easyjson.Unmarshal([]byte(it.Body), &r) == nil && r.Value.Version > e.values[r.Key].Version {
--- a/relay/news.go
+++ b/relay/news.go
@@ -304,6 +304,9 @@
 		for origin, x := range got.Come {
 			n.come[origin] = max(n.come[origin], x)
 		}
+		for _, origin := range got.Drop {
+			delete(n.come, origin)
+		}
 	}
 	return false
 }
