--- a/vault/vault_test.go
+++ b/vault/vault_test.go
@@ -153,6 +153,28 @@
 	}
 }
 
+// Ten thousand changes of four hundred items, each with its own sync as the core's are, leave a small file.
+func TestSizeInUse(t *testing.T) {
+	v, err := OpenOn(newDisk(4))
+	if err != nil {
+		t.Fatal(err)
+	}
+	item := string(bytes.Repeat([]byte("x"), 350)) // a register with a route in it
+	most := int64(0)
+	for i := range 10_000 {
+		if err := v.Put(map[string]string{fmt.Sprint("e/item/routes/r", i%400): fmt.Sprint(i, item)}); err != nil {
+			t.Fatal(err)
+		}
+		now, _ := v.Size()
+		most = max(most, now)
+	}
+	now, inUse := v.Size()
+	t.Logf("after 10,000 changes %d bytes, of which %d are in use; %d at most, %d syncs", now, inUse, most, v.Syncs)
+	if most > least+4096 || inUse > 400*450 {
+		t.Errorf("%d bytes, %d in use, %d at most", now, inUse, most)
+	}
+}
+
 // Damage in a part that was synced is not a torn tail: the file is put aside, and its member has lost its disk.
 func TestDamagePutAside(t *testing.T) {
 	d := newDisk(2)
