--- a/moot/know.go
+++ b/moot/know.go
@@ -131,7 +131,7 @@
 		_, knows := p.Come[m.feed.Origin]
 		ready = ready || !knows || w.whole
 	}
-	if p.Meet || p.Role == Edge {
+	if _, knows := p.Come[m.feed.Origin]; p.Meet || p.Role == Edge && (!knows || len(n.Items) > 0) { // who has heard this life was told
 		n.Members = append(n.Members, m.c.Me)
 		for _, x := range m.members {
 			n.Members = append(n.Members, x.Member)
