--- a/moot/apps.go
+++ b/moot/apps.go
@@ -11,6 +11,7 @@
 	"sagelever/plan"
 )
 
+// Pulse takes an appliance's word of itself; the address of the member where its next had best go, empty for here.
 func (m *Machine) Pulse(now time.Time, id string, p *lore.Pulse) (next Member) {
 	key := lore.AppKey + id
 	it, known := m.feed.Get(key)
@@ -39,6 +40,7 @@
 	return Member{}
 }
 
+// Phase is what is known of an appliance's life; empty for nothing.
 func (m *Machine) Phase(id string) string {
 	it, _ := m.feed.Get(lore.AppKey + id)
 	a, ok := lore.ReadApp(it)
@@ -48,6 +50,7 @@
 	return a.Phase
 }
 
+// SignOff takes an appliance's last word.
 func (m *Machine) SignOff(now time.Time, id string) {
 	key := lore.AppKey + id
 	it, known := m.feed.Get(key)
@@ -61,6 +64,7 @@
 	delete(m.apps, id)
 }
 
+// Tally takes what an edge agent has seen of releases.
 func (m *Machine) Tally(now time.Time, items []lore.Item) {
 	for _, it := range items {
 		if strings.HasPrefix(it.Key, lore.TrialKey) {
@@ -70,6 +74,7 @@
 	m.judge(now)
 }
 
+// judge decides the releases on which the agents' votes say so.
 func (m *Machine) judge(now time.Time) {
 	tallies := map[string][]*lore.Tally{}
 	m.feed.Each(lore.TrialKey, func(it lore.Item) {
@@ -95,6 +100,7 @@
 	}
 }
 
+// Minute does what time brings: leases that ran out, appliances fallen silent, lives long gone, values without an end.
 func (m *Machine) Minute(now time.Time) {
 	m.look(now)
 	m.mend(now)
@@ -146,6 +152,8 @@
 	}
 }
 
+// orphans tells the silence of appliances whose member is gone and that have found no other: the first by name of those
+// that are there does it for all.
 func (m *Machine) orphans(now time.Time) {
 	first := true
 	for node, x := range m.members {
--- a/moot/members.go
+++ b/moot/members.go
@@ -9,6 +9,7 @@
 	"sagelever/lore"
 )
 
+// meet takes up who calls.
 func (m *Machine) meet(now time.Time, p *Pull) (behind uint64) {
 	if p.Role == Core {
 		m.join(p.From)
@@ -40,6 +41,7 @@
 	return 0
 }
 
+// join takes up a member of the core. There are no more than its size says; four times as many may have been told.
 func (m *Machine) join(x Member) {
 	if x.Node == m.c.Me.Node || x.Node == "" || len(m.members) >= 4*m.c.N {
 		return
@@ -52,6 +54,7 @@
 	m.say("member found", "member", x.Node, "known", strconv.Itoa(len(m.members)+1))
 }
 
+// Members are those that are known, this one not.
 func (m *Machine) Members() []Member {
 	out := make([]Member, 0, len(m.members))
 	for _, x := range m.members {
@@ -61,6 +64,8 @@
 	return out
 }
 
+// watch has this member look after an item that came from elsewhere or from its disk: of what it granted or heard in a
+// life before it knows only so.
 func (m *Machine) watch(now time.Time, it lore.Item) {
 	if l, ok := lore.ReadLease(it); ok && strings.HasPrefix(it.Key, lore.LeaseKey) && l.Home == m.c.Me.Node && !l.Ended {
 		m.roll.Expect(it.Key, l.Zone, now)
@@ -82,6 +87,7 @@
 	}
 }
 
+// heardOf tells whether a member has answered lately.
 func (m *Machine) heardOf(node string, now time.Time) bool {
 	if node == m.c.Me.Node {
 		return true
@@ -90,6 +96,8 @@
 	return x != nil && x.begun && now.Sub(x.heard) < Heard
 }
 
+// Sound tells whether what this member says may be relied on: it has caught up, and hears more than half of the core. A
+// member that does not may lack what the others have acknowledged.
 func (m *Machine) Sound(now time.Time) bool {
 	near := 1
 	for node := range m.members {
@@ -100,11 +108,13 @@
 	return m.caught && !m.leaving && 2*near > m.c.N
 }
 
+// Leave has this member end: whoever pulls is answered at once, and goes elsewhere.
 func (m *Machine) Leave() {
 	m.leaving = true
 	m.wake(0)
 }
 
+// look says when this member begins or ends to hear most of the core; whoever waits for news is told.
 func (m *Machine) look(now time.Time) {
 	if sound := m.Sound(now); sound != m.was {
 		m.was = sound
@@ -117,6 +127,8 @@
 	}
 }
 
+// lapse ends the leases granted here that ran out. It comes before all that is told of them: a process that was held up
+// must not speak of leases as they were before.
 func (m *Machine) lapse(now time.Time) {
 	for _, key := range m.roll.Lapsed(now) {
 		it, ok := m.feed.Get(key)
@@ -128,6 +140,8 @@
 	}
 }
 
+// Fronts lists where clients of a zone should go: to the agents there; where there are none to others of the region, then
+// to any.
 func (m *Machine) Fronts(now time.Time, zone, region string, most int) []string {
 	var near, mid, far []string
 	m.lapse(now)
--- a/moot/news.go
+++ b/moot/news.go
@@ -13,6 +13,7 @@
 	"sagelever/pact"
 )
 
+// reached is how far a member has come that pulls here, and when it last did.
 type reached struct {
 	come  lore.Vector
 	seq   uint64 // by this feed's own numbers, with the first version of the wire
@@ -20,6 +21,7 @@
 	whole bool // it was told all, as what it lacked had been forgotten
 }
 
+// tell merges an item that is told here first, and has those woken who wait for news.
 func (m *Machine) tell(it lore.Item) bool {
 	if !m.feed.Merge(it) {
 		return false
@@ -34,6 +36,7 @@
 	}
 }
 
+// hurry is how long an item may wait for others to go with: what agents must stop for goes at once.
 func hurry(it lore.Item) time.Duration {
 	switch {
 	case strings.HasPrefix(it.Key, lore.RegKey):
@@ -51,6 +54,7 @@
 	return company
 }
 
+// Waiting is a pull that waits for news.
 type Waiting struct {
 	p      *Pull
 	by     uint64      // what came here from other sources later than this is on its way to the caller already
@@ -60,6 +64,7 @@
 	whole  bool
 }
 
+// Pulled takes up who calls: a lease for an edge agent, a member of the core. Answer has the news for it.
 func (m *Machine) Pulled(now time.Time, p *Pull) *Waiting {
 	w := &Waiting{p: p, by: m.feed.Seq(), come: m.feed.Vector(), sound: m.Sound(now), behind: m.meet(now, p)}
 	if p.Wire >= Wire {
@@ -81,6 +86,7 @@
 	return w
 }
 
+// Answer is the news for a pull, and whether to send it: otherwise there is none, and it may wait unless that is its end.
 func (m *Machine) Answer(now time.Time, w *Waiting) (n *News, ready bool) {
 	p := w.p
 	m.lapse(now)
@@ -133,6 +139,7 @@
 	return n, ready || len(n.Items) > 0
 }
 
+// further is what of a vector goes beyond another.
 func further(v, than lore.Vector) lore.Vector {
 	out := lore.Vector{}
 	for origin, x := range v {
@@ -143,6 +150,8 @@
 	return out
 }
 
+// Ask is what this member asks another for: all that it lacks. Where it has not heard of the other lately the answer is
+// not to wait for news, as it is news itself that the other is there.
 func (m *Machine) Ask(now time.Time, to Member) *Pull {
 	p := &Pull{From: m.c.Me, Role: Core, Wire: Wire, Meet: to.Node == "", Epoch: m.epoch}
 	if !p.Meet {
@@ -163,8 +172,12 @@
 	return p
 }
 
+// upToDate tells whether the feed is as far as its vector says, and was told news not long ago, by whomever: then all that
+// was forgotten since was heard of.
 func (m *Machine) upToDate(now time.Time) bool { return m.known && now.Sub(m.told) < bound }
 
+// Hold tells whether to put off pulling a member: at the start one is asked before the others, so that what this one lacks
+// is handed to it once and not by everybody. Where that one does not answer, the others are not held up for long.
 func (m *Machine) Hold(now time.Time, to Member) bool {
 	if m.heardAny || now.Sub(m.begun) > head {
 		return false
@@ -177,12 +190,14 @@
 	return false
 }
 
+// nearer orders members: those of this region first, then by name.
 func (m *Machine) nearer(a, b Member) bool {
 	region := m.c.Zones[m.c.Me.Zone]
 	nearA, nearB := m.c.Zones[a.Zone] == region, m.c.Zones[b.Zone] == region
 	return nearA && !nearB || nearA == nearB && a.Node < b.Node
 }
 
+// Told takes up what another member has told in answer to a pull.
 func (m *Machine) Told(now time.Time, from Member, asked *Pull, n *News) {
 	// An answer that builds on what was given up meanwhile claims nothing; what it brings is told on as this member's own.
 	claims := n.Whole || asked.Epoch == m.epoch
@@ -231,6 +246,8 @@
 	m.look(now)
 }
 
+// take merges an item that another agent has told. One without an origin comes from the version before, and is told here
+// first.
 func (m *Machine) take(now time.Time, it lore.Item, origin string, number uint64) (changed []pact.Entry) {
 	if strings.HasPrefix(it.Key, lore.RegKey) {
 		e := pact.Entry{}
@@ -250,6 +267,8 @@
 	return nil
 }
 
+// recall takes up what was kept. An appliance counts as cold until its pulse says otherwise, and as silent if none comes:
+// it may have gone, or gone cold, while this agent was away.
 func (m *Machine) recall(was Memory, now time.Time) {
 	slices.SortFunc(was.Items, func(a, b Kept) int { return strings.Compare(a.Item.Key, b.Item.Key) })
 	old := now.Sub(was.Noted) > bound
@@ -291,6 +310,8 @@
 	m.feed.Unclaim(lost)
 }
 
+// Keep is what has become known since a number, to be kept on the disk where it is good to have, and how far it goes once
+// it is; what was forgotten is told by keys that are not there any more.
 func (m *Machine) Keep(since uint64) (items []Kept, come lore.Vector, seq uint64) {
 	if len(m.saving) > 0 || m.unsaved { // registers are part of how far this goes
 		return nil, nil, since
@@ -305,6 +326,7 @@
 	return items, m.feed.Vector(), m.feed.Seq()
 }
 
+// passOn merges an item that another told first, and wakes edge agents that wait for news.
 func (m *Machine) passOn(it lore.Item, origin string, number uint64) bool {
 	if !m.feed.Take(it, origin, number) {
 		return false
@@ -313,6 +335,7 @@
 	return true
 }
 
+// HeldToo tells whether another member holds an item too, as its pulls say.
 func (m *Machine) HeldToo(key string) bool {
 	origin, number := m.feed.Where(key)
 	if origin == "" {
