--- a/vault/disk_test.go
+++ b/vault/disk_test.go
@@ -16,6 +16,7 @@
 type disk struct {
 	mu     sync.Mutex
 	slow   chan struct{} // until it is closed, changes hang
+	anew   chan struct{} // until it is closed, a file that is begun anew does
 	rng    *rand.Rand
 	now    map[string]*node // by name, as processes see them
 	last   map[string]*node // the names that last
@@ -128,6 +129,9 @@
 }
 
 func (d *disk) Create(name string) (File, error) {
+	if d.anew != nil {
+		<-d.anew
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if _, err := d.op(); err != nil {
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -205,7 +205,10 @@
 		if b.err = v.write(b); b.err != nil {
 			b.err = errors.Wrap(b.err, "vault")
 		}
-		close(b.done)
+		close(b.done) // before the file is written anew, which takes longer than what was waited for
+		if b.err == nil && v.size > v.most() && v.anew() != nil {
+			v.broken = true // the file as it was goes on; the next write tries again
+		}
 	}
 }
 
@@ -244,11 +247,6 @@
 		v.synced = v.size
 	}
 	v.keep(b)
-	if v.size > v.most() {
-		if v.anew() != nil { // the file as it was goes on; the next write tries again
-			v.broken = true
-		}
-	}
 	return nil
 }
 
@@ -331,8 +329,15 @@
 	return out
 }
 
-// Size is how large the file is, and how large it would be if it were written anew; for what is written when none is.
-func (v *Vault) Size() (now, inUse int64) { return v.size, v.live }
+// Size is how large the file is, and how large it would be if it were written anew, once all that was handed in is written.
+func (v *Vault) Size() (now, inUse int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for v.busy {
+		v.idle.Wait()
+	}
+	return v.size, v.live
+}
 
 // Close writes what was handed in and closes the store.
 func (v *Vault) Close() error {
--- a/vault/vault_test.go
+++ b/vault/vault_test.go
@@ -199,6 +199,33 @@
 	}
 }
 
+// The word on a write does not wait for the file to be written anew behind it.
+func TestWordBeforeCompaction(t *testing.T) {
+	d := newDisk(5)
+	v, err := openOn(d, 1000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.anew = make(chan struct{})
+	if err := v.Put(map[string]string{"k": string(bytes.Repeat([]byte("x"), 100))}); err != nil {
+		t.Fatal(err)
+	}
+	for range 9 { // over the bound with the last of them
+		if err := v.Put(map[string]string{"k": string(bytes.Repeat([]byte("y"), 100))}); err != nil {
+			t.Fatal(err)
+		}
+		if v.mu.Lock(); v.busy {
+			v.mu.Unlock()
+			break
+		}
+		v.mu.Unlock()
+	}
+	close(d.anew)
+	if now, inUse := v.Size(); now > 1200 || inUse == 0 {
+		t.Errorf("%d bytes, %d in use", now, inUse)
+	}
+}
+
 // Several writers at once share syncs, and what each handed in later prevails, in the order of the calls.
 func TestWritesShareSyncs(t *testing.T) {
 	d := newDisk(3)
