--- a/lore/lore.go
+++ b/lore/lore.go
@@ -86,14 +86,21 @@
 // Vector is how far this feed has come.
 func (f *Feed) Vector() Vector { return maps.Clone(f.vector) }
 
+// Own is the number of the newest item that was told here first.
+func (f *Feed) Own() uint64 { return f.vector[f.Origin] }
+
 // Merge takes an item that is told here first; it tells whether it was new.
 func (f *Feed) Merge(it Item) bool {
 	if s := f.slots[it.Key]; s != nil && !it.After(s.item) {
 		return false
 	}
+	f.tell(it)
+	return true
+}
+
+func (f *Feed) tell(it Item) {
 	f.vector[f.Origin]++
 	f.put(it, f.Origin, f.vector[f.Origin])
-	return true
 }
 
 // Take takes an item as another agent has told it; it tells whether it was new.
@@ -138,15 +145,19 @@
 			f.vector[origin] = n - 1
 		}
 	}
-	f.own()
+	f.adopt(f.beyond)
 }
 
-// own takes over what lies beyond the vector.
-func (f *Feed) own() {
-	for _, key := range f.keys(func(s *slot) bool { return s.number > f.vector[s.origin] }) {
-		f.vector[f.Origin]++
-		f.put(f.slots[key].item, f.Origin, f.vector[f.Origin])
+// beyond tells whether an item lies beyond the vector.
+func (f *Feed) beyond(s *slot) bool { return s.number > f.vector[s.origin] }
+
+// adopt tells items anew as this feed's own; it tells how many.
+func (f *Feed) adopt(wanted func(*slot) bool) int {
+	keys := f.keys(wanted)
+	for _, key := range keys {
+		f.tell(f.slots[key].item)
 	}
+	return len(keys)
 }
 
 // Prune forgets how far it has come with lives that are over and of which nothing is left: whoever holds something of them
@@ -172,11 +183,7 @@
 	}
 	slices.Sort(own)
 	for _, origin := range own[:max(0, len(own)-lives)] {
-		for _, key := range f.keys(func(s *slot) bool { return s.origin == origin }) {
-			f.vector[f.Origin]++
-			f.put(f.slots[key].item, f.Origin, f.vector[f.Origin])
-			renewed++
-		}
+		renewed += f.adopt(func(s *slot) bool { return s.origin == origin })
 	}
 	return renewed
 }
@@ -264,7 +271,7 @@
 	}
 	f.vector = Vector{f.Origin: f.vector[f.Origin]}
 	f.Reach(v)
-	f.own()
+	f.adopt(f.beyond)
 	return gone
 }
 
--- a/moot/members.go
+++ b/moot/members.go
@@ -67,12 +67,18 @@
 // watch has this member look after an item that came from elsewhere or from its disk: of what it granted or heard in a
 // life before it knows only so.
 func (m *Machine) watch(now time.Time, it lore.Item) {
-	if l, ok := lore.ReadLease(it); ok && strings.HasPrefix(it.Key, lore.LeaseKey) && l.Home == m.c.Me.Node && !l.Ended {
-		m.roll.Expect(it.Key, l.Zone, now)
+	if strings.HasPrefix(it.Key, lore.LeaseKey) {
+		if l, ok := lore.ReadLease(it); ok && l.Home == m.c.Me.Node && !l.Ended {
+			m.roll.Expect(it.Key, l.Zone, now)
+		}
+		return
 	}
 	id, ok := strings.CutPrefix(it.Key, lore.AppKey)
-	a, read := lore.ReadApp(it)
-	if !ok || !read {
+	if !ok {
+		return
+	}
+	a, ok := lore.ReadApp(it)
+	if !ok {
 		return
 	}
 	gone := a.Phase == lore.Left || a.Phase == lore.Silent
--- a/moot/moot.go
+++ b/moot/moot.go
@@ -163,7 +163,6 @@
 	Member
 	source string // as the version before numbers
 	seq    uint64
-	wire   int
 	heard  time.Time
 	origin string    // of its life
 	asked  time.Time // when the last pull of it began
@@ -375,17 +374,6 @@
 	return binary.BigEndian.Uint64(sum[:])
 }
 
-// Values are the registers as this member holds them.
-func (m *Machine) Values(prefix string) map[string]pact.Value {
-	out := map[string]pact.Value{}
-	for _, e := range m.acceptor.All() {
-		if strings.HasPrefix(e.Key, prefix) {
-			out[e.Key] = e.Value
-		}
-	}
-	return out
-}
-
 // Held is a register as this member holds it.
 func (m *Machine) Held(key string) pact.Entry { return m.acceptor.Get(key) }
 
--- a/moot/news.go
+++ b/moot/news.go
@@ -15,10 +15,9 @@
 
 // reached is how far a member has come that pulls here, and when it last did.
 type reached struct {
-	come  lore.Vector
-	seq   uint64 // by this feed's own numbers, with the first version of the wire
-	at    time.Time
-	whole bool // it was told all, as what it lacked had been forgotten
+	come lore.Vector
+	seq  uint64 // by this feed's own numbers, with the first version of the wire
+	at   time.Time
 }
 
 // tell merges an item that is told here first, and has those woken who wait for news.
@@ -76,7 +75,7 @@
 	}
 	if p.Role == Core && !p.Meet && m.members[p.From.Node] != nil {
 		was, known := m.reach[p.From.Node]
-		m.reach[p.From.Node] = reached{come: p.Come, seq: p.Vector[m.feed.Source], at: now, whole: w.whole}
+		m.reach[p.From.Node] = reached{come: p.Come, seq: p.Vector[m.feed.Source], at: now}
 		if away := now.Sub(was.at); known && away > Heard+LeaseTerm {
 			items, _ := m.feed.Lacks(p.Come, m.feed.Seq(), nil)
 			m.say("a member is back, and handed what it should have had", "member", p.From.Node, "awayMs", strconv.FormatInt(away.Milliseconds(), 10),
@@ -122,7 +121,7 @@
 			}
 		}
 		n.Whole = w.whole
-		reach[m.feed.Origin] = m.feed.Vector()[m.feed.Origin]
+		reach[m.feed.Origin] = m.feed.Own()
 		if n.Come = reach; !w.whole {
 			n.Come = further(reach, p.Come)
 		}
@@ -233,7 +232,7 @@
 		m.told = now
 	}
 	if x := m.members[from.Node]; x != nil {
-		x.heard, x.begun, x.wire, m.heardAny = now, true, n.Wire, true
+		x.heard, x.begun, m.heardAny = now, true, true
 		x.source, x.seq = "", 0
 		if len(n.Origins) > 0 {
 			x.origin = n.Origins[0]
@@ -289,17 +288,21 @@
 			}
 			it.Body = regBody(e)
 		}
-		if a, ok := lore.ReadApp(it); ok && strings.HasPrefix(it.Key, lore.AppKey) && a.Phase == lore.Ready {
-			a.Heard, a.Warm = now.UnixMilli(), now.Add(m.c.Silence).UnixMilli()
-			it = a.WithPhase(strings.TrimPrefix(it.Key, lore.AppKey), lore.Ready, it.Version)
+		if id, ok := strings.CutPrefix(it.Key, lore.AppKey); ok {
+			if a, ok := lore.ReadApp(it); ok && a.Phase == lore.Ready {
+				a.Heard, a.Warm = now.UnixMilli(), now.Add(m.c.Silence).UnixMilli()
+				it = a.WithPhase(id, lore.Ready, it.Version)
+			}
 		}
 		if k.Origin == "" { // the version before did not keep it
 			m.feed.Merge(it)
 		} else {
 			m.feed.Take(it, k.Origin, k.Number)
 		}
-		if l, ok := lore.ReadLease(it); ok && strings.HasPrefix(it.Key, lore.LeaseKey) && !l.Ended && l.Role == Edge {
-			m.roll.Hold(it.Key, l.Zone, now) // it may be sending, though it has not called yet
+		if strings.HasPrefix(it.Key, lore.LeaseKey) {
+			if l, ok := lore.ReadLease(it); ok && !l.Ended && l.Role == Edge {
+				m.roll.Hold(it.Key, l.Zone, now) // it may be sending, though it has not called yet
+			}
 		}
 		m.watch(now, it)
 	}
