--- /dev/null
+++ b/ebb/leave.go
@@ -0,0 +1,85 @@
+package ebb
+
+import "time"
+
+// Leave is a node's leave to send: it lasts for a term after the moment at which the core, or the appliance itself, can last
+// be said not to have known of a removal. A node that hears nothing stops by itself; it does not have to be told.
+type Leave struct {
+	term time.Duration
+	core time.Time // when it last asked a sound member what it then was told
+}
+
+// pullWait and slow are how long a pull waits for news where nothing bounds it further, and how much longer its answer may
+// take before another member is asked.
+const (
+	pullWait = 1200 * time.Millisecond
+	slow     = time.Second
+)
+
+// Term is how long a leave lasts, of `empty`, the time for which an appliance goes on serving after the acknowledgement: a
+// quarter of it is kept for a request on its way and for a member that has just lost the others. Where there is no such
+// time, a pull and a slow answer must fit.
+func Term(empty time.Duration) time.Duration {
+	usual := pullWait + slow
+	if empty <= 0 {
+		return usual
+	}
+	return min(usual, empty*3/4)
+}
+
+// Wait is how long a pull may wait for news, so that two fit into a term: one that fails does not end the leave.
+func Wait(empty time.Duration) time.Duration { return min(pullWait, Term(empty)/2) }
+
+// NewLeave is a leave that has yet to be given.
+func NewLeave(empty time.Duration) Leave { return Leave{term: Term(empty)} }
+
+// Heard notes that a sound member has answered what was asked at a moment: what it knew then is known here.
+func (l *Leave) Heard(asked time.Time) {
+	if asked.After(l.core) {
+		l.core = asked
+	}
+}
+
+// Holds tells whether the core's word still covers a moment.
+func (l *Leave) Holds(now time.Time) bool { return now.Before(l.core.Add(l.term)) }
+
+// Covers tells whether a request may go to an appliance now, as far as the leave goes: by the core's word, or by its own.
+// One that has closed its connection behind two answers running may be leaving before the core has said so: then its own
+// word counts alone.
+func (l *Leave) Covers(s *Stand, now time.Time) bool {
+	if s.closes >= mayLeave && !s.closer {
+		return false
+	}
+	return l.Holds(now) || now.Before(s.word.Add(l.term))
+}
+
+// mayLeave is how many answers in a row with `Connection: close` say that an appliance may be leaving: all answers of one
+// that leaves have it, and now and then another's.
+const mayLeave = 2
+
+// Answered takes an answer of the appliance to what was sent at a moment: one that leaves the connection open comes from an
+// appliance that was not leaving then.
+func (s *Stand) Answered(sent time.Time, closes bool) {
+	if closes {
+		s.closes++
+		return
+	}
+	s.closes = 0
+	s.say(sent)
+}
+
+// Asked takes the appliance's own word, asked for at a moment: that it serves, or not.
+func (s *Stand) Asked(at time.Time, serves bool) {
+	if !serves {
+		return
+	}
+	s.closer = s.closer || s.closes >= mayLeave
+	s.closes = 0
+	s.say(at)
+}
+
+func (s *Stand) say(at time.Time) {
+	if at.After(s.word) {
+		s.word = at
+	}
+}
--- a/lore/known.go
+++ b/lore/known.go
@@ -199,3 +199,12 @@
 	}
 	return x
 }
+
+// Row is what an agent has out at an appliance that leaves.
+//
+//easyjson:json
+type Row struct {
+	ID       string `json:"i"`
+	Harmless int    `json:"h"`
+	Risky    int    `json:"r"`
+}
--- a/lore/known_easyjson.go
+++ b/lore/known_easyjson.go
@@ -258,7 +258,94 @@
 func (v *Tally) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjsonEfc548dfDecodeSageleverLore(l, v)
 }
-func easyjsonEfc548dfDecodeSageleverLore1(in *jlexer.Lexer, out *Pulse) {
+func easyjsonEfc548dfDecodeSageleverLore1(in *jlexer.Lexer, out *Row) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "i":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.ID = string(in.String())
+			}
+		case "h":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Harmless = int(in.Int())
+			}
+		case "r":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Risky = int(in.Int())
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonEfc548dfEncodeSageleverLore1(out *jwriter.Writer, in Row) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"i\":"
+		out.RawString(prefix[1:])
+		out.String(string(in.ID))
+	}
+	{
+		const prefix string = ",\"h\":"
+		out.RawString(prefix)
+		out.Int(int(in.Harmless))
+	}
+	{
+		const prefix string = ",\"r\":"
+		out.RawString(prefix)
+		out.Int(int(in.Risky))
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v Row) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjsonEfc548dfEncodeSageleverLore1(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v Row) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjsonEfc548dfEncodeSageleverLore1(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *Row) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjsonEfc548dfDecodeSageleverLore1(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *Row) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjsonEfc548dfDecodeSageleverLore1(l, v)
+}
+func easyjsonEfc548dfDecodeSageleverLore2(in *jlexer.Lexer, out *Pulse) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -330,7 +417,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonEfc548dfEncodeSageleverLore1(out *jwriter.Writer, in Pulse) {
+func easyjsonEfc548dfEncodeSageleverLore2(out *jwriter.Writer, in Pulse) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -380,27 +467,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Pulse) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonEfc548dfEncodeSageleverLore1(&w, v)
+	easyjsonEfc548dfEncodeSageleverLore2(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Pulse) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonEfc548dfEncodeSageleverLore1(w, v)
+	easyjsonEfc548dfEncodeSageleverLore2(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Pulse) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonEfc548dfDecodeSageleverLore1(&r, v)
+	easyjsonEfc548dfDecodeSageleverLore2(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Pulse) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonEfc548dfDecodeSageleverLore1(l, v)
+	easyjsonEfc548dfDecodeSageleverLore2(l, v)
 }
-func easyjsonEfc548dfDecodeSageleverLore2(in *jlexer.Lexer, out *Lease) {
+func easyjsonEfc548dfDecodeSageleverLore3(in *jlexer.Lexer, out *Lease) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -460,7 +547,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonEfc548dfEncodeSageleverLore2(out *jwriter.Writer, in Lease) {
+func easyjsonEfc548dfEncodeSageleverLore3(out *jwriter.Writer, in Lease) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -500,27 +587,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Lease) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonEfc548dfEncodeSageleverLore2(&w, v)
+	easyjsonEfc548dfEncodeSageleverLore3(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Lease) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonEfc548dfEncodeSageleverLore2(w, v)
+	easyjsonEfc548dfEncodeSageleverLore3(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Lease) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonEfc548dfDecodeSageleverLore2(&r, v)
+	easyjsonEfc548dfDecodeSageleverLore3(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Lease) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonEfc548dfDecodeSageleverLore2(l, v)
+	easyjsonEfc548dfDecodeSageleverLore3(l, v)
 }
-func easyjsonEfc548dfDecodeSageleverLore3(in *jlexer.Lexer, out *App) {
+func easyjsonEfc548dfDecodeSageleverLore4(in *jlexer.Lexer, out *App) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -598,7 +685,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonEfc548dfEncodeSageleverLore3(out *jwriter.Writer, in App) {
+func easyjsonEfc548dfEncodeSageleverLore4(out *jwriter.Writer, in App) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -653,23 +740,23 @@
 // MarshalJSON supports json.Marshaler interface
 func (v App) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonEfc548dfEncodeSageleverLore3(&w, v)
+	easyjsonEfc548dfEncodeSageleverLore4(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v App) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonEfc548dfEncodeSageleverLore3(w, v)
+	easyjsonEfc548dfEncodeSageleverLore4(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *App) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonEfc548dfDecodeSageleverLore3(&r, v)
+	easyjsonEfc548dfDecodeSageleverLore4(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *App) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonEfc548dfDecodeSageleverLore3(l, v)
+	easyjsonEfc548dfDecodeSageleverLore4(l, v)
 }
--- /dev/null
+++ b/plan/drains.go
@@ -0,0 +1,116 @@
+package plan
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/mailru/easyjson"
+
+	"sagelever/pact"
+)
+
+const drainKey = "drain/"
+
+// DrainKey is the register that holds what operators drain in a zone. Zones are few and do not change, so that registers
+// do not grow with the appliances that were ever drained.
+func DrainKey(zone string) string { return drainKey + zone }
+
+// MostDrains is how many may stand in a zone at once.
+const MostDrains = 256
+
+// Drain is an operator's word that something in a zone gets no new work: one appliance, a service's there, or all.
+//
+//easyjson:json
+type Drain struct {
+	Service string `json:"s,omitempty"`
+	ID      string `json:"i,omitempty"`
+	Began   int64  `json:"b"` // Unix milliseconds at the agent that took the word
+}
+
+// DrainList is the body of a zone's register.
+//
+//easyjson:json
+type DrainList struct {
+	Drains []Drain `json:"d"`
+}
+
+// Names is what a drain is called in a zone: BACKEND, SERVICE@ZONE or ZONE.
+func (d Drain) Names(zone string) string {
+	switch {
+	case d.ID != "":
+		return d.ID
+	case d.Service != "":
+		return d.Service + "@" + zone
+	}
+	return zone
+}
+
+// Covers tells whether a drain of its zone is about an appliance there.
+func (d Drain) Covers(service, id string) bool {
+	return d.ID == "" && (d.Service == "" || d.Service == service) || d.ID != "" && d.ID == id
+}
+
+func (d Drain) same(other Drain) bool { return d.Service == other.Service && d.ID == other.ID }
+
+// ReadTarget reads the name of what is to be drained; where is the zone of an appliance by its id, empty where there is
+// none. Unknown zones are refused; a service is known by whoever asks.
+func ReadTarget(text string, zones map[string]string, where func(id string) string) (zone string, d Drain, err error) {
+	if service, zone, ok := strings.Cut(text, "@"); ok {
+		if zones[zone] == "" || service == "" {
+			return "", d, errors.Errorf("%q: want SERVICE@ZONE, and there is no such zone", text)
+		}
+		return zone, Drain{Service: service}, nil
+	}
+	if zones[text] != "" {
+		return text, d, nil
+	}
+	if zone := where(text); zone != "" {
+		return zone, Drain{ID: text}, nil
+	}
+	return "", d, errors.Errorf("%q: neither an appliance, nor SERVICE@ZONE, nor a zone", text)
+}
+
+// ReadDrains reads a zone's register.
+func ReadDrains(v pact.Value) []Drain {
+	l := &DrainList{}
+	if v.Body == "" || easyjson.Unmarshal([]byte(v.Body), l) != nil {
+		return nil
+	}
+	return l.Drains
+}
+
+// BeginDrain adds a drain to a zone's; one that stands already changes nothing. Those of lives that are over go with it, and
+// where there are too many, none is added.
+func BeginDrain(d Drain, over func(id string) bool, now time.Time) pact.Change {
+	return func(held pact.Value) pact.Value {
+		list := ReadDrains(held)
+		if slices.ContainsFunc(list, d.same) {
+			return held
+		}
+		list = slices.DeleteFunc(slices.Clone(list), func(x Drain) bool { return x.ID != "" && over(x.ID) })
+		if len(list) >= MostDrains {
+			return held
+		}
+		d.Began = now.UnixMilli()
+		return drains(held, append(list, d))
+	}
+}
+
+// EndDrain withdraws a drain; one that does not stand changes nothing.
+func EndDrain(d Drain) pact.Change {
+	return func(held pact.Value) pact.Value {
+		list := ReadDrains(held)
+		left := slices.DeleteFunc(slices.Clone(list), d.same)
+		if len(left) == len(list) {
+			return held
+		}
+		return drains(held, left)
+	}
+}
+
+func drains(held pact.Value, list []Drain) pact.Value {
+	b, _ := easyjson.Marshal(&DrainList{list}) // texts and whole numbers only: it cannot fail
+	return pact.Value{Version: held.Version + 1, Body: string(b)}
+}
--- a/plan/table.go
+++ b/plan/table.go
@@ -1,6 +1,8 @@
 package plan
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -17,6 +19,7 @@
 	lengths  map[string][]int // of each host's prefixes, the longest first
 	Services map[string]*Backend
 	Cleared  map[string]bool     // zones to which nothing may be sent
+	Drains   map[string][]Drain  // what operators drain, by zone
 	Releases map[string]*Release // by service
 	Limits   Bound
 	Items    int
@@ -30,6 +33,7 @@
 	Rank, Tries    int
 	Shares         []Share
 	Homes          map[string]bool // nil: anywhere
+	HomeList       string          // the same: sorted, with commas
 	total          float64
 	tenant         string
 }
@@ -62,7 +66,7 @@
 // NewTable reads the registers into a table. What can't be read is passed over: it was checked when it was taken.
 func NewTable(values map[string]pact.Value) *Table {
 	t := &Table{hosts: map[string]map[string]*Way{}, lengths: map[string][]int{}, Services: map[string]*Backend{},
-		Cleared: map[string]bool{}, Releases: map[string]*Release{}}
+		Cleared: map[string]bool{}, Drains: map[string][]Drain{}, Releases: map[string]*Release{}}
 	homes := map[string]map[string]bool{}
 	names := make([]string, 0, len(values))
 	for key := range values {
@@ -78,6 +82,12 @@
 			t.Cleared[zone] = v.Body == "on"
 			continue
 		}
+		if zone, ok := strings.CutPrefix(key, drainKey); ok {
+			if list := ReadDrains(v); len(list) > 0 {
+				t.Drains[zone] = list
+			}
+			continue
+		}
 		if service, ok := strings.CutPrefix(key, releaseKey); ok {
 			r := &Release{}
 			if easyjson.Unmarshal([]byte(v.Body), r) == nil {
@@ -114,6 +124,7 @@
 			if h := homes[w.tenant]; w.tenant != "" && h != nil { // where route and tenant have homes, both bind
 				w.Homes = both(w.Homes, h)
 			}
+			w.HomeList = strings.Join(slices.Sorted(maps.Keys(w.Homes)), ",")
 			if !seen[len(p)] {
 				seen[len(p)] = true
 				t.lengths[host] = append(t.lengths[host], len(p))
@@ -124,6 +135,16 @@
 	return t
 }
 
+// Drained tells whether an operator drains an appliance.
+func (t *Table) Drained(service, id, zone string) bool {
+	for _, d := range t.Drains[zone] {
+		if d.Covers(service, id) {
+			return true
+		}
+	}
+	return false
+}
+
 func (t *Table) add(name string, r *Route) {
 	host := strings.ToLower(r.Host)
 	if t.hosts[host] == nil {
--- a/relay/front.go
+++ b/relay/front.go
@@ -24,6 +24,8 @@
 	meant    = "X-Sagelever-Meant-Server"
 	stamp    = "X-Sagelever-Server-Seal"
 	notRun   = "X-Sagelever-Not-Run"
+	serverID = "X-Sagelever-Server-Id"
+	warmUp   = "X-Sagelever-Warm-Up-Ms"
 )
 
 // bound is what clients may send before the first configuration tells.
@@ -202,7 +204,7 @@
 		r.deny(w, http.StatusRequestEntityTooLarge, "the body is too long")
 		return nil, nil, false
 	}
-	if r.held.Load() > int64(r.settings.Limits.RAMMb)<<20/4 {
+	if r.held.Load() > r.room {
 		r.refuse(w, "no room for the body", leastGap)
 		return nil, nil, false
 	}
@@ -276,7 +278,11 @@
 		if app == nil {
 			r.sway.Wait(req)
 		}
+		asks := r.sway.Asks()
 		r.mu.Unlock()
+		for _, q := range asks {
+			go r.question(q)
+		}
 		if app == nil {
 			app = r.await(ctx, req, hold)
 		}
@@ -291,7 +297,11 @@
 		again := rest == nil && r.sway.Again(req, out.Outcome, now)
 		r.mu.Unlock()
 		if again {
-			r.counts.again.Add(1)
+			if out.Withheld {
+				r.counts.withheld.Add(1)
+			} else {
+				r.counts.again.Add(1)
+			}
 			out.close()
 			continue
 		}
--- a/relay/news.go
+++ b/relay/news.go
@@ -14,6 +14,7 @@
 	"github.com/mailru/easyjson"
 	"go.uber.org/zap"
 
+	"sagelever/ebb"
 	"sagelever/lore"
 	"sagelever/moot"
 	"sagelever/pact"
@@ -22,7 +23,6 @@
 )
 
 const (
-	pullWait = 1200 * time.Millisecond // how long a pull waits for news
 	retry    = 100 * time.Millisecond
 	down     = 2 * time.Second        // a member that can't be reached is passed over for so long
 	unsure   = 500 * time.Millisecond // and one that does not hear the core: at a start that is soon over
@@ -35,6 +35,7 @@
 	r      *Relay
 	client *http.Client
 	life   string
+	wait   time.Duration // how long a pull waits for news
 
 	mu      sync.Mutex
 	members map[string]moot.Member // by address
@@ -52,7 +53,7 @@
 }
 
 func newNews(r *Relay) *news {
-	n := &news{r: r, life: r.settings.Node + "@" + strconv.FormatInt(time.Now().UnixNano(), 36),
+	n := &news{r: r, wait: ebb.Wait(r.settings.Bounds.Empty), life: r.settings.Node + "@" + strconv.FormatInt(time.Now().UnixNano(), 36),
 		members: map[string]moot.Member{}, come: lore.Vector{}, vector: map[string]uint64{}, at: map[string]string{}, passed: map[string]time.Time{},
 		values: map[string]pact.Value{}, told: map[string]string{}, changed: uint64(time.Now().UnixMilli())}
 	n.client = steward.Client()
@@ -120,7 +121,7 @@
 			return
 		}
 		addr, begun := list[0], time.Now()
-		got, err := n.pull(ctx, addr, pullWait)
+		got, err := n.pull(ctx, addr, n.wait)
 		if err != nil {
 			n.fail(addr, down)
 			n.pause(ctx)
@@ -213,16 +214,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
 	defer cancel()
-	got := &moot.News{}
+	got, asked := &moot.News{}, time.Now()
 	if err := steward.Post(ctx, n.client, addr, moot.PullPath, body, got); err != nil {
 		return nil, err
 	}
-	n.take(addr, p, got)
+	n.take(addr, p, got, asked)
 	return got, nil
 }
 
 // take takes up news: the configuration as a table swapped whole, the appliances, and what others count of releases.
-func (n *news) take(addr string, asked *moot.Pull, got *moot.News) {
+func (n *news) take(addr string, asked *moot.Pull, got *moot.News, at time.Time) {
 	now := time.Now()
 	n.mu.Lock()
 	anew := n.reach(addr, asked, got)
@@ -250,6 +251,9 @@
 	r := n.r
 	r.mu.Lock()
 	r.sway.Count(got.Agents, got.Here, now)
+	if got.Sound {
+		r.sway.Heard(at)
+	}
 	if table != nil {
 		r.sway.Configure(table, now)
 		r.table.Store(table)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -36,6 +36,7 @@
 	trusted  atomic.Bool // the table was told whole by a sound source in this life
 	leaving  atomic.Bool
 	held     atomic.Int64 // bytes of bodies in memory
+	room     int64        // for them
 	mu       sync.Mutex   // guards sway
 	sway     *sway.Sway
 	sends    *http.Transport
@@ -54,6 +55,7 @@
 	if memory <= 0 {
 		memory = 256 << 20
 	}
+	r.room = memory / 4
 	r.terms = &strand.Terms{Longest: memory / 8}
 	dialer := patience.Dialer(dialTime)
 	r.sends = &http.Transport{
@@ -127,7 +129,11 @@
 			r.mu.Lock()
 			r.sway.ServeAll(now)
 			wait := r.sway.Waiting()
+			asks := r.sway.Asks()
 			r.mu.Unlock()
+			for _, q := range asks {
+				go r.question(q)
+			}
 			if wait {
 				t.Reset(beat)
 			} else {
@@ -161,8 +167,8 @@
 
 // counts are told in the log every so often, and nothing else of a request is.
 type counts struct {
-	taken, served, refused, failed, dials, again, waited, cut atomic.Int64
-	far, farBytes                                             [3]atomic.Int64 // sends and their bytes: in the zone, the region, beyond
+	taken, served, refused, failed, dials, again, waited, cut, asked, withheld atomic.Int64
+	far, farBytes                                                              [3]atomic.Int64 // sends and their bytes: in the zone, the region, beyond
 }
 
 func (c *counts) write(log *zap.Logger) {
@@ -171,7 +177,7 @@
 	}
 	log.Info("counts", zap.Int64("taken", c.taken.Load()), zap.Int64("served", c.served.Load()), zap.Int64("refused", c.refused.Load()),
 		zap.Int64("failed", c.failed.Load()), zap.Int64("dials", c.dials.Load()), zap.Int64("again", c.again.Load()),
-		zap.Int64("waited", c.waited.Load()), zap.Int64("cut", c.cut.Load()),
+		zap.Int64("waited", c.waited.Load()), zap.Int64("cut", c.cut.Load()), zap.Int64("asked", c.asked.Load()), zap.Int64("withheld", c.withheld.Load()),
 		zap.Int64s("sends", load(&c.far)), zap.Int64s("bytes", load(&c.farBytes)))
 }
 
--- a/relay/send.go
+++ b/relay/send.go
@@ -80,6 +80,15 @@
 		got := h.Get(tryID)
 		return got == id || got == ""
 	}}
+	var withheld atomic.Bool
+	use.Pass = func(write func()) bool { // before the first byte: what has begun there ends there
+		if !use.Wrote() && !r.open(app) {
+			withheld.Store(true)
+			return false
+		}
+		write()
+		return true
+	}
 	if rest != nil {
 		out.Body, out.ContentLength = io.NopCloser(io.MultiReader(bytes.NewReader(body), rest)), q.ContentLength
 	}
@@ -100,7 +109,7 @@
 		dialled.Store(false)
 		short.Store(false)
 		resp, s.err = r.sends.RoundTrip(out.WithContext(httptrace.WithClientTrace(ctx, trace)))
-		if s.err == nil || !dialled.Load() || use.Wrote() || rest != nil || ctx.Err() != nil {
+		if s.err == nil || !dialled.Load() || use.Wrote() || withheld.Load() || rest != nil || ctx.Err() != nil {
 			break
 		}
 	}
@@ -115,11 +124,12 @@
 	}
 	if s.err != nil {
 		if !use.Wrote() {
+			s.Withheld = withheld.Load()
 			return fail(verdict.NeverRan, s.err)
 		}
 		return fail(verdict.MayHaveRun, s.err)
 	}
-	s.Status, s.head = resp.StatusCode, resp.Header
+	s.Status, s.head, s.Closes = resp.StatusCode, resp.Header, resp.Close
 	s.Verdict = verdict.Ran
 	if resp.Header.Get(notRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest {
 		s.Verdict = verdict.NeverRan
@@ -141,6 +151,39 @@
 	return s
 }
 
+// open tells whether a request that was given to an appliance may still go there.
+func (r *Relay) open(app *sway.App) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sway.Open(app, time.Now())
+}
+
+// question asks an appliance whether it serves.
+func (r *Relay) question(q sway.Question) {
+	r.counts.asked.Add(1)
+	w := sway.Word{Asked: time.Now()}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { info.Conn.(*strand.Conn).Take(&strand.Use{}) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodGet, "http://"+q.Address+q.Path, nil)
+	if err != nil {
+		return
+	}
+	if resp, err := r.sends.RoundTrip(req); err == nil {
+		io.CopyN(io.Discard, resp.Body, strand.MostHeads)
+		resp.Body.Close()
+		id := resp.Header.Get(serverID)
+		w.Reached, w.Other = true, id != "" && id != q.ID
+		w.Serves = resp.StatusCode == http.StatusOK && id == q.ID
+		if ms, err := strconv.ParseInt(resp.Header.Get(warmUp), 10, 32); err == nil && ms > 0 {
+			w.Warm = time.Duration(ms) * time.Millisecond
+		}
+	}
+	r.mu.Lock()
+	r.sway.Answered(q.ID, w, time.Now())
+	r.mu.Unlock()
+}
+
 var errUnstamped = errors.New("the answer lacks its stamp, or is another's")
 
 // take reads an answer's body whole where it is short; the rest of a longer one is passed on as it comes.
--- a/sway/again.go
+++ b/sway/again.go
@@ -21,6 +21,9 @@
 // Again tells whether a request may be sent to another appliance after what has come of it, and takes the further try
 // off the budget.
 func (s *Sway) Again(r *Request, o Outcome, now time.Time) bool {
+	if o.Withheld {
+		return now.Before(r.Deadline) // it went nowhere: where it takes the place of a further try, that one is paid for
+	}
 	if o.Served || o.Ours || !now.Before(r.Deadline) {
 		return false
 	}
--- a/sway/doubt.go
+++ b/sway/doubt.go
@@ -25,7 +25,7 @@
 	if d.till.After(now) {
 		return false
 	}
-	if d.strikes >= 2 && a.Out > 0 {
+	if d.strikes >= 2 && a.Stand.Out() > 0 {
 		return false // one at a time until one has come back
 	}
 	if d.strikes >= 2 && !r.Way.Harmless && !d.down {
--- a/sway/sway.go
+++ b/sway/sway.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sagelever/boot"
+	"sagelever/ebb"
 	"sagelever/gauge"
 	"sagelever/lore"
 	"sagelever/plan"
@@ -18,9 +19,10 @@
 type App struct {
 	ID string
 	lore.App
-	Out     int // requests of this relay that are out there
-	Far     int // 0 in this zone, 1 in this region, 2 beyond
+	Stand   ebb.Stand // whether it leaves, and what of this relay is out there
+	Far     int       // 0 in this zone, 1 in this region, 2 beyond
 	known   time.Time
+	asked   time.Time // when it was last asked whether it serves
 	version uint64
 	cold    time.Time // until when it is cold
 	next    time.Time // when a cold one may be sent the next request
@@ -49,8 +51,9 @@
 	queue  []*Request
 	tokens float64 // further tries that are left
 	trial  *trial
-	usual  gauge.Mean // seconds that an answer takes
-	builds string     // the build in force, as far as it is known
+	usual  gauge.Mean                 // seconds that an answer takes
+	builds string                     // the build in force, as far as it is known
+	loads  map[string]*gauge.Decaying // requests taken of late, by the regions in which they may be served
 }
 
 // Sway is a relay's view.
@@ -69,12 +72,16 @@
 	agentsAt time.Time
 	hereAt   time.Time
 	tallies  map[string]*lore.Tally
+	leave    ebb.Leave
+	gone     map[string]*App // whose life is over, while something is out there
+	asks     []Question
 }
 
 // New begins a view that knows nothing.
 func New(c *boot.Settings, luck func() float64) *Sway {
 	return &Sway{node: c.Node, zone: c.Zone, region: c.Region, zones: c.Zones, bounds: c.Bounds, luck: luck,
-		apps: map[string]*App{}, services: map[string]*service{}, tallies: map[string]*lore.Tally{}}
+		apps: map[string]*App{}, services: map[string]*service{}, tallies: map[string]*lore.Tally{},
+		leave: ebb.NewLeave(c.Bounds.Empty), gone: map[string]*App{}}
 }
 
 // Count takes n, the agents that may be sending, and how many of them stand in this zone. A source that has just started
@@ -109,22 +116,22 @@
 		s.of(name).follow(r, now)
 	}
 	if old != nil {
-		for zone := range old.Cleared {
-			if old.Cleared[zone] && !t.Cleared[zone] {
-				s.taken(zone, now)
+		for _, a := range s.apps {
+			was, is := old.Cleared[a.Zone], t.Cleared[a.Zone]
+			if was && !is || old.Drained(a.Service, a.ID, a.Zone) && !t.Drained(a.Service, a.ID, a.Zone) {
+				s.taken(a, now)
 			}
 		}
 	}
+	for _, x := range s.services {
+		s.review(x, now)
+	}
 }
 
-// taken guards against a zone whose appliances went cold while nothing was sent to them: until their pulses have had time
-// to say so they count as cold.
-func (s *Sway) taken(zone string, now time.Time) {
-	for _, a := range s.apps {
-		if a.Zone == zone {
-			a.freeze(now.Add(s.warmUp(a.Service)+2*s.bounds.Pulse), now)
-		}
-	}
+// taken guards against an appliance that went cold while nothing was sent to it, as its zone was cleared out or an operator
+// drained it: until its pulses have had time to say so it counts as cold.
+func (s *Sway) taken(a *App, now time.Time) {
+	a.freeze(now.Add(s.warmUp(a.Service)+2*s.bounds.Pulse), now)
 }
 
 func (s *Sway) warmUp(service string) time.Duration {
@@ -161,7 +168,7 @@
 		return // an older word, by another way
 	}
 	if told.Phase == lore.Left {
-		s.forget(id)
+		s.forget(id, now)
 		return
 	}
 	if a == nil {
@@ -185,24 +192,31 @@
 	} else if told.Warm == 0 && told.Phase == lore.Ready && a.doubt.since.Before(time.UnixMilli(told.Heard).Add(-clocks)) {
 		a.cold = time.Time{} // its own word, and newer than what made us doubt
 	}
+	s.review(s.of(a.Service), now)
 }
 
 // clocks is by how far the times of day of two machines may stand apart, as the pages call them close.
 const clocks = 250 * time.Millisecond
 
-func (s *Sway) forget(id string) {
+// forget takes an appliance out whose life is over; what is out there is waited for all the same.
+func (s *Sway) forget(id string, now time.Time) {
 	a := s.apps[id]
 	if a == nil {
 		return
 	}
 	delete(s.apps, id)
-	x := s.services[a.Service]
+	a.Stand.End(now)
+	if a.Stand.Out() > 0 {
+		s.gone[id] = a
+	}
+	x := s.of(a.Service)
 	for i, other := range x.apps {
 		if other == a {
 			x.apps = append(x.apps[:i:i], x.apps[i+1:]...)
 			break
 		}
 	}
+	s.review(x, now)
 }
 
 // Only keeps just the appliances that a source names which has told all that it knows; what it lacks and was heard of
@@ -210,7 +224,7 @@
 func (s *Sway) Only(ids map[string]bool, now time.Time) {
 	for id, a := range s.apps {
 		if !ids[id] && now.Sub(a.known) > 10*s.bounds.Pulse {
-			s.forget(id)
+			s.forget(id, now)
 		}
 	}
 }
@@ -223,6 +237,7 @@
 	r.Service = r.Way.Pick(s.luck())
 	r.Verdict = verdict.NeverRan
 	x := s.of(r.Service)
+	x.asked(r.Way.HomeList, now)
 	x.earn(s.bounds, s.agents)
 	if x.trial != nil {
 		x.trial.reached++
@@ -306,33 +321,36 @@
 	return false
 }
 
-// best is the appliance of a build with the least cost, of those that may have the request.
+// best is the appliance of a build with the least cost, of those that may have the request. One that may have it but for
+// the leave to send is asked, where there is no other.
 func (s *Sway) best(x *service, r *Request, arm int, now time.Time) *App {
-	if arm == 1 && x.trial.loading(now) {
-		for _, a := range x.apps { // by id: all agents take the same one
-			if s.may(x, r, a, arm, now) {
-				return a
-			}
-		}
-		return nil
-	}
-	var best *App
-	least := 0.0
+	var best, unsure *App
+	least, leastUnsure := 0.0, 0.0
+	first := arm == 1 && x.trial.loading(now) // by id: all agents take the same one
 	for _, a := range x.apps {
 		if !s.may(x, r, a, arm, now) {
 			continue
 		}
-		c := s.cost(a, now)
-		if best == nil || c < least {
+		covered := s.leave.Covers(&a.Stand, now)
+		if first && covered {
+			return a
+		}
+		switch c := s.cost(a, now); {
+		case covered && (best == nil || c < least):
 			best, least = a, c
+		case !covered && (unsure == nil || c < leastUnsure):
+			unsure, leastUnsure = a, c
 		}
 	}
+	if best == nil && unsure != nil {
+		s.question(unsure, now)
+	}
 	return best
 }
 
-// may tells whether an appliance may have a request now.
+// may tells whether an appliance may have a request now, as far as the appliance, the request and the build go.
 func (s *Sway) may(x *service, r *Request, a *App, arm int, now time.Time) bool {
-	if a.Phase != lore.Ready && a.Phase != lore.Silent || s.table.Cleared[a.Zone] || x.armOf(a) != arm {
+	if a.Stand.State() != ebb.Serving || x.armOf(a) != arm {
 		return false
 	}
 	if r.Way.Homes != nil && !r.Way.Homes[s.zones[a.Zone]] {
@@ -343,7 +361,7 @@
 			return false
 		}
 	}
-	if a.Out >= s.room(a) || !a.doubt.open(a, r, now) {
+	if a.Stand.Out() >= s.room(a) || !a.doubt.open(a, r, now) {
 		return false
 	}
 	if a.cold.After(now) {
@@ -372,10 +390,10 @@
 	if a.Far == 0 {
 		part /= float64(max(s.here, 1))
 	}
-	load := float64(a.Out+1) / part
+	load := float64(a.Stand.Out()+1) / part
 	c := 0.2*load + max(0, load-1)
 	c += [...]float64{0, 0.7, 1.6}[a.Far]
-	if a.Far == 2 && s.table != nil && a.Out > 0 {
+	if a.Far == 2 && s.table != nil && a.Stand.Out() > 0 {
 		c += 0.2 // what is far is spread: others far from it think the same
 	}
 	c *= max(1, a.took.Read(clock(now), usualHalf, 1, 4))
@@ -387,7 +405,7 @@
 
 // send notes that a request goes to an appliance.
 func (s *Sway) send(x *service, r *Request, a *App, now time.Time) *App {
-	a.Out++
+	a.Stand.Sent(!r.Way.Harmless)
 	r.Sends++
 	r.tried = append(r.tried, a.ID)
 	if a.cold.After(now) {
@@ -419,19 +437,32 @@
 	Ours    bool // we broke it off: its client is gone, or its time is over
 	Late    bool // its time was over before it was answered
 	Took    time.Duration
+	Closes  bool // the answer closes its connection
+	// Withheld: nothing was written, as the appliance began to leave while the connection came up. It is not to blame.
+	Withheld bool
 }
 
 // Ended takes the outcome of a send.
 func (s *Sway) Ended(r *Request, a *App, o Outcome, now time.Time) {
-	a.Out--
+	a.Stand.Back(!r.Way.Harmless)
+	if a.Stand.Out() == 0 {
+		delete(s.gone, a.ID)
+	}
 	x := s.of(r.Service)
+	if o.Withheld {
+		s.withheld(x, r)
+		return
+	}
+	if o.Status != 0 {
+		a.Stand.Answered(now.Add(-o.Took), o.Closes)
+	}
 	r.Verdict = verdict.Join(r.Verdict, o.Verdict)
 	if o.Dialled {
 		r.Arrivals++
 	}
 	a.doubt.ended(a, o, now)
 	if o.Status == 421 {
-		s.forget(a.ID)
+		s.forget(a.ID, now)
 	}
 	if o.Served {
 		usual := x.usual.Read(clock(now), usualHalf, o.Took.Seconds(), 1)
