--- a/ebb/leave.go
+++ b/ebb/leave.go
@@ -9,26 +9,23 @@
 	core time.Time // when it last asked a sound member what it then was told
 }
 
-// pullWait and slow are how long a pull waits for news where nothing bounds it further, and how much longer its answer may
-// take before another member is asked.
-const (
-	pullWait = 1200 * time.Millisecond
-	slow     = time.Second
-)
+// most is how long a leave lasts at most: less than the lease that the core holds for the node, so that it has stopped when
+// the core says that its lease ran out.
+const most = 2200 * time.Millisecond
 
 // Term is how long a leave lasts, of `empty`, the time for which an appliance goes on serving after the acknowledgement: a
-// quarter of it is kept for a request on its way and for a member that has just lost the others. Where there is no such
-// time, a pull and a slow answer must fit.
+// quarter of it is kept for a request on its way and for a member that has just lost the others. It counts from the
+// question, as nobody can say when an answer was given.
 func Term(empty time.Duration) time.Duration {
-	usual := pullWait + slow
 	if empty <= 0 {
-		return usual
+		return most
 	}
-	return min(usual, empty*3/4)
+	return min(most, empty*3/4)
 }
 
-// Wait is how long a pull may wait for news, so that two fit into a term: one that fails does not end the leave.
-func Wait(empty time.Duration) time.Duration { return min(pullWait, Term(empty)/2) }
+// Wait is how long a pull may wait for news. A leave must outlast the pull that has brought it and the next one, and a slow
+// answer: two fifths of it for each, and one for that.
+func Wait(empty time.Duration) time.Duration { return Term(empty) * 2 / 5 }
 
 // NewLeave is a leave that has yet to be given.
 func NewLeave(empty time.Duration) Leave { return Leave{term: Term(empty)} }
--- a/moot/moot.go
+++ b/moot/moot.go
@@ -21,8 +21,7 @@
 )
 
 const (
-	LeaseTerm = 2500 * time.Millisecond // an agent pulls again at once, and after EdgeWait at the latest
-	EdgeWait  = 1200 * time.Millisecond // how long an edge agent's pull waits for news
+	LeaseTerm = 2500 * time.Millisecond // an agent pulls again at once, and after ebb.Wait at the latest
 	CoreWait  = 2500 * time.Millisecond // the same between members; bytes between regions are dear
 	Heard     = 3500 * time.Millisecond // a member counts as heard for so long after its last answer: CoreWait and a second
 	memory    = 30 * time.Second        // an agent that is gone counts into n for so long: longer than a request lasts
--- a/moot/news.go
+++ b/moot/news.go
@@ -338,16 +338,27 @@
 	return true
 }
 
-// HeldToo tells whether another member holds an item too, as its pulls say.
-func (m *Machine) HeldToo(key string) bool {
+// together is for how long the word on a removal waits until all members that are heard hold it, so that all agents stop at
+// about one moment: some ways between regions, and well within the second for which callers wait.
+const together = 250 * time.Millisecond
+
+// Spread tells whether what has been told here at a moment has gone far enough to be acknowledged: so many members hold it
+// that each that may be relied on, as it hears more than half of the core, hears one that does; and all of those that are
+// heard, unless that takes too long.
+func (m *Machine) Spread(now time.Time, key string, since time.Time) bool {
 	origin, number := m.feed.Where(key)
 	if origin == "" {
 		return false
 	}
-	for _, r := range m.reach {
-		if r.come[origin] >= number || r.come == nil && r.seq >= m.feed.SeqOf(key) {
-			return true
+	holders, all := 1, true
+	for node := range m.members {
+		r, known := m.reach[node]
+		switch {
+		case known && (r.come[origin] >= number || r.come == nil && r.seq >= m.feed.SeqOf(key)):
+			holders++
+		case m.heardOf(node, now):
+			all = false
 		}
 	}
-	return false
+	return holders >= m.c.N-m.c.N/2 && (all || now.Sub(since) >= together)
 }
--- a/steward/outside.go
+++ b/steward/outside.go
@@ -118,8 +118,8 @@
 	if p.Phase == lore.Emptying {
 		ctx, cancel := context.WithTimeout(r.Context(), callTime)
 		defer cancel()
-		if !s.held(ctx, lore.AppKey+id) {
-			later(w, "no other agent holds this yet")
+		if !s.spread(ctx, lore.AppKey+id) {
+			later(w, "too few other agents hold this yet")
 			return
 		}
 	}
@@ -149,8 +149,8 @@
 	s.step(func(now time.Time) { s.m.SignOff(now, id) })
 	ctx, cancel := context.WithTimeout(r.Context(), callTime)
 	defer cancel()
-	if !s.held(ctx, key) {
-		later(w, "no other agent holds this yet")
+	if !s.spread(ctx, key) {
+		later(w, "too few other agents hold this yet")
 	}
 }
 
--- a/steward/peers.go
+++ b/steward/peers.go
@@ -245,13 +245,13 @@
 	return len(n.Items), nil
 }
 
-// held waits until another member holds an item too; false where none does in time.
-func (s *Steward) held(ctx context.Context, key string) bool {
-	for {
+// spread waits until an item has gone far enough to be acknowledged; false where it does not in time.
+func (s *Steward) spread(ctx context.Context, key string) bool {
+	for begun := s.now(); ; {
 		s.mu.Lock()
-		held := s.m.HeldToo(key)
+		enough := s.m.Spread(s.now(), key, begun)
 		s.mu.Unlock()
-		if held {
+		if enough {
 			return true
 		}
 		select {
