--- a/cmd/accord/seat/seat.go
+++ b/cmd/accord/seat/seat.go
@@ -24,6 +24,8 @@
 	fine    = 0
 	failed  = 1
 	misused = 2
+	noRoom  = 3 // a removal was refused: too little room would be left
+	remains = 4 // it was waited for, and something is left
 )
 
 // Main runs the program and gives its exit code.
@@ -45,10 +47,16 @@
 	for _, c := range []*flaggy.Subcommand{relayCmd, stewardCmd, checkCmd} {
 		p.AttachSubcommand(c, 1)
 	}
+	drains := newDrainWords(p)
 	if err := p.ParseArgs(args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return misused
 	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if drains.used() {
+		return drains.run(ctx, path, os.Stdout, os.Stderr)
+	}
 	log, err := logger(level)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -63,8 +71,6 @@
 	if settings.Limits.RAMMb > 0 { // the collector works harder near half of the limit, long before it is reached
 		debug.SetMemoryLimit(int64(settings.Limits.RAMMb) << 20 / 2)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	switch {
 	case checkCmd.Used:
 		fmt.Println("the settings are sound")
--- a/ebb/room.go
+++ b/ebb/room.go
@@ -8,11 +8,13 @@
 )
 
 // Load is what one kind of traffic asks of a service, as one node sees it; loads of several nodes are added up.
+//
+//easyjson:json
 type Load struct {
-	Service string
-	Homes   string  // the regions in which it may be served, sorted, with commas; empty: anywhere
-	Rate    float64 // requests a second
-	Work    float64 // seconds that an answer takes
+	Service string  `json:"s"`
+	Homes   string  `json:"h,omitempty"` // the regions in which it may be served, sorted, with commas; empty: anywhere
+	Rate    float64 `json:"r"`           // requests a second
+	Work    float64 `json:"w"`           // seconds that an answer takes
 }
 
 // Spot is an appliance as room is reckoned with it.
@@ -24,10 +26,14 @@
 }
 
 // Short is a lack of room.
+//
+//easyjson:json
 type Short struct {
-	Service, Homes string
-	Need, Have     float64 // slots at work, and slots that are left
-	Before         float64 // slots now
+	Service string  `json:"service"`
+	Homes   string  `json:"homes,omitempty"`
+	Need    float64 `json:"need"`   // slots at work
+	Have    float64 `json:"have"`   // slots that would be left
+	Before  float64 `json:"before"` // slots now
 }
 
 func (s Short) String() string {
--- a/lore/roll.go
+++ b/lore/roll.go
@@ -73,6 +73,12 @@
 	return all, here
 }
 
+// Lately tells whether an agent may be sending now: whether it counts.
+func (r *Roll) Lately(key string, now time.Time) bool {
+	at, ok := r.seen[key]
+	return ok && now.Sub(at) <= r.memory
+}
+
 // Pulsed notes a pulse that came here.
 func (r *Roll) Pulsed(id string, now time.Time) { r.pulsed[id] = now }
 
--- /dev/null
+++ b/moot/census.go
@@ -0,0 +1,147 @@
+package moot
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"sagelever/ebb"
+	"sagelever/lore"
+	"sagelever/pact"
+	"sagelever/plan"
+)
+
+// census is a count of what agents have out at appliances that leave. It is taken when an operator asks: in calm times
+// nobody reports anything.
+type census struct {
+	number uint64 // the time of day at which it began, in Unix milliseconds
+	begun  time.Time
+	works  map[string]Work
+}
+
+const (
+	shared = 100 * time.Millisecond // operators that ask within so long share a census
+	asking = time.Second            // for so long agents that call are asked to report
+)
+
+// Count begins a census among the agents that hold a lease from here, or joins one that has just begun.
+func (m *Machine) Count(now time.Time) uint64 {
+	if m.census.works == nil || now.Sub(m.census.begun) > shared {
+		m.census = census{number: max(m.census.number+1, uint64(now.UnixMilli())), begun: now, works: map[string]Work{}}
+		m.wake(0)
+	}
+	return m.census.number
+}
+
+// counting is the number of the census that agents are to answer; 0 for none.
+func (m *Machine) counting(now time.Time) uint64 {
+	if m.census.works == nil || now.Sub(m.census.begun) > asking {
+		return 0
+	}
+	return m.census.number
+}
+
+// Worked takes an agent's answer. One to an earlier census says nothing of now.
+func (m *Machine) Worked(w *Work) {
+	if w.Count == m.census.number && m.census.works != nil && (len(m.census.works) < mostAgents || m.census.works[w.From.Node].Count > 0) {
+		m.census.works[w.From.Node] = *w
+	}
+}
+
+// mostAgents bounds what one member keeps of a census.
+const mostAgents = 4096
+
+// Counted is what has been heard in a census; missing are the agents with a lease from here that have not answered.
+func (m *Machine) Counted(number uint64) (c Census) {
+	if m.census.number != number {
+		return c // a later one has taken its place
+	}
+	for _, node := range slices.Sorted(maps.Keys(m.census.works)) {
+		c.Works = append(c.Works, m.census.works[node])
+	}
+	m.feed.Each(lore.LeaseKey, func(it lore.Item) {
+		l, ok := lore.ReadLease(it)
+		if ok && l.Role == Edge && !l.Ended && l.Home == m.c.Me.Node && m.census.works[l.Node].Count == 0 {
+			c.Missing = append(c.Missing, l.Node)
+		}
+	})
+	slices.Sort(c.Missing)
+	return c
+}
+
+// Agents lists the edge agents that may have something out: those that hold a lease, and those whose lease ran out lately
+// without a word that they have ended.
+func (m *Machine) Agents(now time.Time) (nodes []string) {
+	m.feed.Each(lore.LeaseKey, func(it lore.Item) {
+		l, ok := lore.ReadLease(it)
+		if ok && l.Role == Edge && it.Version&0xff != 0xff && m.roll.Lately(it.Key, now) {
+			nodes = append(nodes, l.Node)
+		}
+	})
+	slices.Sort(nodes)
+	return nodes
+}
+
+// Apps are the appliances that are known and have not left, by id.
+func (m *Machine) Apps() map[string]*lore.App {
+	out := map[string]*lore.App{}
+	m.feed.Each(lore.AppKey, func(it lore.Item) {
+		if a, ok := lore.ReadApp(it); ok && a.Phase != lore.Left {
+			out[strings.TrimPrefix(it.Key, lore.AppKey)] = a
+		}
+	})
+	return out
+}
+
+// Over tells whether an appliance's life is known to have ended, or nothing is known of it.
+func (m *Machine) Over(id string) bool {
+	p := m.Phase(id)
+	return p == "" || p == lore.Left
+}
+
+// Reports are a census's answers as a drain's progress is told by them.
+func (c Census) Reports() (out []ebb.Report, loads []ebb.Load) {
+	for _, w := range c.Works {
+		r := ebb.Report{Node: w.From.Node, Zone: w.From.Zone, Knows: w.Drains, Out: map[string][2]int{}}
+		for _, row := range w.Rows {
+			r.Out[row.ID] = [2]int{row.Harmless, row.Risky}
+		}
+		out = append(out, r)
+		loads = append(loads, w.Loads...)
+	}
+	return out, loads
+}
+
+// Spots are the appliances as room is reckoned with them: what is leaving for any reason, a build on trial and one that is
+// out of service carry nothing.
+func Spots(t *plan.Table, apps map[string]*lore.App, zones map[string]string, now time.Time) (out []ebb.Spot) {
+	for _, id := range slices.Sorted(maps.Keys(apps)) {
+		a := apps[id]
+		s := ebb.Spot{ID: id, Service: a.Service, Zone: a.Zone, Region: zones[a.Zone], Slots: a.Capacity,
+			Serves: a.Phase == lore.Ready && !t.Cleared[a.Zone] && !t.Drained(a.Service, id, a.Zone)}
+		if r := t.Releases[a.Service]; r != nil && (a.Build == r.Target) != (r.Phase == plan.Finished) {
+			s.Serves = false
+		}
+		if b := t.Services[a.Service]; b != nil && a.Warm > now.UnixMilli() {
+			s.ColdRate = b.WarmRate
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// Orders are the drains that stand, by the registers as chosen.
+func Orders(held map[string]pact.Value) (out []ebb.Order) {
+	for _, key := range slices.Sorted(maps.Keys(held)) {
+		zone, ok := strings.CutPrefix(key, plan.DrainKey(""))
+		if !ok {
+			continue
+		}
+		for _, d := range plan.ReadDrains(held[key]) {
+			out = append(out, ebb.Order{Target: d.Names(zone), Zone: zone, Version: held[key].Version, Began: time.UnixMilli(d.Began),
+				Covers: func(s ebb.Spot) bool { return s.Zone == zone && d.Covers(s.Service, s.ID) }})
+		}
+	}
+	return out
+}
--- a/moot/moot.go
+++ b/moot/moot.go
@@ -154,6 +154,7 @@
 	tombs    map[string]time.Time
 	apps     map[string]*lore.App // the newest of what pulses here have said
 	deciding map[string]bool      // services whose release is being decided
+	census   census
 
 	out Out
 }
--- a/moot/news.go
+++ b/moot/news.go
@@ -93,6 +93,9 @@
 	n = &News{Source: m.feed.Source, Wire: Wire, Seq: m.feed.Seq(), Sound: sound, Life: w.behind, Now: now.UnixMilli()}
 	n.Agents, n.Here = m.roll.Count(p.From.Zone, now)
 	ready = m.leaving || sound != w.sound || w.behind != 0
+	if n.Count = m.counting(now); p.Role == Edge && n.Count > p.Count {
+		ready = true
+	}
 	var wanted func(string) bool
 	if p.Role != Core { // edge agents need no leases
 		wanted = func(key string) bool { return !strings.HasPrefix(key, lore.LeaseKey) }
--- a/moot/words.go
+++ b/moot/words.go
@@ -1,6 +1,7 @@
 package moot
 
 import (
+	"sagelever/ebb"
 	"sagelever/lore"
 	"sagelever/pact"
 )
@@ -29,6 +30,7 @@
 	Life   uint64            `json:"l"`           // the caller's life, and how often its lease has changed
 	Ended  bool              `json:"e,omitempty"`
 	Meet   bool              `json:"m,omitempty"` // asks only who the members are
+	Count  uint64            `json:"k,omitempty"` // the last census of the source that it has answered
 	Epoch  int               `json:"-"`           // the caller's own: how often what it knew was given up
 }
 
@@ -56,6 +58,26 @@
 	Members []Member    `json:"m,omitempty"`
 	Life    uint64      `json:"l,omitempty"` // the caller's Life is behind what is known of it: it has to be later than this
 	Now     int64       `json:"t"`           // Unix milliseconds at the source
+	Count   uint64      `json:"k,omitempty"` // of a census under way: the caller is to say what it has out
+}
+
+// Work is an edge agent's answer to a census: what it has out at appliances that leave, and what traffic it carries.
+//
+//easyjson:json
+type Work struct {
+	From   Member            `json:"f"`
+	Count  uint64            `json:"k"`
+	Drains map[string]uint64 `json:"d,omitempty"` // by zone: the version of the drains that it goes by
+	Rows   []lore.Row        `json:"o,omitempty"`
+	Loads  []ebb.Load        `json:"l,omitempty"`
+}
+
+// Census is what a member has heard of the agents that hold a lease from it.
+//
+//easyjson:json
+type Census struct {
+	Works   []Work   `json:"w,omitempty"`
+	Missing []string `json:"m,omitempty"` // those that have not answered
 }
 
 // Origin is who told an item first; the source where the message does not say.
@@ -94,4 +116,6 @@
 	AcceptPath  = "/accept"
 	ReadPath    = "/read"
 	RefusePath  = "/refuse"
+	WorkPath    = "/work"
+	CensusPath  = "/census"
 )
--- a/moot/words_easyjson.go
+++ b/moot/words_easyjson.go
@@ -7,6 +7,7 @@
 	easyjson "github.com/mailru/easyjson"
 	jlexer "github.com/mailru/easyjson/jlexer"
 	jwriter "github.com/mailru/easyjson/jwriter"
+	ebb "sagelever/ebb"
 	lore "sagelever/lore"
 	pact "sagelever/pact"
 )
@@ -19,7 +20,267 @@
 	_ easyjson.Marshaler
 )
 
-func easyjsonF2f3c621DecodeSageleverMoot(in *jlexer.Lexer, out *Reply) {
+func easyjsonF2f3c621DecodeSageleverMoot(in *jlexer.Lexer, out *Work) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "f":
+			easyjsonF2f3c621DecodeSageleverMoot1(in, &out.From)
+		case "k":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Count = uint64(in.Uint64())
+			}
+		case "d":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				in.Delim('{')
+				if !in.IsDelim('}') {
+					out.Drains = make(map[string]uint64)
+				} else {
+					out.Drains = nil
+				}
+				for !in.IsDelim('}') {
+					key := string(in.String())
+					in.WantColon()
+					var v1 uint64
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v1 = uint64(in.Uint64())
+					}
+					(out.Drains)[key] = v1
+					in.WantComma()
+				}
+				in.Delim('}')
+			}
+		case "o":
+			if in.IsNull() {
+				in.Skip()
+				out.Rows = nil
+			} else {
+				in.Delim('[')
+				if out.Rows == nil {
+					if !in.IsDelim(']') {
+						out.Rows = make([]lore.Row, 0, 2)
+					} else {
+						out.Rows = []lore.Row{}
+					}
+				} else {
+					out.Rows = (out.Rows)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v2 lore.Row
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v2).UnmarshalEasyJSON(in)
+					}
+					out.Rows = append(out.Rows, v2)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "l":
+			if in.IsNull() {
+				in.Skip()
+				out.Loads = nil
+			} else {
+				in.Delim('[')
+				if out.Loads == nil {
+					if !in.IsDelim(']') {
+						out.Loads = make([]ebb.Load, 0, 1)
+					} else {
+						out.Loads = []ebb.Load{}
+					}
+				} else {
+					out.Loads = (out.Loads)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v3 ebb.Load
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v3).UnmarshalEasyJSON(in)
+					}
+					out.Loads = append(out.Loads, v3)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonF2f3c621EncodeSageleverMoot(out *jwriter.Writer, in Work) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"f\":"
+		out.RawString(prefix[1:])
+		easyjsonF2f3c621EncodeSageleverMoot1(out, in.From)
+	}
+	{
+		const prefix string = ",\"k\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Count))
+	}
+	if len(in.Drains) != 0 {
+		const prefix string = ",\"d\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('{')
+			v4First := true
+			for v4Name, v4Value := range in.Drains {
+				if v4First {
+					v4First = false
+				} else {
+					out.RawByte(',')
+				}
+				out.String(string(v4Name))
+				out.RawByte(':')
+				out.Uint64(uint64(v4Value))
+			}
+			out.RawByte('}')
+		}
+	}
+	if len(in.Rows) != 0 {
+		const prefix string = ",\"o\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v5, v6 := range in.Rows {
+				if v5 > 0 {
+					out.RawByte(',')
+				}
+				(v6).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.Loads) != 0 {
+		const prefix string = ",\"l\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v7, v8 := range in.Loads {
+				if v7 > 0 {
+					out.RawByte(',')
+				}
+				(v8).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v Work) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjsonF2f3c621EncodeSageleverMoot(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v Work) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjsonF2f3c621EncodeSageleverMoot(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *Work) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjsonF2f3c621DecodeSageleverMoot(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *Work) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjsonF2f3c621DecodeSageleverMoot(l, v)
+}
+func easyjsonF2f3c621DecodeSageleverMoot1(in *jlexer.Lexer, out *Member) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "n":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Node = string(in.String())
+			}
+		case "z":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Zone = string(in.String())
+			}
+		case "a":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Addr = string(in.String())
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonF2f3c621EncodeSageleverMoot1(out *jwriter.Writer, in Member) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"n\":"
+		out.RawString(prefix[1:])
+		out.String(string(in.Node))
+	}
+	{
+		const prefix string = ",\"z\":"
+		out.RawString(prefix)
+		out.String(string(in.Zone))
+	}
+	{
+		const prefix string = ",\"a\":"
+		out.RawString(prefix)
+		out.String(string(in.Addr))
+	}
+	out.RawByte('}')
+}
+func easyjsonF2f3c621DecodeSageleverMoot2(in *jlexer.Lexer, out *Reply) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -61,13 +322,13 @@
 					out.Held = (out.Held)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v1 pact.Entry
+					var v9 pact.Entry
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v1).UnmarshalEasyJSON(in)
+						(v9).UnmarshalEasyJSON(in)
 					}
-					out.Held = append(out.Held, v1)
+					out.Held = append(out.Held, v9)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -84,7 +345,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonF2f3c621EncodeSageleverMoot(out *jwriter.Writer, in Reply) {
+func easyjsonF2f3c621EncodeSageleverMoot2(out *jwriter.Writer, in Reply) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -103,11 +364,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v2, v3 := range in.Held {
-				if v2 > 0 {
+			for v10, v11 := range in.Held {
+				if v10 > 0 {
 					out.RawByte(',')
 				}
-				(v3).MarshalEasyJSON(out)
+				(v11).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -123,25 +384,25 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Reply) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonF2f3c621EncodeSageleverMoot(&w, v)
+	easyjsonF2f3c621EncodeSageleverMoot2(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Reply) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonF2f3c621EncodeSageleverMoot(w, v)
+	easyjsonF2f3c621EncodeSageleverMoot2(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Reply) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonF2f3c621DecodeSageleverMoot(&r, v)
+	easyjsonF2f3c621DecodeSageleverMoot2(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Reply) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonF2f3c621DecodeSageleverMoot(l, v)
+	easyjsonF2f3c621DecodeSageleverMoot2(l, v)
 }
 func easyjsonF2f3c621DecodeSageleverPact(in *jlexer.Lexer, out *pact.Ballot) {
 	isTopLevel := in.IsStart()
@@ -195,7 +456,7 @@
 	}
 	out.RawByte('}')
 }
-func easyjsonF2f3c621DecodeSageleverMoot1(in *jlexer.Lexer, out *Pull) {
+func easyjsonF2f3c621DecodeSageleverMoot3(in *jlexer.Lexer, out *Pull) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -210,7 +471,7 @@
 		in.WantColon()
 		switch key {
 		case "f":
-			easyjsonF2f3c621DecodeSageleverMoot2(in, &out.From)
+			easyjsonF2f3c621DecodeSageleverMoot1(in, &out.From)
 		case "r":
 			if in.IsNull() {
 				in.Skip()
@@ -236,13 +497,13 @@
 				for !in.IsDelim('}') {
 					key := string(in.String())
 					in.WantColon()
-					var v4 uint64
+					var v12 uint64
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v4 = uint64(in.Uint64())
+						v12 = uint64(in.Uint64())
 					}
-					(out.Vector)[key] = v4
+					(out.Vector)[key] = v12
 					in.WantComma()
 				}
 				in.Delim('}')
@@ -260,13 +521,13 @@
 				for !in.IsDelim('}') {
 					key := string(in.String())
 					in.WantColon()
-					var v5 uint64
+					var v13 uint64
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v5 = uint64(in.Uint64())
+						v13 = uint64(in.Uint64())
 					}
-					(out.Come)[key] = v5
+					(out.Come)[key] = v13
 					in.WantComma()
 				}
 				in.Delim('}')
@@ -301,6 +562,12 @@
 			} else {
 				out.Meet = bool(in.Bool())
 			}
+		case "k":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Count = uint64(in.Uint64())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -311,14 +578,14 @@
 		in.Consumed()
 	}
 }
-func easyjsonF2f3c621EncodeSageleverMoot1(out *jwriter.Writer, in Pull) {
+func easyjsonF2f3c621EncodeSageleverMoot3(out *jwriter.Writer, in Pull) {
 	out.RawByte('{')
 	first := true
 	_ = first
 	{
 		const prefix string = ",\"f\":"
 		out.RawString(prefix[1:])
-		easyjsonF2f3c621EncodeSageleverMoot2(out, in.From)
+		easyjsonF2f3c621EncodeSageleverMoot1(out, in.From)
 	}
 	{
 		const prefix string = ",\"r\":"
@@ -335,16 +602,16 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('{')
-			v6First := true
-			for v6Name, v6Value := range in.Vector {
-				if v6First {
-					v6First = false
+			v14First := true
+			for v14Name, v14Value := range in.Vector {
+				if v14First {
+					v14First = false
 				} else {
 					out.RawByte(',')
 				}
-				out.String(string(v6Name))
+				out.String(string(v14Name))
 				out.RawByte(':')
-				out.Uint64(uint64(v6Value))
+				out.Uint64(uint64(v14Value))
 			}
 			out.RawByte('}')
 		}
@@ -354,16 +621,16 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('{')
-			v7First := true
-			for v7Name, v7Value := range in.Come {
-				if v7First {
-					v7First = false
+			v15First := true
+			for v15Name, v15Value := range in.Come {
+				if v15First {
+					v15First = false
 				} else {
 					out.RawByte(',')
 				}
-				out.String(string(v7Name))
+				out.String(string(v15Name))
 				out.RawByte(':')
-				out.Uint64(uint64(v7Value))
+				out.Uint64(uint64(v15Value))
 			}
 			out.RawByte('}')
 		}
@@ -393,96 +660,38 @@
 		out.RawString(prefix)
 		out.Bool(bool(in.Meet))
 	}
+	if in.Count != 0 {
+		const prefix string = ",\"k\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Count))
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v Pull) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonF2f3c621EncodeSageleverMoot1(&w, v)
+	easyjsonF2f3c621EncodeSageleverMoot3(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Pull) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonF2f3c621EncodeSageleverMoot1(w, v)
+	easyjsonF2f3c621EncodeSageleverMoot3(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Pull) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonF2f3c621DecodeSageleverMoot1(&r, v)
+	easyjsonF2f3c621DecodeSageleverMoot3(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Pull) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonF2f3c621DecodeSageleverMoot1(l, v)
-}
-func easyjsonF2f3c621DecodeSageleverMoot2(in *jlexer.Lexer, out *Member) {
-	isTopLevel := in.IsStart()
-	if in.IsNull() {
-		if isTopLevel {
-			in.Consumed()
-		}
-		in.Skip()
-		return
-	}
-	in.Delim('{')
-	for !in.IsDelim('}') {
-		key := in.UnsafeFieldName(false)
-		in.WantColon()
-		switch key {
-		case "n":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.Node = string(in.String())
-			}
-		case "z":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.Zone = string(in.String())
-			}
-		case "a":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.Addr = string(in.String())
-			}
-		default:
-			in.SkipRecursive()
-		}
-		in.WantComma()
-	}
-	in.Delim('}')
-	if isTopLevel {
-		in.Consumed()
-	}
-}
-func easyjsonF2f3c621EncodeSageleverMoot2(out *jwriter.Writer, in Member) {
-	out.RawByte('{')
-	first := true
-	_ = first
-	{
-		const prefix string = ",\"n\":"
-		out.RawString(prefix[1:])
-		out.String(string(in.Node))
-	}
-	{
-		const prefix string = ",\"z\":"
-		out.RawString(prefix)
-		out.String(string(in.Zone))
-	}
-	{
-		const prefix string = ",\"a\":"
-		out.RawString(prefix)
-		out.String(string(in.Addr))
-	}
-	out.RawByte('}')
+	easyjsonF2f3c621DecodeSageleverMoot3(l, v)
 }
-func easyjsonF2f3c621DecodeSageleverMoot3(in *jlexer.Lexer, out *News) {
+func easyjsonF2f3c621DecodeSageleverMoot4(in *jlexer.Lexer, out *News) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -530,9 +739,9 @@
 					out.Items = (out.Items)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v8 lore.Item
-					easyjsonF2f3c621DecodeSageleverLore(in, &v8)
-					out.Items = append(out.Items, v8)
+					var v16 lore.Item
+					easyjsonF2f3c621DecodeSageleverLore(in, &v16)
+					out.Items = append(out.Items, v16)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -553,13 +762,13 @@
 					out.Origins = (out.Origins)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v9 string
+					var v17 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v9 = string(in.String())
+						v17 = string(in.String())
 					}
-					out.Origins = append(out.Origins, v9)
+					out.Origins = append(out.Origins, v17)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -577,13 +786,13 @@
 				for !in.IsDelim('}') {
 					key := string(in.String())
 					in.WantColon()
-					var v10 uint64
+					var v18 uint64
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v10 = uint64(in.Uint64())
+						v18 = uint64(in.Uint64())
 					}
-					(out.Come)[key] = v10
+					(out.Come)[key] = v18
 					in.WantComma()
 				}
 				in.Delim('}')
@@ -604,13 +813,13 @@
 					out.Drop = (out.Drop)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v11 string
+					var v19 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v11 = string(in.String())
+						v19 = string(in.String())
 					}
-					out.Drop = append(out.Drop, v11)
+					out.Drop = append(out.Drop, v19)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -655,9 +864,9 @@
 					out.Members = (out.Members)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v12 Member
-					easyjsonF2f3c621DecodeSageleverMoot2(in, &v12)
-					out.Members = append(out.Members, v12)
+					var v20 Member
+					easyjsonF2f3c621DecodeSageleverMoot1(in, &v20)
+					out.Members = append(out.Members, v20)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -674,6 +883,12 @@
 			} else {
 				out.Now = int64(in.Int64())
 			}
+		case "k":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Count = uint64(in.Uint64())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -684,7 +899,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonF2f3c621EncodeSageleverMoot3(out *jwriter.Writer, in News) {
+func easyjsonF2f3c621EncodeSageleverMoot4(out *jwriter.Writer, in News) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -710,11 +925,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v13, v14 := range in.Items {
-				if v13 > 0 {
+			for v21, v22 := range in.Items {
+				if v21 > 0 {
 					out.RawByte(',')
 				}
-				easyjsonF2f3c621EncodeSageleverLore(out, v14)
+				easyjsonF2f3c621EncodeSageleverLore(out, v22)
 			}
 			out.RawByte(']')
 		}
@@ -724,11 +939,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v15, v16 := range in.Origins {
-				if v15 > 0 {
+			for v23, v24 := range in.Origins {
+				if v23 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v16))
+				out.String(string(v24))
 			}
 			out.RawByte(']')
 		}
@@ -738,16 +953,16 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('{')
-			v17First := true
-			for v17Name, v17Value := range in.Come {
-				if v17First {
-					v17First = false
+			v25First := true
+			for v25Name, v25Value := range in.Come {
+				if v25First {
+					v25First = false
 				} else {
 					out.RawByte(',')
 				}
-				out.String(string(v17Name))
+				out.String(string(v25Name))
 				out.RawByte(':')
-				out.Uint64(uint64(v17Value))
+				out.Uint64(uint64(v25Value))
 			}
 			out.RawByte('}')
 		}
@@ -757,11 +972,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v18, v19 := range in.Drop {
-				if v18 > 0 {
+			for v26, v27 := range in.Drop {
+				if v26 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v19))
+				out.String(string(v27))
 			}
 			out.RawByte(']')
 		}
@@ -791,11 +1006,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v20, v21 := range in.Members {
-				if v20 > 0 {
+			for v28, v29 := range in.Members {
+				if v28 > 0 {
 					out.RawByte(',')
 				}
-				easyjsonF2f3c621EncodeSageleverMoot2(out, v21)
+				easyjsonF2f3c621EncodeSageleverMoot1(out, v29)
 			}
 			out.RawByte(']')
 		}
@@ -810,31 +1025,36 @@
 		out.RawString(prefix)
 		out.Int64(int64(in.Now))
 	}
+	if in.Count != 0 {
+		const prefix string = ",\"k\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Count))
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v News) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonF2f3c621EncodeSageleverMoot3(&w, v)
+	easyjsonF2f3c621EncodeSageleverMoot4(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v News) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonF2f3c621EncodeSageleverMoot3(w, v)
+	easyjsonF2f3c621EncodeSageleverMoot4(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *News) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonF2f3c621DecodeSageleverMoot3(&r, v)
+	easyjsonF2f3c621DecodeSageleverMoot4(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *News) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonF2f3c621DecodeSageleverMoot3(l, v)
+	easyjsonF2f3c621DecodeSageleverMoot4(l, v)
 }
 func easyjsonF2f3c621DecodeSageleverLore(in *jlexer.Lexer, out *lore.Item) {
 	isTopLevel := in.IsStart()
@@ -921,7 +1141,149 @@
 	}
 	out.RawByte('}')
 }
-func easyjsonF2f3c621DecodeSageleverMoot4(in *jlexer.Lexer, out *Ask) {
+func easyjsonF2f3c621DecodeSageleverMoot5(in *jlexer.Lexer, out *Census) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "w":
+			if in.IsNull() {
+				in.Skip()
+				out.Works = nil
+			} else {
+				in.Delim('[')
+				if out.Works == nil {
+					if !in.IsDelim(']') {
+						out.Works = make([]Work, 0, 0)
+					} else {
+						out.Works = []Work{}
+					}
+				} else {
+					out.Works = (out.Works)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v30 Work
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v30).UnmarshalEasyJSON(in)
+					}
+					out.Works = append(out.Works, v30)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "m":
+			if in.IsNull() {
+				in.Skip()
+				out.Missing = nil
+			} else {
+				in.Delim('[')
+				if out.Missing == nil {
+					if !in.IsDelim(']') {
+						out.Missing = make([]string, 0, 4)
+					} else {
+						out.Missing = []string{}
+					}
+				} else {
+					out.Missing = (out.Missing)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v31 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v31 = string(in.String())
+					}
+					out.Missing = append(out.Missing, v31)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonF2f3c621EncodeSageleverMoot5(out *jwriter.Writer, in Census) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	if len(in.Works) != 0 {
+		const prefix string = ",\"w\":"
+		first = false
+		out.RawString(prefix[1:])
+		{
+			out.RawByte('[')
+			for v32, v33 := range in.Works {
+				if v32 > 0 {
+					out.RawByte(',')
+				}
+				(v33).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.Missing) != 0 {
+		const prefix string = ",\"m\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		{
+			out.RawByte('[')
+			for v34, v35 := range in.Missing {
+				if v34 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v35))
+			}
+			out.RawByte(']')
+		}
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v Census) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjsonF2f3c621EncodeSageleverMoot5(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v Census) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjsonF2f3c621EncodeSageleverMoot5(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *Census) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjsonF2f3c621DecodeSageleverMoot5(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *Census) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjsonF2f3c621DecodeSageleverMoot5(l, v)
+}
+func easyjsonF2f3c621DecodeSageleverMoot6(in *jlexer.Lexer, out *Ask) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -953,13 +1315,13 @@
 					out.Keys = (out.Keys)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v22 string
+					var v36 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v22 = string(in.String())
+						v36 = string(in.String())
 					}
-					out.Keys = append(out.Keys, v22)
+					out.Keys = append(out.Keys, v36)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -980,13 +1342,13 @@
 					out.Values = (out.Values)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v23 pact.Entry
+					var v37 pact.Entry
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v23).UnmarshalEasyJSON(in)
+						(v37).UnmarshalEasyJSON(in)
 					}
-					out.Values = append(out.Values, v23)
+					out.Values = append(out.Values, v37)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1007,7 +1369,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonF2f3c621EncodeSageleverMoot4(out *jwriter.Writer, in Ask) {
+func easyjsonF2f3c621EncodeSageleverMoot6(out *jwriter.Writer, in Ask) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1021,11 +1383,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v24, v25 := range in.Keys {
-				if v24 > 0 {
+			for v38, v39 := range in.Keys {
+				if v38 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v25))
+				out.String(string(v39))
 			}
 			out.RawByte(']')
 		}
@@ -1035,11 +1397,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v26, v27 := range in.Values {
-				if v26 > 0 {
+			for v40, v41 := range in.Values {
+				if v40 > 0 {
 					out.RawByte(',')
 				}
-				(v27).MarshalEasyJSON(out)
+				(v41).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -1055,23 +1417,23 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Ask) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonF2f3c621EncodeSageleverMoot4(&w, v)
+	easyjsonF2f3c621EncodeSageleverMoot6(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Ask) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonF2f3c621EncodeSageleverMoot4(w, v)
+	easyjsonF2f3c621EncodeSageleverMoot6(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Ask) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonF2f3c621DecodeSageleverMoot4(&r, v)
+	easyjsonF2f3c621DecodeSageleverMoot6(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Ask) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonF2f3c621DecodeSageleverMoot4(l, v)
+	easyjsonF2f3c621DecodeSageleverMoot6(l, v)
 }
--- a/plan/drains.go
+++ b/plan/drains.go
@@ -36,6 +36,14 @@
 	Drains []Drain `json:"d"`
 }
 
+// DrainWord is a drains.begin call.
+//
+//easyjson:json
+type DrainWord struct {
+	Target string `json:"target"`
+	Force  bool   `json:"force"` // also where too little room would be left
+}
+
 // Names is what a drain is called in a zone: BACKEND, SERVICE@ZONE or ZONE.
 func (d Drain) Names(zone string) string {
 	switch {
@@ -52,7 +60,8 @@
 	return d.ID == "" && (d.Service == "" || d.Service == service) || d.ID != "" && d.ID == id
 }
 
-func (d Drain) same(other Drain) bool { return d.Service == other.Service && d.ID == other.ID }
+// Same tells whether two drains of a zone are about the same.
+func (d Drain) Same(other Drain) bool { return d.Service == other.Service && d.ID == other.ID }
 
 // ReadTarget reads the name of what is to be drained; where is the zone of an appliance by its id, empty where there is
 // none. Unknown zones are refused; a service is known by whoever asks.
@@ -86,7 +95,7 @@
 func BeginDrain(d Drain, over func(id string) bool, now time.Time) pact.Change {
 	return func(held pact.Value) pact.Value {
 		list := ReadDrains(held)
-		if slices.ContainsFunc(list, d.same) {
+		if slices.ContainsFunc(list, d.Same) {
 			return held
 		}
 		list = slices.DeleteFunc(slices.Clone(list), func(x Drain) bool { return x.ID != "" && over(x.ID) })
@@ -102,7 +111,7 @@
 func EndDrain(d Drain) pact.Change {
 	return func(held pact.Value) pact.Value {
 		list := ReadDrains(held)
-		left := slices.DeleteFunc(slices.Clone(list), d.same)
+		left := slices.DeleteFunc(slices.Clone(list), d.Same)
 		if len(left) == len(list) {
 			return held
 		}
--- a/plan/drains_easyjson.go
+++ b/plan/drains_easyjson.go
@@ -17,7 +17,83 @@
 	_ easyjson.Marshaler
 )
 
-func easyjson9ef4f17dDecodeSageleverPlan(in *jlexer.Lexer, out *DrainList) {
+func easyjson9ef4f17dDecodeSageleverPlan(in *jlexer.Lexer, out *DrainWord) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "target":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Target = string(in.String())
+			}
+		case "force":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Force = bool(in.Bool())
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjson9ef4f17dEncodeSageleverPlan(out *jwriter.Writer, in DrainWord) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"target\":"
+		out.RawString(prefix[1:])
+		out.String(string(in.Target))
+	}
+	{
+		const prefix string = ",\"force\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Force))
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v DrainWord) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjson9ef4f17dEncodeSageleverPlan(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v DrainWord) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjson9ef4f17dEncodeSageleverPlan(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *DrainWord) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjson9ef4f17dDecodeSageleverPlan(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *DrainWord) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjson9ef4f17dDecodeSageleverPlan(l, v)
+}
+func easyjson9ef4f17dDecodeSageleverPlan1(in *jlexer.Lexer, out *DrainList) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -68,7 +144,7 @@
 		in.Consumed()
 	}
 }
-func easyjson9ef4f17dEncodeSageleverPlan(out *jwriter.Writer, in DrainList) {
+func easyjson9ef4f17dEncodeSageleverPlan1(out *jwriter.Writer, in DrainList) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -94,27 +170,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v DrainList) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson9ef4f17dEncodeSageleverPlan(&w, v)
+	easyjson9ef4f17dEncodeSageleverPlan1(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v DrainList) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson9ef4f17dEncodeSageleverPlan(w, v)
+	easyjson9ef4f17dEncodeSageleverPlan1(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *DrainList) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson9ef4f17dDecodeSageleverPlan(&r, v)
+	easyjson9ef4f17dDecodeSageleverPlan1(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *DrainList) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson9ef4f17dDecodeSageleverPlan(l, v)
+	easyjson9ef4f17dDecodeSageleverPlan1(l, v)
 }
-func easyjson9ef4f17dDecodeSageleverPlan1(in *jlexer.Lexer, out *Drain) {
+func easyjson9ef4f17dDecodeSageleverPlan2(in *jlexer.Lexer, out *Drain) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -156,7 +232,7 @@
 		in.Consumed()
 	}
 }
-func easyjson9ef4f17dEncodeSageleverPlan1(out *jwriter.Writer, in Drain) {
+func easyjson9ef4f17dEncodeSageleverPlan2(out *jwriter.Writer, in Drain) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -192,23 +268,23 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Drain) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson9ef4f17dEncodeSageleverPlan1(&w, v)
+	easyjson9ef4f17dEncodeSageleverPlan2(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Drain) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson9ef4f17dEncodeSageleverPlan1(w, v)
+	easyjson9ef4f17dEncodeSageleverPlan2(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Drain) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson9ef4f17dDecodeSageleverPlan1(&r, v)
+	easyjson9ef4f17dDecodeSageleverPlan2(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Drain) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson9ef4f17dDecodeSageleverPlan1(l, v)
+	easyjson9ef4f17dDecodeSageleverPlan2(l, v)
 }
--- a/plan/table.go
+++ b/plan/table.go
@@ -20,6 +20,7 @@
 	Services map[string]*Backend
 	Cleared  map[string]bool     // zones to which nothing may be sent
 	Drains   map[string][]Drain  // what operators drain, by zone
+	Orders   map[string]uint64   // the versions of these registers, by zone, where there is one
 	Releases map[string]*Release // by service
 	Limits   Bound
 	Items    int
@@ -66,7 +67,7 @@
 // NewTable reads the registers into a table. What can't be read is passed over: it was checked when it was taken.
 func NewTable(values map[string]pact.Value) *Table {
 	t := &Table{hosts: map[string]map[string]*Way{}, lengths: map[string][]int{}, Services: map[string]*Backend{},
-		Cleared: map[string]bool{}, Drains: map[string][]Drain{}, Releases: map[string]*Release{}}
+		Cleared: map[string]bool{}, Drains: map[string][]Drain{}, Orders: map[string]uint64{}, Releases: map[string]*Release{}}
 	homes := map[string]map[string]bool{}
 	names := make([]string, 0, len(values))
 	for key := range values {
@@ -83,6 +84,7 @@
 			continue
 		}
 		if zone, ok := strings.CutPrefix(key, drainKey); ok {
+			t.Orders[zone] = v.Version
 			if list := ReadDrains(v); len(list) > 0 {
 				t.Drains[zone] = list
 			}
--- a/relay/news.go
+++ b/relay/news.go
@@ -50,6 +50,7 @@
 	changed uint64
 	told    map[string]string
 	turns   uint64
+	counted uint64 // the last census that was answered, of the address pulled from
 }
 
 func newNews(r *Relay) *news {
@@ -200,6 +201,9 @@
 	if time.Since(n.reached) < longAway {
 		p.Come = maps.Clone(n.come)
 	}
+	if addr == n.now {
+		p.Count = n.counted
+	}
 	if source := n.at[addr]; source != "" {
 		p.Vector = map[string]uint64{source: n.vector[source]}
 	}
@@ -231,6 +235,10 @@
 		n.members[m.Addr] = m
 	}
 	n.changed = max(n.changed, got.Life+1)
+	if got.Count > n.counted {
+		n.counted = got.Count
+		go n.work(addr, got.Count)
+	}
 	changed := false
 	for _, it := range got.Items {
 		if !strings.HasPrefix(it.Key, lore.RegKey) {
@@ -297,6 +305,9 @@
 // knew; under the lock. Several may be asked at once: an answer that builds on what was given up meanwhile claims nothing.
 func (n *news) reach(addr string, asked *moot.Pull, got *moot.News) (anew bool) {
 	stale := len(n.come) == 0 || time.Since(n.reached) >= longAway
+	if addr != n.now {
+		n.counted = 0
+	}
 	n.now, n.reached = addr, time.Now()
 	delete(n.vector, n.at[addr])
 	delete(n.at, addr)
@@ -345,6 +356,21 @@
 	}
 }
 
+// work answers a census of the core: what is out at appliances that leave, and what traffic is carried.
+func (n *news) work(addr string, count uint64) {
+	w := &moot.Work{From: moot.Member{Node: n.r.settings.Node, Zone: n.r.settings.Zone}, Count: count}
+	n.r.mu.Lock()
+	w.Rows, w.Loads, w.Drains = n.r.sway.Census(time.Now())
+	n.r.mu.Unlock()
+	body, err := easyjson.Marshal(w)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = steward.Post(ctx, n.client, addr, moot.WorkPath, body, nil) // one that is lost is told as unheard
+}
+
 // tell tells this relay's counts of releases, where they have changed.
 func (n *news) tell(ctx context.Context) {
 	n.r.mu.Lock()
--- a/steward/outside.go
+++ b/steward/outside.go
@@ -44,6 +44,9 @@
 	on("releases.read", s.readRelease)
 	on("clear_out.begin", s.clear(true))
 	on("clear_out.finish", s.clear(false))
+	on("drains.begin", s.beginDrain)
+	on("drains.end", s.endDrain)
+	on("drains.read", s.readDrains)
 	return r
 }
 
@@ -77,9 +80,12 @@
 	http.Error(w, why, http.StatusServiceUnavailable)
 }
 
-func answerJSON(w http.ResponseWriter, data []byte) {
+func answerJSON(w http.ResponseWriter, data []byte) { sayJSON(w, http.StatusOK, data) }
+
+func sayJSON(w http.ResponseWriter, status int, data []byte) {
 	w.Header()["Date"] = nil
 	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
 	w.Write(data)
 }
 
@@ -246,13 +252,20 @@
 	if !s.able(w) {
 		return
 	}
+	if _, ok := s.ordered(w, r, changes); ok {
+		answerJSON(w, []byte("{}"))
+	}
+}
+
+// ordered makes changes lasting; it answers 503 where that can't be done now.
+func (s *Steward) ordered(w http.ResponseWriter, r *http.Request, changes map[string]pact.Change) (map[string]pact.Value, bool) {
 	ctx, cancel := context.WithTimeout(r.Context(), callTime)
 	defer cancel()
-	if _, err := s.decide(ctx, changes); err != nil {
+	values, err := s.decide(ctx, changes)
+	if err != nil {
 		later(w, err.Error())
-		return
 	}
-	answerJSON(w, []byte("{}"))
+	return values, err == nil
 }
 
 func (s *Steward) beginRelease(w http.ResponseWriter, r *http.Request) {
--- a/steward/peers.go
+++ b/steward/peers.go
@@ -72,6 +72,8 @@
 	}
 	serve(moot.PullPath, s.servePull)
 	serve(moot.TallyPath, s.serveTally)
+	serve(moot.WorkPath, s.serveWork)
+	serve(moot.CensusPath, s.serveCensus)
 	for _, path := range []string{moot.PreparePath, moot.AcceptPath, moot.ReadPath, moot.RefusePath} {
 		serve(path, func(w http.ResponseWriter, r *http.Request) {
 			a := &moot.Ask{}
--- a/sway/parting.go
+++ b/sway/parting.go
@@ -118,8 +118,12 @@
 	d.Add(clock(now), usualHalf, 1)
 }
 
-// Census is what this relay has out at appliances that leave, and what traffic it carries: for operators.
-func (s *Sway) Census(now time.Time) (rows []lore.Row, loads []ebb.Load) {
+// Census is what this relay has out at appliances that leave, what traffic it carries, and by which versions of the zones'
+// drains it goes: for operators.
+func (s *Sway) Census(now time.Time) (rows []lore.Row, loads []ebb.Load, orders map[string]uint64) {
+	if s.table != nil {
+		orders = s.table.Orders
+	}
 	note := func(a *App) {
 		rows = append(rows, lore.Row{ID: a.ID, Harmless: a.Stand.Out() - a.Stand.Risky(), Risky: a.Stand.Risky()})
 	}
@@ -146,7 +150,7 @@
 	sort.Slice(loads, func(i, j int) bool {
 		return loads[i].Service < loads[j].Service || loads[i].Service == loads[j].Service && loads[i].Homes < loads[j].Homes
 	})
-	return rows, loads
+	return rows, loads, orders
 }
 
 // faint is a rate below which traffic counts as ended: a request a minute.
