--- /dev/null
+++ b/cmd/sagelab/drain.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"sagelever/rig"
+)
+
+// drainOptions are the rig's in a calm size: a service of a tenth of a second, appliances that serve on for a second.
+func drainOptions(nodes, backends int, seed uint64) rig.Options {
+	return rig.Options{Nodes: nodes, Backends: backends, Seed: seed, Load: 0.9, Work: 150 * time.Millisecond, Empty: time.Second,
+		Warm: time.Second, Leeway: 3 * time.Second, Pulse: 400 * time.Millisecond, Bound: 300 * time.Millisecond, Log: zap.NewNop()}
+}
+
+func drainCommand() *cobra.Command {
+	var nodes, backends int
+	var seed uint64
+	var calm time.Duration
+	var load float64
+	var storm, loud bool
+	var fault string
+	c := &cobra.Command{Use: "drain", Short: "every backend of a whole system leaves and returns once under load: nothing lost, doubled, late or cut", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			o := drainOptions(nodes, backends, seed)
+			o.Load, o.Fault = load, rig.Fault(fault)
+			if loud {
+				o.Log, _ = zap.NewDevelopment()
+			}
+			dir, err := os.MkdirTemp("", "sagelab")
+			if err != nil {
+				return err
+			}
+			defer os.RemoveAll(dir)
+			o.Folder = dir
+			r, err := rig.Drain(context.Background(), o, calm, storm)
+			if err != nil {
+				return err
+			}
+			c.Println(r)
+			return r.Verdict()
+		}}
+	c.Flags().IntVar(&nodes, "nodes", 12, "nodes that carry traffic, over six zones")
+	c.Flags().IntVar(&backends, "backends", 30, "backends, half of each of two services")
+	c.Flags().Uint64Var(&seed, "seed", 1, "of the requests")
+	c.Flags().DurationVar(&calm, "calm", 10*time.Second, "how long the undisturbed part is")
+	c.Flags().Float64Var(&load, "load", 0.9, "share of the room that is asked for")
+	c.Flags().BoolVar(&storm, "storm", true, "then replace a service while a zone is cleared out and nodes and a steward restart")
+	c.Flags().BoolVar(&loud, "log", false, "show the agents' logs")
+	c.Flags().StringVar(&fault, "fault", "", "plant one: forgets, doubles, breaks, strays")
+	return c
+}
--- a/cmd/sagelab/main.go
+++ b/cmd/sagelab/main.go
@@ -68,7 +68,7 @@
 	long.Flags().DurationVar(&span, "for", 45*time.Minute, "how long")
 	long.Flags().IntVar(&persecond, "rate", 200, "requests a second")
 	long.Flags().Uint64Var(&seed, "seed", 1, "of the keys")
-	root.AddCommand(ws, still, fast, long)
+	root.AddCommand(ws, still, fast, long, drainCommand())
 	if root.Execute() != nil {
 		os.Exit(1)
 	}
--- a/relay/news.go
+++ b/relay/news.go
@@ -57,7 +57,7 @@
 	n := &news{r: r, wait: ebb.Wait(r.settings.Bounds.Empty), life: r.settings.Node + "@" + strconv.FormatInt(time.Now().UnixNano(), 36),
 		members: map[string]moot.Member{}, come: lore.Vector{}, vector: map[string]uint64{}, at: map[string]string{}, passed: map[string]time.Time{},
 		values: map[string]pact.Value{}, told: map[string]string{}, changed: uint64(time.Now().UnixMilli())}
-	n.client = steward.Client()
+	n.client = steward.Client(r.dial)
 	n.reload(append([]string{net.JoinHostPort(r.settings.IP, "0")}, r.settings.FirstContacts...)) // there may be a steward here
 	return n
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -16,6 +16,7 @@
 
 	"sagelever/boot"
 	"sagelever/plan"
+	"sagelever/steward"
 	"sagelever/strand"
 	"sagelever/sway"
 )
@@ -26,6 +27,7 @@
 type Options struct {
 	Settings *boot.Settings
 	Log      *zap.Logger
+	Dial     steward.Dial // how members of the core are reached; nil: as usual
 }
 
 // Relay is one edge agent.
@@ -44,13 +46,14 @@
 	news     *news
 	front    *front
 	begun    time.Time
+	dial     steward.Dial
 	waits    chan struct{} // told when a request begins to wait
 	counts   counts
 }
 
 // New makes a relay.
 func New(o Options) *Relay {
-	r := &Relay{settings: o.Settings, log: o.Log, begun: time.Now(), sway: sway.New(o.Settings, rand.Float64), waits: make(chan struct{}, 1)}
+	r := &Relay{settings: o.Settings, dial: o.Dial, log: o.Log, begun: time.Now(), sway: sway.New(o.Settings, rand.Float64), waits: make(chan struct{}, 1)}
 	memory := int64(o.Settings.Limits.RAMMb) << 20
 	if memory <= 0 {
 		memory = 256 << 20
@@ -110,6 +113,8 @@
 	r.front.close(work)
 	r.news.end(work)
 	stop()
+	readySrv.Close()
+	r.sends.CloseIdleConnections()
 	r.counts.write(r.log)
 	return nil
 }
--- a/steward/peers.go
+++ b/steward/peers.go
@@ -19,10 +19,16 @@
 	slowest    = 4 * time.Second
 )
 
-// Client is what agents call one another with.
-func Client() *http.Client {
+// Dial opens a connection.
+type Dial = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Client is what agents call one another with; dial is the way that connections take, nil for the usual one.
+func Client(dial Dial) *http.Client {
+	if dial == nil {
+		dial = patience.Dialer(time.Second).DialContext
+	}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         patience.Dialer(time.Second).DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     20 * time.Second,
 		DisableCompression:  true,
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -33,6 +33,7 @@
 	PerZone  int // members of the core in each zone, as the deploy file has it
 	Log      *zap.Logger
 	Now      func() time.Time // the time of day; time.Now where nil
+	Dial     Dial             // how other agents are reached; nil: as usual
 }
 
 // Steward is one member.
@@ -83,7 +84,7 @@
 		return nil, err
 	}
 	s := &Steward{settings: c, log: o.Log, now: o.Now, n: c.CoreSize(o.PerZone), f: c.Lost(o.PerZone), disk: disk,
-		client: Client(), me: moot.Member{Node: c.Node, Zone: c.Zone, Addr: net.JoinHostPort(c.IP, c.Peer())},
+		client: Client(o.Dial), me: moot.Member{Node: c.Node, Zone: c.Zone, Addr: net.JoinHostPort(c.IP, c.Peer())},
 		calls: map[uint64]chan moot.Answer{}, tasks: map[uint64]chan moot.Done{}, pulls: map[string]context.CancelFunc{}, news: make(chan struct{}),
 		notes: map[string]string{}, told: map[string]string{}, contacts: c.FirstContacts, byPath: map[string]*pathCount{}}
 	s.diskFails.log = o.Log
