--- a/rig/clients.go
+++ b/rig/clients.go
@@ -62,6 +62,25 @@
 	return c
 }
 
+// Once sends one request and gives its status; 0 where there was no answer.
+func (h *House) Once(service, path string, within time.Duration) int {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+net.JoinHostPort(h.ip(0), frontPort)+path, strings.NewReader("once"))
+	if err != nil {
+		return 0
+	}
+	req.Host = service + ".example"
+	req.Header.Set("X-Sagelever-Try-Id", "once")
+	req.Header.Set("X-Sagelever-Time-Left-Ms", strconv.FormatInt(within.Milliseconds(), 10))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
 // Stop ends the asking, and waits for what was asked.
 func (c *Clients) Stop() {
 	c.stop()
--- a/steward/steward_test.go
+++ b/steward/steward_test.go
@@ -339,6 +339,8 @@
 		{"servers.pulse&of=" + strings.Repeat("i", 300), pulse(1, "ready")}, {"servers.sign_off", ""},
 		{"releases.begin", `{"service":"s"}`}, {"releases.begin", `{"service":"s","target":"v2","over":"never"}`}, {"releases.begin", deep}, {"releases.read", ""}, {"releases.read&of=s", ""},
 		{"clear_out.begin", ""}, {"clear_out.begin&of=nowhere", ""}, {"clear_out.finish&of=nowhere", ""}, {"no.such.call", ""},
+		{"drains.begin", ""}, {"drains.begin", "{}"}, {"drains.begin", deep}, {"drains.begin", `{"target":"` + strings.Repeat("i", 300) + `"}`}, {"drains.begin", `{"target":"i9"}`},
+		{"drains.begin", `{"target":"s@nowhere"}`}, {"drains.begin", `{"target":"s@a1"}`}, {"drains.begin", `{"target":7}`}, {"drains.end", ""}, {"drains.end&of=a1", ""}, {"drains.read&of=a1", ""},
 	} {
 		if status, text := h.call(0, c[0], c[1]); status < 400 || status > 499 || text == "" {
 			t.Errorf("%s %.40s: %d %s", c[0], c[1], status, text)
