--- a/relay/news.go
+++ b/relay/news.go
@@ -291,7 +291,9 @@
 	if len(got.Items) > 0 {
 		r.sway.ServeAll(now)
 	}
+	aheads := r.sway.Aheads()
 	r.mu.Unlock()
+	r.links.ahead(aheads)
 	if table != nil && table.Limits != (plan.Bound{}) {
 		r.front.serve(table.Limits)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -42,7 +41,7 @@
 	mu       sync.Mutex   // guards sway
 	sway     *sway.Sway
 	sends    *http.Transport
-	terms    *strand.Terms
+	links    *links
 	news     *news
 	front    *front
 	begun    time.Time
@@ -59,8 +58,7 @@
 		memory = 256 << 20
 	}
 	r.room = memory / 4
-	r.terms = &strand.Terms{Longest: memory / 8}
-	dialer := patience.Dialer(dialTime)
+	r.links = newLinks(strand.Terms{Longest: memory / 8}, func() { r.counts.dials.Add(1) })
 	r.sends = &http.Transport{
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    64,
@@ -68,14 +66,7 @@
 		ReadBufferSize:         2 << 10,
 		WriteBufferSize:        2 << 10,
 		IdleConnTimeout:        idle,
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			r.counts.dials.Add(1)
-			c, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return strand.NewConn(c.(*net.TCPConn), r.terms), nil
-		},
+		DialContext:            r.links.dial,
 	}
 	r.news = newNews(r)
 	r.front = newFront(r)
@@ -132,6 +123,7 @@
 			t.Reset(beat)
 		case now := <-t.C:
 			r.mu.Lock()
+			r.links.sweep(now)
 			r.sway.ServeAll(now)
 			wait := r.sway.Waiting()
 			asks := r.sway.Asks()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -483,3 +483,43 @@
 		}
 	}
 }
+
+// When an appliance leaves while requests are out there, a connection to where the next will go is opened ahead; the next
+// request takes it, and one that is not used is closed.
+func TestConnectionsAhead(t *testing.T) {
+	on, release := make(chan struct{}, 1), make(chan struct{})
+	first, _ := appliance(t, func(w http.ResponseWriter, r *http.Request) {
+		on <- struct{}{}
+		<-release
+		stamped(w, r)
+	})
+	second, _ := appliance(t, stamped)
+	x := run(t, app("i1", first))
+	done := make(chan struct{})
+	go func() { defer close(done); x.ask("POST", "/o/1", "") }()
+	<-on
+	x.core.tell(app("i2", second))
+	until(t, "the other is known", func() bool { return x.state("i2") == "serving" })
+	dials := x.counts.dials.Load()
+	x.core.tell(emptying("i1", first))
+	held := func() int {
+		x.links.mu.Lock()
+		defer x.links.mu.Unlock()
+		return len(x.links.ready)
+	}
+	until(t, "a connection is there", func() bool { return held() == 1 })
+	if status, _, _, err := x.ask("POST", "/o/2", ""); status != 200 || err != nil || x.counts.dials.Load() != dials+1 || held() != 0 {
+		t.Errorf("%d %v, %d connections for it, %d left", status, err, x.counts.dials.Load()-dials, held())
+	}
+	close(release)
+	<-done
+	third, _ := appliance(t, stamped)
+	x.links.ahead([]sway.Ahead{{Address: first}, {Address: third}}) // to the first one a connection rests already
+	until(t, "one that nobody uses is there", func() bool { return held() == 1 })
+	x.links.sweep(time.Now().Add(2 * soon))
+	until(t, "and closed", func() bool {
+		x.links.mu.Lock()
+		defer x.links.mu.Unlock()
+		return len(x.links.ready) == 0 && x.links.open[third] == 0
+	})
+}
--- a/sway/parting.go
+++ b/sway/parting.go
@@ -12,9 +12,48 @@
 
 // review takes up for what reasons each appliance of a service gets nothing new, as they stand.
 func (s *Sway) review(x *service, now time.Time) {
+	moving := 0 // requests that will go elsewhere from now on, at one moment
 	for _, a := range x.apps {
-		a.Stand.Set(s.why(x, a), now)
+		if a.Stand.Set(s.why(x, a), now) && a.Stand.State() == ebb.Leaving {
+			moving += a.Stand.Out()
+		}
+	}
+	s.ahead(x, moving, now)
+}
+
+// Ahead is an appliance to which connections are best opened before they are needed.
+type Ahead struct {
+	Address string
+	Out     int // requests that are out there: as many connections are in use
+}
+
+// ahead makes up for what is leaving: where its requests will go next, connections are to be opened, one for each that was
+// out there. Cold ones are left out, as they are fed at their own pace.
+func (s *Sway) ahead(x *service, moving int, now time.Time) {
+	if moving == 0 || s.table == nil {
+		return
 	}
+	type place struct {
+		a    *App
+		cost float64
+	}
+	var places []place
+	for _, a := range x.apps {
+		if a.Stand.State() == ebb.Serving && x.armOf(a) == 0 && !a.cold.After(now) && !a.doubt.till.After(now) && a.Stand.Out() < s.room(a) {
+			places = append(places, place{a, s.cost(a, now)})
+		}
+	}
+	sort.Slice(places, func(i, j int) bool { return places[i].cost < places[j].cost })
+	for _, p := range places[:min(moving, len(places))] {
+		s.aheads = append(s.aheads, Ahead{p.a.Address, p.a.Stand.Out()})
+	}
+}
+
+// Aheads hands over where connections are to be opened.
+func (s *Sway) Aheads() []Ahead {
+	out := s.aheads
+	s.aheads = nil
+	return out
 }
 
 func (s *Sway) why(x *service, a *App) (why ebb.Why) {
--- a/sway/sway.go
+++ b/sway/sway.go
@@ -75,6 +75,7 @@
 	leave    ebb.Leave
 	gone     map[string]*App // whose life is over, while something is out there
 	asks     []Question
+	aheads   []Ahead
 }
 
 // New begins a view that knows nothing.
