--- a/cmd/accord/seat/drains.go
+++ b/cmd/accord/seat/drains.go
@@ -89,6 +89,9 @@
 		if got, err = c.Drain(ctx, d.target, d.force); err == nil && got.Stood {
 			say(d.target + " was drained already")
 		}
+		if err == nil && len(got.Unheard) > 0 {
+			say("the load of these is not in the figures, as they do not answer: " + strings.Join(got.Unheard, ", "))
+		}
 	}
 	switch {
 	case err == nil && d.drain.Used && d.wait:
--- a/moot/census.go
+++ b/moot/census.go
@@ -26,12 +26,11 @@
 )
 
 // Count begins a census among the agents that hold a lease from here, or joins one that has just begun.
-func (m *Machine) Count(now time.Time) uint64 {
+func (m *Machine) Count(now time.Time) {
 	if m.census.works == nil || now.Sub(m.census.begun) > shared {
 		m.census = census{number: max(m.census.number+1, uint64(now.UnixMilli())), begun: now, works: map[string]Work{}}
 		m.wake(0)
 	}
-	return m.census.number
 }
 
 // counting is the number of the census that agents are to answer; 0 for none.
@@ -52,11 +51,9 @@
 // mostAgents bounds what one member keeps of a census.
 const mostAgents = 4096
 
-// Counted is what has been heard in a census; missing are the agents with a lease from here that have not answered.
-func (m *Machine) Counted(number uint64) (c Census) {
-	if m.census.number != number {
-		return c // a later one has taken its place
-	}
+// Counted is what has been heard in a census, or in a later one that has taken its place; missing are the agents with a
+// lease from here that have not answered.
+func (m *Machine) Counted() (c Census) {
 	for _, node := range slices.Sorted(maps.Keys(m.census.works)) {
 		c.Works = append(c.Works, m.census.works[node])
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -114,7 +114,7 @@
 func (r *Relay) pace(ctx context.Context) {
 	t := time.NewTicker(calm)
 	defer t.Stop()
-	told, counted := time.Now(), time.Now()
+	told, counted, touch := time.Now(), time.Now(), true
 	for {
 		select {
 		case <-ctx.Done():
@@ -127,7 +127,15 @@
 			r.sway.ServeAll(now)
 			wait := r.sway.Waiting()
 			asks := r.sway.Asks()
+			covered := r.sway.Touch(now)
 			r.mu.Unlock()
+			if covered != touch {
+				if touch = covered; touch {
+					r.log.Info("the core's word covers what is sent")
+				} else {
+					r.log.Warn("no word of the core: appliances are asked themselves")
+				}
+			}
 			for _, q := range asks {
 				go r.question(q)
 			}
--- a/steward/drains.go
+++ b/steward/drains.go
@@ -43,11 +43,10 @@
 func (s *Steward) countHere(ctx context.Context) (c moot.Census) {
 	ctx, cancel := context.WithTimeout(ctx, countTime)
 	defer cancel()
-	var number uint64
-	s.step(func(now time.Time) { number = s.m.Count(now) })
+	s.step(func(now time.Time) { s.m.Count(now) })
 	for {
 		s.mu.Lock()
-		c = s.m.Counted(number)
+		c = s.m.Counted()
 		s.mu.Unlock()
 		if len(c.Missing) == 0 {
 			return c
@@ -62,6 +61,8 @@
 
 // count asks every member for what its agents say. Unheard are agents that may have something out and have not answered.
 func (s *Steward) count(ctx context.Context) (all moot.Census, unheard []string) {
+	ctx, cancel := context.WithTimeout(ctx, countTime+callTime/2) // a member that hangs holds up no operator
+	defer cancel()
 	s.mu.Lock()
 	members := s.m.Members()
 	s.mu.Unlock()
--- a/sway/parting.go
+++ b/sway/parting.go
@@ -75,6 +75,9 @@
 // Heard notes that a sound member of the core has answered what was asked at a moment.
 func (s *Sway) Heard(asked time.Time) { s.leave.Heard(asked) }
 
+// Touch tells whether the core's word covers what is sent now; else appliances are asked themselves.
+func (s *Sway) Touch(now time.Time) bool { return s.leave.Holds(now) }
+
 // Open tells whether a request that was given to an appliance may still be written to it: it may have begun to leave while
 // the connection came up, or the leave to send has run out meanwhile.
 func (s *Sway) Open(a *App, now time.Time) bool {
