--- a/plan/table.go
+++ b/plan/table.go
@@ -80,7 +80,7 @@
 			continue
 		}
 		if zone, ok := strings.CutPrefix(key, clearedKey); ok {
-			t.Cleared[zone] = v.Body == "on"
+			t.Cleared[zone] = readCleared(v.Body).orders > 0
 			continue
 		}
 		if zone, ok := strings.CutPrefix(key, drainKey); ok {
@@ -213,34 +213,11 @@
 	return out
 }
 
-const (
-	clearedKey = "zone/"
-	releaseKey = "release/"
-)
-
-// ClearedKey is the register that says whether a zone is cleared out.
-func ClearedKey(zone string) string { return clearedKey + zone }
+const releaseKey = "release/"
 
 // ReleaseKey is the register of a service's release.
 func ReleaseKey(service string) string { return releaseKey + service }
 
-// Clear sets whether a zone is cleared out. The version counts the turns; a repeated call changes nothing.
-func Clear(on bool) pact.Change {
-	word := "off"
-	if on {
-		word = "on"
-	}
-	return func(held pact.Value) pact.Value {
-		if held.Body == word || held.Body == "" && !on {
-			if held.Version == 0 {
-				return pact.Value{Version: 1, Body: word}
-			}
-			return held
-		}
-		return pact.Value{Version: held.Version + 1, Body: word}
-	}
-}
-
 // Phases of a release, in the protocol's words.
 const (
 	InService = "in_service"
--- a/steward/outside.go
+++ b/steward/outside.go
@@ -23,6 +23,7 @@
 
 const (
 	callTime     = 900 * time.Millisecond // callers give an agent a second
+	surely       = 500 * time.Millisecond // an answer given within so long has reached its caller in time
 	longestCall  = 16 << 20               // bytes of a configuration
 	longestPulse = 64 << 10
 	longestID    = 256
@@ -243,7 +244,30 @@
 			http.Error(w, "of: there is no such zone", http.StatusNotFound)
 			return
 		}
-		s.order(w, r, map[string]pact.Change{plan.ClearedKey(zone): plan.Clear(on)})
+		if !s.able(w) {
+			return
+		}
+		begun := s.now()
+		ctx, cancel := context.WithTimeout(r.Context(), callTime)
+		defer cancel()
+		known, err := s.read(ctx, plan.HeardKey(zone))
+		if err != nil {
+			later(w, err.Error())
+			return
+		}
+		key, heard := plan.ClearedKey(zone), plan.HeardKey(zone)
+		now, ok := s.ordered(w, r, map[string]pact.Change{key: plan.Clear(on, plan.ReadHeard(known[heard]))})
+		if !ok {
+			return
+		}
+		answerJSON(w, []byte("{}"))
+		if s.now().Sub(begun) < surely && http.NewResponseController(w).Flush() == nil {
+			go func() {
+				ctx, cancel := context.WithTimeout(context.Background(), slowest)
+				defer cancel()
+				_, _ = s.decide(ctx, map[string]pact.Change{heard: plan.Heard(now[key].Version)}) // unknown, the same word counts as sent again
+			}()
+		}
 	}
 }
 
--- a/steward/steward_test.go
+++ b/steward/steward_test.go
@@ -18,6 +18,7 @@
 	"sagelever/boot"
 	"sagelever/lore"
 	"sagelever/moot"
+	"sagelever/pact"
 	"sagelever/plan"
 )
 
@@ -324,6 +325,40 @@
 	}
 }
 
+// Two operators clear out one zone, at two members, one after the other: the first to take it back does not take the
+// other's order with it.
+func TestClearedTwice(t *testing.T) {
+	t.Parallel()
+	h := newHouse(t)
+	h.startAll()
+	register := func(key string) pact.Value {
+		s := h.live[2].Steward
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.m.Held(key).Value
+	}
+	settled := func(what string) { // the order has had its answer, and the core knows
+		t.Helper()
+		until(t, what, func() bool {
+			return plan.ReadHeard(register(plan.HeardKey("a1"))) == register(plan.ClearedKey("a1")).Version
+		})
+	}
+	cleared := func() bool {
+		values := map[string]pact.Value{plan.ClearedKey("a1"): register(plan.ClearedKey("a1"))}
+		return plan.NewTable(values).Cleared["a1"]
+	}
+	for i, x := range []struct {
+		call string
+		want bool
+	}{{"clear_out.begin", true}, {"clear_out.begin", true}, {"clear_out.finish", true}, {"clear_out.finish", false}} {
+		h.must(i%members, x.call+"&of=a1", "")
+		settled(x.call)
+		if cleared() != x.want {
+			t.Errorf("word %d, %s: cleared %v", i+1, x.call, cleared())
+		}
+	}
+}
+
 // Bad input gets a clear 4xx, and nothing has changed.
 func TestBadInput(t *testing.T) {
 	t.Parallel()
