--- a/relay/relay.go
+++ b/relay/relay.go
@@ -106,6 +106,7 @@
 	stop()
 	readySrv.Close()
 	r.sends.CloseIdleConnections()
+	r.links.sweep(time.Now().Add(2 * soon))
 	r.counts.write(r.log)
 	return nil
 }
--- a/sway/parting.go
+++ b/sway/parting.go
@@ -66,7 +66,7 @@
 	if s.table != nil && s.table.Drained(a.Service, a.ID, a.Zone) {
 		why |= ebb.Ordered
 	}
-	if x.armOf(a) < 0 {
+	if x.retired(a) {
 		why |= ebb.Retired
 	}
 	return why
--- a/sway/sway_test.go
+++ b/sway/sway_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"sagelever/boot"
+	"sagelever/ebb"
 	"sagelever/lore"
 	"sagelever/pact"
 	"sagelever/plan"
@@ -393,6 +394,30 @@
 	}
 }
 
+// The build in force is that of most appliances, in whatever order they are heard of: the first may be of a build whose
+// trial has yet to be ordered. Taken for the one in force, it would get all requests.
+func TestInForceByMost(t *testing.T) {
+	s := view("a1", nil)
+	for i, build := range []string{"v2", "v1", "v1", "v1"} {
+		s.join(fmt.Sprint("i", i), "a1", build, 0, start)
+	}
+	s.Configure(table(map[string]pact.Value{plan.ReleaseKey("s"): plan.Begin("v2", 16*time.Second, start)(pact.Value{})}), start)
+	for id, a := range s.apps {
+		if a.Stand.State() != ebb.Serving {
+			t.Errorf("%s is %v: %v", id, a.Stand.State(), a.Stand.Why())
+		}
+	}
+	old := 0
+	for range 9 {
+		if a := s.Pick(s.ask("/s/1", start), start); a != nil && a.Build == "v1" {
+			old++
+		}
+	}
+	if old < 4 { // the others are the trial's allowance
+		t.Errorf("%d of 9 requests went to the build in force", old)
+	}
+}
+
 // Nothing grows with the requests, appliances and agents seen.
 func TestNothingGrows(t *testing.T) {
 	s := view("a1", nil)
