--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -527,3 +527,42 @@
 		return len(x.links.ready) == 0 && x.links.open[third] == 0
 	})
 }
+
+// News of an appliance comes in while requests go there: where each goes stays as it was when it was placed (a race that
+// only the detector sees; CI runs this package with it).
+func TestNewsWhileSending(t *testing.T) {
+	address, ran := appliance(t, stamped)
+	x := run(t, app("i1", address))
+	stop := make(chan struct{})
+	told := make(chan struct{})
+	go func() {
+		defer close(told)
+		for version := uint64(4); ; version += 2 {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			a := lore.App{Service: "s", Address: address, Zone: "a1", Build: "v1", Capacity: 3 + int(version%2), Phase: lore.Ready}
+			x.core.tell(a.WithPhase("i1", lore.Ready, version))
+		}
+	}()
+	var asking sync.WaitGroup
+	for range 4 {
+		asking.Add(1)
+		go func() {
+			defer asking.Done()
+			for range 60 {
+				if status, _, _, err := x.ask("GET", "/s/1", ""); err != nil || status != 200 {
+					t.Errorf("%d %v", status, err)
+				}
+			}
+		}()
+	}
+	asking.Wait()
+	close(stop)
+	<-told
+	if ran.Load() < 240 {
+		t.Errorf("ran %d", ran.Load())
+	}
+}
--- a/relay/send.go
+++ b/relay/send.go
@@ -59,9 +59,9 @@
 func (r *Relay) send(ctx context.Context, q *http.Request, req *sway.Request, app *sway.App, body []byte, rest io.Reader) *sent {
 	began := time.Now()
 	path, query, asked := strings.Cut(q.RequestURI, "?")
-	u := &url.URL{Scheme: "http", Host: app.Address, Opaque: path, RawQuery: query, ForceQuery: asked && query == ""}
+	u := &url.URL{Scheme: "http", Host: req.To.Address, Opaque: path, RawQuery: query, ForceQuery: asked && query == ""}
 	if !strings.HasPrefix(path, "/") || strings.HasPrefix(path, "//") {
-		u = &url.URL{Scheme: "http", Host: app.Address, Path: q.URL.Path, RawPath: q.URL.RawPath, RawQuery: q.URL.RawQuery}
+		u = &url.URL{Scheme: "http", Host: req.To.Address, Path: q.URL.Path, RawPath: q.URL.RawPath, RawQuery: q.URL.RawQuery}
 	}
 	out := &http.Request{Method: q.Method, URL: u, Host: q.Host, Header: make(http.Header, len(q.Header)+2)}
 	for k, v := range q.Header {
@@ -73,7 +73,7 @@
 	if _, ok := out.Header["User-Agent"]; !ok {
 		out.Header["User-Agent"] = nil
 	}
-	out.Header[meant] = []string{app.ID}
+	out.Header[meant] = []string{req.To.ID}
 	out.Header[timeLeft] = []string{strconv.FormatInt(max(0, time.Until(req.Deadline).Milliseconds()), 10)}
 	id := q.Header.Get(tryID)
 	use := &strand.Use{Ours: func(h http.Header) bool {
@@ -146,8 +146,8 @@
 		}
 	}
 	s.Took = time.Since(began)
-	r.counts.far[app.Far].Add(1)
-	r.counts.farBytes[app.Far].Add(int64(len(body)) + max(0, s.length))
+	r.counts.far[req.To.Far].Add(1)
+	r.counts.farBytes[req.To.Far].Add(int64(len(body)) + max(0, s.length))
 	return s
 }
 
--- a/sway/sway.go
+++ b/sway/sway.go
@@ -39,12 +39,19 @@
 	Sends    int             // to appliances, so far
 	Arrivals int             // of these, the ones that reached their appliance or may have
 	Verdict  verdict.Verdict // over all sends; NeverRan while there is none
+	To       Place           // of the send that is out
 	tried    []string
 	trial    bool // the send that is out goes to the build on trial
 	waits    bool
 	Granted  chan *App // gets the appliance when a place comes free; it has room for one
 }
 
+// Place is where a send goes. It stays as it was while news of the appliance comes in.
+type Place struct {
+	ID, Address string
+	Far         int
+}
+
 // service is what is kept for each service.
 type service struct {
 	apps   []*App
@@ -409,6 +416,7 @@
 	a.Stand.Sent(!r.Way.Harmless)
 	r.Sends++
 	r.tried = append(r.tried, a.ID)
+	r.To = Place{a.ID, a.Address, a.Far}
 	if a.cold.After(now) {
 		a.next = now.Add(s.coldGap(a))
 	}
