--- a/helm/helm.go
+++ b/helm/helm.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -43,9 +44,10 @@
 
 // Refused is an agent's 4xx: the order ends with it.
 type Refused struct {
-	Status int
-	Text   string
-	Body   []byte
+	Status  int
+	Text    string
+	Body    []byte
+	Unclear bool // an agent asked before gave no clear answer: it may have done what was asked
 }
 
 func (r *Refused) Error() string { return r.Text }
@@ -56,7 +58,7 @@
 	if len(c.contacts) == 0 {
 		return errors.New("no contact is known: name one with --at")
 	}
-	last := errors.New("no agent was asked")
+	last, unclear := errors.New("no agent was asked"), false
 	for wait, tries := pause, 0; ; tries++ {
 		if tries > 0 && tries%len(c.contacts) == 0 { // all were asked
 			select {
@@ -79,10 +81,13 @@
 			}
 			return easyjson.Unmarshal(data, out)
 		case status >= 400 && status < 500 && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests:
-			return &Refused{status, strings.TrimSpace(string(data)), data}
+			return &Refused{status, strings.TrimSpace(string(data)), data, unclear}
 		default:
 			last = errors.Errorf("%s: %d %s", contact, status, strings.TrimSpace(string(data)))
 		}
+		if op, ok := errors.Into[*net.OpError](err); !ok || op.Op != "dial" { // else it never got there
+			unclear = true
+		}
 		c.at++
 	}
 }
@@ -137,9 +142,13 @@
 	return out, err
 }
 
-// Undrain withdraws a drain.
+// Undrain withdraws a drain. Where an agent without a clear answer may have done so already, the next finds none.
 func (c *Client) Undrain(ctx context.Context, target string) error {
-	return c.Call(ctx, "drains.end", target, nil, nil)
+	err := c.Call(ctx, "drains.end", target, nil, nil)
+	if r, ok := errors.Into[*Refused](err); ok && r.Status == http.StatusNotFound && r.Unclear {
+		return nil
+	}
+	return err
 }
 
 // Drains tells how far the drains have come: all, or the one that is named.
--- a/helm/helm_test.go
+++ b/helm/helm_test.go
@@ -53,6 +53,15 @@
 	if r, ok := errors.Into[*Refused](err); !ok || r.Status != 404 || r.Text != "no such thing" {
 		t.Errorf("a 404: %v", err)
 	}
+	if err := New([]string{wrong}).Undrain(ctx, "x"); err == nil {
+		t.Error("what does not stand is withdrawn")
+	}
+	if err := New([]string{down, wrong}).Undrain(ctx, "x"); err == nil {
+		t.Error("what does not stand is withdrawn, past one that is down")
+	}
+	if err := New([]string{busy, wrong}).Undrain(ctx, "x"); err != nil { // the first may have done it
+		t.Errorf("withdrawn by an agent that gave no clear answer: %v", err)
+	}
 	short, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
 	if err := New([]string{down, busy}).Call(short, "a.call", "", nil, nil); err == nil || !strings.Contains(err.Error(), "no clear answer in time") {
