--- a/moot/news.go
+++ b/moot/news.go
@@ -341,9 +341,9 @@
 	return true
 }
 
-// together is for how long the word on a removal waits until all members that are heard hold it, so that all agents stop at
+// Together is for how long the word on a removal waits until all members that are heard hold it, so that all agents stop at
 // about one moment: some ways between regions, and well within the second for which callers wait.
-const together = 250 * time.Millisecond
+const Together = 250 * time.Millisecond
 
 // Spread tells whether what has been told here at a moment has gone far enough to be acknowledged: so many members hold it
 // that each that may be relied on, as it hears more than half of the core, hears one that does; and all of those that are
@@ -363,5 +363,5 @@
 			all = false
 		}
 	}
-	return holders >= m.c.N-m.c.N/2 && (all || now.Sub(since) >= together)
+	return holders >= m.c.N-m.c.N/2 && (all || now.Sub(since) >= Together)
 }
--- a/steward/drains.go
+++ b/steward/drains.go
@@ -149,6 +149,7 @@
 	case !slices.ContainsFunc(plan.ReadDrains(now[key]), d.Same):
 		http.Error(w, "too many drains stand in this zone", http.StatusConflict)
 	default:
+		s.stopTogether(r.Context(), key)
 		tellJSON(w, http.StatusOK, out)
 	}
 }
--- a/steward/outside.go
+++ b/steward/outside.go
@@ -23,7 +23,7 @@
 
 const (
 	callTime     = 900 * time.Millisecond // callers give an agent a second
-	surely       = 500 * time.Millisecond // an answer given within so long has reached its caller in time
+	surely       = 700 * time.Millisecond // an answer given within so long has reached its caller in time
 	longestCall  = 16 << 20               // bytes of a configuration
 	longestPulse = 64 << 10
 	longestID    = 256
@@ -260,6 +260,9 @@
 		if !ok {
 			return
 		}
+		if on {
+			s.stopTogether(ctx, key)
+		}
 		answerJSON(w, []byte("{}"))
 		if s.now().Sub(begun) < surely && http.NewResponseController(w).Flush() == nil {
 			go func() {
--- a/steward/peers.go
+++ b/steward/peers.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"github.com/mailru/easyjson"
 
+	"sagelever/lore"
 	"sagelever/moot"
 )
 
@@ -270,6 +271,14 @@
 	}
 }
 
+// stopTogether puts the word on a removal off until the other members have heard of it, so that no agent goes on when it is
+// given; it lasts already, so that the word comes in any case, and within the caller's time.
+func (s *Steward) stopTogether(ctx context.Context, register string) {
+	ctx, cancel := context.WithTimeout(ctx, moot.Together)
+	defer cancel()
+	s.spread(ctx, lore.RegKey+register)
+}
+
 // serveTally takes what an edge agent has seen of a release.
 func (s *Steward) serveTally(w http.ResponseWriter, r *http.Request) {
 	n := &moot.News{}
