--- a/moot/census.go
+++ b/moot/census.go
@@ -136,9 +136,14 @@
 			continue
 		}
 		for _, d := range plan.ReadDrains(held[key]) {
-			out = append(out, ebb.Order{Target: d.Names(zone), Zone: zone, Version: held[key].Version, Began: time.UnixMilli(d.Began),
-				Covers: func(s ebb.Spot) bool { return s.Zone == zone && d.Covers(s.Service, s.ID) }})
+			out = append(out, Order(zone, d, held[key].Version))
 		}
 	}
 	return out
 }
+
+// Order is a drain in a zone, of a version of its register.
+func Order(zone string, d plan.Drain, version uint64) ebb.Order {
+	return ebb.Order{Target: d.Names(zone), Zone: zone, Version: version, Began: time.UnixMilli(d.Began),
+		Covers: func(s ebb.Spot) bool { return s.Zone == zone && d.Covers(s.Service, s.ID) }}
+}
--- a/plan/drains.go
+++ b/plan/drains.go
@@ -90,6 +90,23 @@
 	return l.Drains
 }
 
+// FindDrain finds a drain that stands by its name, and the register that holds it. An appliance may be gone by now: the name
+// is all that is needed.
+func FindDrain(held map[string]pact.Value, name string) (key string, d Drain, ok bool) {
+	for key, v := range held {
+		zone, is := strings.CutPrefix(key, drainKey)
+		if !is {
+			continue
+		}
+		for _, d := range ReadDrains(v) {
+			if d.Names(zone) == name {
+				return key, d, true
+			}
+		}
+	}
+	return "", d, false
+}
+
 // BeginDrain adds a drain to a zone's; one that stands already changes nothing. Those of lives that are over go with it, and
 // where there are too many, none is added.
 func BeginDrain(d Drain, over func(id string) bool, now time.Time) pact.Change {
--- a/relay/front.go
+++ b/relay/front.go
@@ -280,9 +280,7 @@
 		}
 		asks := r.sway.Asks()
 		r.mu.Unlock()
-		for _, q := range asks {
-			go r.question(q)
-		}
+		r.put(asks)
 		if app == nil {
 			app = r.await(ctx, req, hold)
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -137,9 +137,7 @@
 					r.log.Warn("no word of the core: appliances are asked themselves")
 				}
 			}
-			for _, q := range asks {
-				go r.question(q)
-			}
+			r.put(asks)
 			if wait {
 				t.Reset(beat)
 			} else {
--- a/relay/send.go
+++ b/relay/send.go
@@ -158,6 +158,13 @@
 	return r.sway.Open(app, time.Now())
 }
 
+// put puts questions, each by itself.
+func (r *Relay) put(asks []sway.Question) {
+	for _, q := range asks {
+		go r.question(q)
+	}
+}
+
 // question asks an appliance whether it serves.
 func (r *Relay) question(q sway.Question) {
 	r.counts.asked.Add(1)
--- a/rig/house.go
+++ b/rig/house.go
@@ -131,7 +131,7 @@
 }
 
 // dial plays the way between zones, by the address of the machine that is called.
-func (h *House) dial(from string) Dial {
+func (h *House) dial(from string) steward.Dial {
 	d := &net.Dialer{Timeout: time.Second}
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := d.DialContext(ctx, network, address)
--- a/steward/drains.go
+++ b/steward/drains.go
@@ -116,11 +116,8 @@
 		http.Error(w, "target: no appliance of such a service is known", http.StatusNotFound)
 		return
 	}
-	out := ebb.Answer{Target: d.Names(zone)}
-	order := ebb.Order{Covers: func(x ebb.Spot) bool { return x.Zone == zone && d.Covers(x.Service, x.ID) }}
-	for _, o := range moot.Orders(held) {
-		out.Stood = out.Stood || o.Target == out.Target
-	}
+	out, order := ebb.Answer{Target: d.Names(zone)}, moot.Order(zone, d, 0)
+	_, _, out.Stood = plan.FindDrain(held, out.Target)
 	if !out.Stood && !word.Force {
 		census, unheard := s.count(r.Context())
 		_, loads := census.Reports()
@@ -167,17 +164,14 @@
 		later(w, err.Error())
 		return
 	}
-	for key, v := range held { // an appliance may be gone by now: its drain is found by its name
-		for _, d := range plan.ReadDrains(v) {
-			if zone := key[len(plan.DrainKey("")):]; d.Names(zone) == name {
-				if _, can := s.ordered(w, r, map[string]pact.Change{key: plan.EndDrain(d)}); can {
-					tellJSON(w, http.StatusOK, ebb.Answer{Target: name})
-				}
-				return
-			}
-		}
+	key, d, stands := plan.FindDrain(held, name)
+	if !stands {
+		http.Error(w, "of: no such drain stands", http.StatusNotFound)
+		return
+	}
+	if _, can := s.ordered(w, r, map[string]pact.Change{key: plan.EndDrain(d)}); can {
+		tellJSON(w, http.StatusOK, ebb.Answer{Target: name})
 	}
-	http.Error(w, "of: no such drain stands", http.StatusNotFound)
 }
 
 // readDrains tells how far the drains have come: all, or the one that is named.
--- a/steward/outside.go
+++ b/steward/outside.go
@@ -274,16 +274,6 @@
 	}
 }
 
-// order makes a change lasting and answers.
-func (s *Steward) order(w http.ResponseWriter, r *http.Request, changes map[string]pact.Change) {
-	if !s.able(w) {
-		return
-	}
-	if _, ok := s.ordered(w, r, changes); ok {
-		answerJSON(w, []byte("{}"))
-	}
-}
-
 // ordered makes changes lasting; it answers 503 where that can't be done now.
 func (s *Steward) ordered(w http.ResponseWriter, r *http.Request, changes map[string]pact.Change) (map[string]pact.Value, bool) {
 	ctx, cancel := context.WithTimeout(r.Context(), callTime)
@@ -310,7 +300,12 @@
 		http.Error(w, "service, target, over: want a service, a version and a time", http.StatusBadRequest)
 		return
 	}
-	s.order(w, r, map[string]pact.Change{plan.ReleaseKey(o.Service): plan.Begin(o.Target, over, s.now())})
+	if !s.able(w) {
+		return
+	}
+	if _, ok := s.ordered(w, r, map[string]pact.Change{plan.ReleaseKey(o.Service): plan.Begin(o.Target, over, s.now())}); ok {
+		answerJSON(w, []byte("{}"))
+	}
 }
 
 // readRelease tells a release's phase. What is told has been chosen, so that no one is ever told otherwise.
