--- a/pact/pact.go
+++ b/internal/control/quorum/quorum.go
@@ -1,4 +1,4 @@
-// Package pact keeps the lasting state of the core: named registers, each decided by itself by rounds of ballots among
+// Package quorum keeps the lasting state of the core: named registers, each decided by itself by rounds of ballots among
 // the members, so that any agent takes a write, no log is kept and nobody leads. It is pure: a state, a message, the next
 // state and a reply; what has to be on disk before the reply goes out is told.
 //
@@ -6,7 +6,7 @@
 // that have caught up. Of the w holders w-f keep it when f lose theirs; the n-f others hold at most n-f-(w-f) = f that lack
 // it, so that every r of them include a holder. A member that came back empty counts for neither until it has caught up
 // from r others and has had them refuse the ballots from before: see Refuse.
-package pact
+package quorum
 
 import (
 	"maps"
--- a/pact/pact_test.go
+++ b/internal/control/quorum/quorum_test.go
@@ -1,4 +1,4 @@
-package pact
+package quorum
 
 import (
 	"fmt"
--- a/moot/apps.go
+++ b/internal/control/replica/apps.go
@@ -1,4 +1,4 @@
-package moot
+package replica
 
 import (
 	"maps"
@@ -6,13 +6,13 @@
 	"strings"
 	"time"
 
+	"sagelever/internal/control/quorum"
 	"sagelever/lore"
-	"sagelever/pact"
 	"sagelever/plan"
 )
 
 // Pulse takes an appliance's word of itself; the address of the member where its next had best go, empty for here.
-func (m *Machine) Pulse(now time.Time, id string, p *lore.Pulse) (next Member) {
+func (m *Replica) Pulse(now time.Time, id string, p *lore.Pulse) (next Member) {
 	key := lore.AppKey + id
 	it, known := m.feed.Get(key)
 	if !known || it.Version < lore.Version(p.CallCount, false) { // else late, or from a life that has left
@@ -41,7 +41,7 @@
 }
 
 // Phase is what is known of an appliance's life; empty for nothing.
-func (m *Machine) Phase(id string) string {
+func (m *Replica) Phase(id string) string {
 	it, _ := m.feed.Get(lore.AppKey + id)
 	a, ok := lore.ReadApp(it)
 	if !ok {
@@ -51,7 +51,7 @@
 }
 
 // SignOff takes an appliance's last word.
-func (m *Machine) SignOff(now time.Time, id string) {
+func (m *Replica) SignOff(now time.Time, id string) {
 	key := lore.AppKey + id
 	it, known := m.feed.Get(key)
 	a, read := lore.ReadApp(it)
@@ -65,7 +65,7 @@
 }
 
 // Tally takes what an edge agent has seen of releases.
-func (m *Machine) Tally(now time.Time, items []lore.Item) {
+func (m *Replica) Tally(now time.Time, items []lore.Item) {
 	for _, it := range items {
 		if strings.HasPrefix(it.Key, lore.TrialKey) {
 			m.tell(it)
@@ -75,7 +75,7 @@
 }
 
 // judge decides the releases on which the agents' votes say so.
-func (m *Machine) judge(now time.Time) {
+func (m *Replica) judge(now time.Time) {
 	tallies := map[string][]*lore.Tally{}
 	m.feed.Each(lore.TrialKey, func(it lore.Item) {
 		service, _, _ := strings.Cut(it.Key[len(lore.TrialKey):], "/")
@@ -95,13 +95,13 @@
 		m.deciding[service] = true
 		m.say("release decided by votes", "service", service, "phase", phase)
 		m.begin(now, &task{kind: writing, until: now.Add(4 * attempt),
-			changes: map[string]pact.Change{plan.ReleaseKey(service): plan.Decide(rel.Number, phase)},
+			changes: map[string]quorum.Change{plan.ReleaseKey(service): plan.Decide(rel.Number, phase)},
 			after:   func() { delete(m.deciding, service) }}) // without an end the votes stand, and are counted again
 	}
 }
 
 // Minute does what time brings: leases that ran out, appliances fallen silent, lives long gone, values without an end.
-func (m *Machine) Minute(now time.Time) {
+func (m *Replica) Minute(now time.Time) {
 	m.look(now)
 	m.mend(now)
 	m.resave(now)
@@ -154,7 +154,7 @@
 
 // orphans tells the silence of appliances whose member is gone and that have found no other: the first by name of those
 // that are there does it for all.
-func (m *Machine) orphans(now time.Time) {
+func (m *Replica) orphans(now time.Time) {
 	first := true
 	for node, x := range m.members {
 		switch heard := m.heardOf(node, now); {
--- a/moot/census.go
+++ b/internal/control/replica/census.go
@@ -1,4 +1,4 @@
-package moot
+package replica
 
 import (
 	"maps"
@@ -7,8 +7,8 @@
 	"time"
 
 	"sagelever/ebb"
+	"sagelever/internal/control/quorum"
 	"sagelever/lore"
-	"sagelever/pact"
 	"sagelever/plan"
 )
 
@@ -26,7 +26,7 @@
 )
 
 // Count begins a census among the agents that hold a lease from here, or joins one that has just begun.
-func (m *Machine) Count(now time.Time) {
+func (m *Replica) Count(now time.Time) {
 	if m.census.works == nil || now.Sub(m.census.begun) > shared {
 		m.census = census{number: max(m.census.number+1, uint64(now.UnixMilli())), begun: now, works: map[string]Work{}}
 		m.wake(0)
@@ -34,7 +34,7 @@
 }
 
 // counting is the number of the census that agents are to answer; 0 for none.
-func (m *Machine) counting(now time.Time) uint64 {
+func (m *Replica) counting(now time.Time) uint64 {
 	if m.census.works == nil || now.Sub(m.census.begun) > asking {
 		return 0
 	}
@@ -42,7 +42,7 @@
 }
 
 // Worked takes an agent's answer. One to an earlier census says nothing of now.
-func (m *Machine) Worked(w *Work) {
+func (m *Replica) Worked(w *Work) {
 	if w.Count == m.census.number && m.census.works != nil && (len(m.census.works) < mostAgents || m.census.works[w.From.Node].Count > 0) {
 		m.census.works[w.From.Node] = *w
 	}
@@ -53,7 +53,7 @@
 
 // Counted is what has been heard in a census, or in a later one that has taken its place; missing are the agents with a
 // lease from here that have not answered.
-func (m *Machine) Counted() (c Census) {
+func (m *Replica) Counted() (c Census) {
 	for _, node := range slices.Sorted(maps.Keys(m.census.works)) {
 		c.Works = append(c.Works, m.census.works[node])
 	}
@@ -69,7 +69,7 @@
 
 // Agents lists the edge agents that may have something out: those that hold a lease, and those whose lease ran out lately
 // without a word that they have ended.
-func (m *Machine) Agents(now time.Time) (nodes []string) {
+func (m *Replica) Agents(now time.Time) (nodes []string) {
 	m.feed.Each(lore.LeaseKey, func(it lore.Item) {
 		l, ok := lore.ReadLease(it)
 		if ok && l.Role == Edge && it.Version&0xff != 0xff && m.roll.Lately(it.Key, now) {
@@ -81,7 +81,7 @@
 }
 
 // Apps are the appliances that are known and have not left, by id.
-func (m *Machine) Apps() map[string]*lore.App {
+func (m *Replica) Apps() map[string]*lore.App {
 	out := map[string]*lore.App{}
 	m.feed.Each(lore.AppKey, func(it lore.Item) {
 		if a, ok := lore.ReadApp(it); ok && a.Phase != lore.Left {
@@ -92,7 +92,7 @@
 }
 
 // Over tells whether an appliance's life is known to have ended, or nothing is known of it.
-func (m *Machine) Over(id string) bool {
+func (m *Replica) Over(id string) bool {
 	p := m.Phase(id)
 	return p == "" || p == lore.Left
 }
@@ -129,7 +129,7 @@
 }
 
 // Orders are the drains that stand, by the registers as chosen.
-func Orders(held map[string]pact.Value) (out []ebb.Order) {
+func Orders(held map[string]quorum.Value) (out []ebb.Order) {
 	for _, key := range slices.Sorted(maps.Keys(held)) {
 		zone, ok := strings.CutPrefix(key, plan.DrainKey(""))
 		if !ok {
--- a/moot/members.go
+++ b/internal/control/replica/members.go
@@ -1,4 +1,4 @@
-package moot
+package replica
 
 import (
 	"sort"
@@ -10,7 +10,7 @@
 )
 
 // meet takes up who calls.
-func (m *Machine) meet(now time.Time, p *Pull) (behind uint64) {
+func (m *Replica) meet(now time.Time, p *Pull) (behind uint64) {
 	if p.Role == Core {
 		m.join(p.From)
 		return 0
@@ -42,7 +42,7 @@
 }
 
 // join takes up a member of the core. There are no more than its size says; four times as many may have been told.
-func (m *Machine) join(x Member) {
+func (m *Replica) join(x Member) {
 	if x.Node == m.c.Me.Node || x.Node == "" || len(m.members) >= 4*m.c.N {
 		return
 	}
@@ -55,7 +55,7 @@
 }
 
 // Members are those that are known, this one not.
-func (m *Machine) Members() []Member {
+func (m *Replica) Members() []Member {
 	out := make([]Member, 0, len(m.members))
 	for _, x := range m.members {
 		out = append(out, x.Member)
@@ -66,7 +66,7 @@
 
 // watch has this member look after an item that came from elsewhere or from its disk: of what it granted or heard in a
 // life before it knows only so.
-func (m *Machine) watch(now time.Time, it lore.Item) {
+func (m *Replica) watch(now time.Time, it lore.Item) {
 	if strings.HasPrefix(it.Key, lore.LeaseKey) {
 		if l, ok := lore.ReadLease(it); ok && l.Home == m.c.Me.Node && !l.Ended {
 			m.roll.Expect(it.Key, l.Zone, now)
@@ -94,7 +94,7 @@
 }
 
 // heardOf tells whether a member has answered lately.
-func (m *Machine) heardOf(node string, now time.Time) bool {
+func (m *Replica) heardOf(node string, now time.Time) bool {
 	if node == m.c.Me.Node {
 		return true
 	}
@@ -104,7 +104,7 @@
 
 // Sound tells whether what this member says may be relied on: it has caught up, and hears more than half of the core. A
 // member that does not may lack what the others have acknowledged.
-func (m *Machine) Sound(now time.Time) bool {
+func (m *Replica) Sound(now time.Time) bool {
 	near := 1
 	for node := range m.members {
 		if m.heardOf(node, now) {
@@ -115,13 +115,13 @@
 }
 
 // Leave has this member end: whoever pulls is answered at once, and goes elsewhere.
-func (m *Machine) Leave() {
+func (m *Replica) Leave() {
 	m.leaving = true
 	m.wake(0)
 }
 
 // look says when this member begins or ends to hear most of the core; whoever waits for news is told.
-func (m *Machine) look(now time.Time) {
+func (m *Replica) look(now time.Time) {
 	if sound := m.Sound(now); sound != m.was {
 		m.was = sound
 		m.wake(0)
@@ -135,7 +135,7 @@
 
 // lapse ends the leases granted here that ran out. It comes before all that is told of them: a process that was held up
 // must not speak of leases as they were before.
-func (m *Machine) lapse(now time.Time) {
+func (m *Replica) lapse(now time.Time) {
 	for _, key := range m.roll.Lapsed(now) {
 		it, ok := m.feed.Get(key)
 		if l, read := lore.ReadLease(it); ok && read && l.Home == m.c.Me.Node && !l.Ended {
@@ -148,7 +148,7 @@
 
 // Fronts lists where clients of a zone should go: to the agents there; where there are none to others of the region, then
 // to any.
-func (m *Machine) Fronts(now time.Time, zone, region string, most int) []string {
+func (m *Replica) Fronts(now time.Time, zone, region string, most int) []string {
 	var near, mid, far []string
 	m.lapse(now)
 	m.feed.Each(lore.LeaseKey, func(it lore.Item) {
--- a/moot/words.go
+++ b/internal/control/replica/messages.go
@@ -1,9 +1,9 @@
-package moot
+package replica
 
 import (
 	"sagelever/ebb"
+	"sagelever/internal/control/quorum"
 	"sagelever/lore"
-	"sagelever/pact"
 )
 
 // Member is a member of the core as agents tell one another.
@@ -92,20 +92,20 @@
 //
 //easyjson:json
 type Ask struct {
-	Ballot pact.Ballot  `json:"b"`
-	Keys   []string     `json:"k,omitempty"`
-	Values []pact.Entry `json:"v,omitempty"`
-	Digest uint64       `json:"d,omitempty"`
+	Ballot quorum.Ballot  `json:"b"`
+	Keys   []string       `json:"k,omitempty"`
+	Values []quorum.Entry `json:"v,omitempty"`
+	Digest uint64         `json:"d,omitempty"`
 }
 
 // Reply answers an Ask.
 //
 //easyjson:json
 type Reply struct {
-	OK      bool         `json:"o"`
-	Same    bool         `json:"s,omitempty"` // the digest is the same
-	Held    []pact.Entry `json:"h,omitempty"`
-	Refused pact.Ballot  `json:"r"`
+	OK      bool           `json:"o"`
+	Same    bool           `json:"s,omitempty"` // the digest is the same
+	Held    []quorum.Entry `json:"h,omitempty"`
+	Refused quorum.Ballot  `json:"r"`
 }
 
 // Kinds of asks, as the paths of calls.
--- a/moot/news.go
+++ b/internal/control/replica/news.go
@@ -1,4 +1,4 @@
-package moot
+package replica
 
 import (
 	"slices"
@@ -9,8 +9,8 @@
 
 	"github.com/mailru/easyjson"
 
+	"sagelever/internal/control/quorum"
 	"sagelever/lore"
-	"sagelever/pact"
 )
 
 // reached is how far a member has come that pulls here, and when it last did.
@@ -21,7 +21,7 @@
 }
 
 // tell merges an item that is told here first, and has those woken who wait for news.
-func (m *Machine) tell(it lore.Item) bool {
+func (m *Replica) tell(it lore.Item) bool {
 	if !m.feed.Merge(it) {
 		return false
 	}
@@ -29,7 +29,7 @@
 	return true
 }
 
-func (m *Machine) wake(after time.Duration) {
+func (m *Replica) wake(after time.Duration) {
 	if m.out.News < 0 || after < m.out.News {
 		m.out.News = after
 	}
@@ -64,7 +64,7 @@
 }
 
 // Pulled takes up who calls: a lease for an edge agent, a member of the core. Answer has the news for it.
-func (m *Machine) Pulled(now time.Time, p *Pull) *Waiting {
+func (m *Replica) Pulled(now time.Time, p *Pull) *Waiting {
 	w := &Waiting{p: p, by: m.feed.Seq(), come: m.feed.Vector(), sound: m.Sound(now), behind: m.meet(now, p)}
 	if p.Wire >= Wire {
 		w.whole = len(p.Come) == 0
@@ -86,7 +86,7 @@
 }
 
 // Answer is the news for a pull, and whether to send it: otherwise there is none, and it may wait unless that is its end.
-func (m *Machine) Answer(now time.Time, w *Waiting) (n *News, ready bool) {
+func (m *Replica) Answer(now time.Time, w *Waiting) (n *News, ready bool) {
 	p := w.p
 	m.lapse(now)
 	sound := m.Sound(now)
@@ -154,7 +154,7 @@
 
 // Ask is what this member asks another for: all that it lacks. Where it has not heard of the other lately the answer is
 // not to wait for news, as it is news itself that the other is there.
-func (m *Machine) Ask(now time.Time, to Member) *Pull {
+func (m *Replica) Ask(now time.Time, to Member) *Pull {
 	p := &Pull{From: m.c.Me, Role: Core, Wire: Wire, Meet: to.Node == "", Epoch: m.epoch}
 	if !p.Meet {
 		if m.heardOf(to.Node, now) {
@@ -176,11 +176,11 @@
 
 // upToDate tells whether the feed is as far as its vector says, and was told news not long ago, by whomever: then all that
 // was forgotten since was heard of.
-func (m *Machine) upToDate(now time.Time) bool { return m.known && now.Sub(m.told) < bound }
+func (m *Replica) upToDate(now time.Time) bool { return m.known && now.Sub(m.told) < bound }
 
 // Hold tells whether to put off pulling a member: at the start one is asked before the others, so that what this one lacks
 // is handed to it once and not by everybody. Where that one does not answer, the others are not held up for long.
-func (m *Machine) Hold(now time.Time, to Member) bool {
+func (m *Replica) Hold(now time.Time, to Member) bool {
 	if m.heardAny || now.Sub(m.begun) > head {
 		return false
 	}
@@ -193,17 +193,17 @@
 }
 
 // nearer orders members: those of this region first, then by name.
-func (m *Machine) nearer(a, b Member) bool {
+func (m *Replica) nearer(a, b Member) bool {
 	region := m.c.Zones[m.c.Me.Zone]
 	nearA, nearB := m.c.Zones[a.Zone] == region, m.c.Zones[b.Zone] == region
 	return nearA && !nearB || nearA == nearB && a.Node < b.Node
 }
 
 // Told takes up what another member has told in answer to a pull.
-func (m *Machine) Told(now time.Time, from Member, asked *Pull, n *News) {
+func (m *Replica) Told(now time.Time, from Member, asked *Pull, n *News) {
 	// An answer that builds on what was given up meanwhile claims nothing; what it brings is told on as this member's own.
 	claims := n.Whole || asked.Epoch == m.epoch
-	var changed []pact.Entry
+	var changed []quorum.Entry
 	told := make(map[string]bool, len(n.Items))
 	for _, it := range n.Items {
 		told[it.Key] = true
@@ -250,9 +250,9 @@
 
 // take merges an item that another agent has told. One without an origin comes from the version before, and is told here
 // first.
-func (m *Machine) take(now time.Time, it lore.Item, origin string, number uint64) (changed []pact.Entry) {
+func (m *Replica) take(now time.Time, it lore.Item, origin string, number uint64) (changed []quorum.Entry) {
 	if strings.HasPrefix(it.Key, lore.RegKey) {
-		e := pact.Entry{}
+		e := quorum.Entry{}
 		if easyjson.Unmarshal([]byte(it.Body), &e) != nil || !e.Chosen {
 			return nil
 		}
@@ -260,7 +260,7 @@
 		if origin != "" {
 			m.passOn(it, origin, number)
 		}
-		return m.learn(now, []pact.Entry{e})
+		return m.learn(now, []quorum.Entry{e})
 	}
 	if origin == "" && !m.tell(it) || origin != "" && !m.passOn(it, origin, number) {
 		return nil
@@ -271,7 +271,7 @@
 
 // recall takes up what was kept. An appliance counts as cold until its pulse says otherwise, and as silent if none comes:
 // it may have gone, or gone cold, while this agent was away.
-func (m *Machine) recall(was Memory, now time.Time) {
+func (m *Replica) recall(was Memory, now time.Time) {
 	slices.SortFunc(was.Items, func(a, b Kept) int { return strings.Compare(a.Item.Key, b.Item.Key) })
 	old := now.Sub(was.Noted) > bound
 	lost := lore.Vector{}
@@ -318,7 +318,7 @@
 
 // Keep is what has become known since a number, to be kept on the disk where it is good to have, and how far it goes once
 // it is; what was forgotten is told by keys that are not there any more.
-func (m *Machine) Keep(since uint64) (items []Kept, come lore.Vector, seq uint64) {
+func (m *Replica) Keep(since uint64) (items []Kept, come lore.Vector, seq uint64) {
 	if len(m.saving) > 0 || m.unsaved { // registers are part of how far this goes
 		return nil, nil, since
 	}
@@ -333,7 +333,7 @@
 }
 
 // passOn merges an item that another told first, and wakes edge agents that wait for news.
-func (m *Machine) passOn(it lore.Item, origin string, number uint64) bool {
+func (m *Replica) passOn(it lore.Item, origin string, number uint64) bool {
 	if !m.feed.Take(it, origin, number) {
 		return false
 	}
@@ -348,7 +348,7 @@
 // Spread tells whether what has been told here at a moment has gone far enough to be acknowledged: so many members hold it
 // that each that may be relied on, as it hears more than half of the core, hears one that does; and all of those that are
 // heard, unless that takes too long.
-func (m *Machine) Spread(now time.Time, key string, since time.Time) bool {
+func (m *Replica) Spread(now time.Time, key string, since time.Time) bool {
 	origin, number := m.feed.Where(key)
 	if origin == "" {
 		return false
--- a/moot/moot.go
+++ b/internal/control/replica/replica.go
@@ -1,8 +1,8 @@
-// Package moot is one member of the core as a pure machine: a state, a message, the next state and messages out. It holds
+// Package replica is one member of the core as a pure machine: a state, a message, the next state and messages out. It holds
 // the lasting registers (items of the configuration, releases, cleared zones), who is a member and who holds a lease, and
 // what is known of appliances; it keeps the rounds in which values are chosen, read, brought to an end and caught up with.
 // Network, disk, clock and luck are handed in, so that a whole core is stepped in one process by a seed.
-package moot
+package replica
 
 import (
 	"crypto/sha256"
@@ -16,8 +16,8 @@
 	"github.com/go-faster/errors"
 	"github.com/mailru/easyjson"
 
+	"sagelever/internal/control/quorum"
 	"sagelever/lore"
-	"sagelever/pact"
 )
 
 const (
@@ -62,8 +62,8 @@
 
 // Memory is what a member's disk held.
 type Memory struct {
-	Entries []pact.Entry
-	Floor   pact.Ballot
+	Entries []quorum.Entry
+	Floor   quorum.Ballot
 	Caught  bool // the disk is the member's own: never lost, or caught up since
 	Members []Member
 	Items   []Kept      // what was known
@@ -102,8 +102,8 @@
 // Save is to be on the disk, whole, before Saved is told so under its number.
 type Save struct {
 	Number  uint64
-	Entries []pact.Entry
-	Floor   *pact.Ballot
+	Entries []quorum.Entry
+	Floor   *quorum.Ballot
 	Caught  bool // the disk counts from now on
 }
 
@@ -117,7 +117,7 @@
 // Done is the end of what was begun under a number.
 type Done struct {
 	Number uint64
-	Values map[string]pact.Value // as chosen
+	Values map[string]quorum.Value // as chosen
 	Err    error
 }
 
@@ -127,10 +127,10 @@
 	With []string // names and values
 }
 
-// Machine is one member.
-type Machine struct {
+// Replica is one member.
+type Replica struct {
 	c        Config
-	acceptor *pact.Acceptor
+	acceptor *quorum.Acceptor
 	caught   bool
 	leaving  bool
 	was      bool // sound, when last looked
@@ -171,8 +171,8 @@
 }
 
 // New takes up what a disk held.
-func New(c Config, was Memory, now time.Time) *Machine {
-	m := &Machine{c: c, acceptor: pact.NewAcceptor(was.Entries, was.Floor), caught: was.Caught, begun: now, open: map[string]time.Time{},
+func New(c Config, was Memory, now time.Time) *Replica {
+	m := &Replica{c: c, acceptor: quorum.NewAcceptor(was.Entries, was.Floor), caught: was.Caught, begun: now, open: map[string]time.Time{},
 		tasks: map[uint64]*task{}, sent: map[uint64]sent{}, saving: map[uint64]func(time.Time, error){},
 		members: map[string]*member{}, reach: map[string]reached{}, tombs: map[string]time.Time{},
 		apps: map[string]*lore.App{}, deciding: map[string]bool{}, out: Out{News: -1}}
@@ -185,7 +185,7 @@
 	}
 	m.recall(was, now)
 	all := m.acceptor.All()
-	slices.SortFunc(all, func(a, b pact.Entry) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(all, func(a, b quorum.Entry) int { return strings.Compare(a.Key, b.Key) })
 	for _, e := range all {
 		if e.Chosen {
 			m.publish(e)
@@ -208,18 +208,18 @@
 }
 
 // Take hands over what the steps since the last call have brought.
-func (m *Machine) Take() Out {
+func (m *Replica) Take() Out {
 	out := m.out
 	m.out = Out{News: -1}
 	return out
 }
 
-func (m *Machine) say(text string, with ...string) {
+func (m *Replica) say(text string, with ...string) {
 	m.out.Lines = append(m.out.Lines, Line{text, with})
 }
 
 // save has entries brought to the disk, and then goes on. Where nothing has changed it goes on at once.
-func (m *Machine) save(now time.Time, s Save, then func(now time.Time, err error)) {
+func (m *Replica) save(now time.Time, s Save, then func(now time.Time, err error)) {
 	if len(s.Entries) == 0 && s.Floor == nil && !s.Caught {
 		if then != nil {
 			then(now, nil)
@@ -233,7 +233,7 @@
 }
 
 // Saved takes the disk's word on a save.
-func (m *Machine) Saved(now time.Time, number uint64, err error) {
+func (m *Replica) Saved(now time.Time, number uint64, err error) {
 	then, known := m.saving[number]
 	if !known {
 		return
@@ -248,7 +248,7 @@
 }
 
 // resave brings all to the disk again after it has refused something: what was learned meanwhile is told by nobody again.
-func (m *Machine) resave(now time.Time) {
+func (m *Replica) resave(now time.Time) {
 	if !m.unsaved || len(m.saving) > 0 {
 		return
 	}
@@ -259,20 +259,20 @@
 
 // Asked takes another member's message, or this one's own; the answer comes under the call's number. What it says is on the
 // disk by then.
-func (m *Machine) Asked(now time.Time, call uint64, path string, a *Ask) {
+func (m *Replica) Asked(now time.Time, call uint64, path string, a *Ask) {
 	m.serve(now, path, a, func(_ time.Time, r *Reply, err error) {
 		m.out.Answers = append(m.out.Answers, Answer{call, r, err})
 	})
 }
 
-func (m *Machine) serve(now time.Time, path string, a *Ask, then func(now time.Time, r *Reply, err error)) {
+func (m *Replica) serve(now time.Time, path string, a *Ask, then func(now time.Time, r *Reply, err error)) {
 	if !m.caught {
 		then(now, nil, ErrCatching)
 		return
 	}
 	r := &Reply{OK: true}
-	var changed []pact.Entry
-	var floor *pact.Ballot
+	var changed []quorum.Entry
+	var floor *quorum.Ballot
 	switch path {
 	case PreparePath, AcceptPath:
 		if !m.timely(now, a.Ballot, Ahead) {
@@ -284,7 +284,7 @@
 		} else {
 			changed, r.Refused = m.acceptor.Accept(a.Ballot, a.Values)
 		}
-		if r.Refused != (pact.Ballot{}) {
+		if r.Refused != (quorum.Ballot{}) {
 			r.OK, r.Held = false, nil
 			then(now, r, nil)
 			return
@@ -318,13 +318,13 @@
 }
 
 // timely tells whether a ballot's number lies at most so far ahead of the time of day.
-func (m *Machine) timely(now time.Time, b pact.Ballot, ahead time.Duration) bool {
+func (m *Replica) timely(now time.Time, b quorum.Ballot, ahead time.Duration) bool {
 	return b.N <= uint64(now.Add(ahead).UnixMilli())
 }
 
 // unsettled notes a register whose newest value this member holds without knowing that it is chosen.
-func (m *Machine) unsettled(now time.Time, e pact.Entry) {
-	if held := m.acceptor.Get(e.Key); held.Chosen || held.Accepted == (pact.Ballot{}) {
+func (m *Replica) unsettled(now time.Time, e quorum.Entry) {
+	if held := m.acceptor.Get(e.Key); held.Chosen || held.Accepted == (quorum.Ballot{}) {
 		return
 	}
 	if _, noted := m.open[e.Key]; !noted {
@@ -333,7 +333,7 @@
 }
 
 // learn takes up what is known to be chosen, or was accepted elsewhere, and tells on what is chosen.
-func (m *Machine) learn(now time.Time, entries []pact.Entry) []pact.Entry {
+func (m *Replica) learn(now time.Time, entries []quorum.Entry) []quorum.Entry {
 	changed := m.acceptor.Learn(entries)
 	for _, e := range changed {
 		if e.Chosen {
@@ -347,20 +347,20 @@
 }
 
 // publish tells a chosen value.
-func (m *Machine) publish(e pact.Entry) {
+func (m *Replica) publish(e quorum.Entry) {
 	m.tell(lore.Item{Key: lore.RegKey + e.Key, Version: e.Value.Version, Body: regBody(e)})
 }
 
-func regBody(e pact.Entry) string {
-	b, _ := easyjson.Marshal(pact.Entry{Key: e.Key, Accepted: e.Accepted, Value: e.Value, Chosen: true})
+func regBody(e quorum.Entry) string {
+	b, _ := easyjson.Marshal(quorum.Entry{Key: e.Key, Accepted: e.Accepted, Value: e.Value, Chosen: true})
 	return string(b)
 }
 
 // Digest is equal for members that hold the same, and for others by a chance of one in 2^64: of a chosen value its version
 // says all, whichever ballot it came by. A sum of weak hashes, which needs no order, once took versions 20 and 11 of two
 // registers for 21 and 8.
-func Digest(entries []pact.Entry) uint64 {
-	slices.SortFunc(entries, func(a, b pact.Entry) int { return strings.Compare(a.Key, b.Key) })
+func Digest(entries []quorum.Entry) uint64 {
+	slices.SortFunc(entries, func(a, b quorum.Entry) int { return strings.Compare(a.Key, b.Key) })
 	var text []byte
 	for _, e := range entries {
 		n, who := e.Accepted.N, e.Accepted.Who
@@ -375,7 +375,7 @@
 }
 
 // Held is a register as this member holds it.
-func (m *Machine) Held(key string) pact.Entry { return m.acceptor.Get(key) }
+func (m *Replica) Held(key string) quorum.Entry { return m.acceptor.Get(key) }
 
 // Caught tells whether this member counts.
-func (m *Machine) Caught() bool { return m.caught }
+func (m *Replica) Caught() bool { return m.caught }
--- a/moot/round.go
+++ b/internal/control/replica/round.go
@@ -1,4 +1,4 @@
-package moot
+package replica
 
 import (
 	"maps"
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"sagelever/pact"
+	"sagelever/internal/control/quorum"
 )
 
 // task is what this member has under way with the others.
@@ -15,17 +15,17 @@
 	number  uint64
 	kind    int
 	until   time.Time // after which it has failed; zero: it goes on until it is done
-	changes map[string]pact.Change
-	prefix  string                // of what a read is about
-	values  map[string]pact.Value // what a read has found that is chosen
-	result  bool                  // whoever began it wants to hear of it
+	changes map[string]quorum.Change
+	prefix  string                  // of what a read is about
+	values  map[string]quorum.Value // what a read has found that is chosen
+	result  bool                    // whoever began it wants to hear of it
 	after   func()
 
 	try      int // numbers the attempts, so that late replies are told apart
 	taking   bool
-	round    *pact.Round
-	floor    pact.Ballot
-	held     []pact.Entry
+	round    *quorum.Round
+	floor    quorum.Ballot
+	held     []quorum.Entry
 	heard    map[string]bool
 	waiting  int       // replies that are still to come
 	deadline time.Time // of the attempt
@@ -48,17 +48,17 @@
 
 // Write makes changes to registers lasting: when it is done without an error, so many disks hold the outcome that
 // withstand can't lose it. It tries rounds until the time ends.
-func (m *Machine) Write(now time.Time, until time.Time, changes map[string]pact.Change) uint64 {
+func (m *Replica) Write(now time.Time, until time.Time, changes map[string]quorum.Change) uint64 {
 	return m.begin(now, &task{kind: writing, until: until, changes: changes, result: true})
 }
 
 // Read brings this member up to what f+1 members know, so that it has all that was ever acknowledged, and brings to an end
 // what it then holds of these registers without knowing that it is chosen: what a read tells stays so.
-func (m *Machine) Read(now time.Time, until time.Time, prefix string) uint64 {
+func (m *Replica) Read(now time.Time, until time.Time, prefix string) uint64 {
 	return m.begin(now, &task{kind: reading, until: until, prefix: prefix, result: true})
 }
 
-func (m *Machine) begin(now time.Time, t *task) uint64 {
+func (m *Replica) begin(now time.Time, t *task) uint64 {
 	m.number++
 	t.number = m.number
 	m.tasks[t.number] = t
@@ -67,7 +67,7 @@
 }
 
 // attempt begins a task, or begins it again.
-func (m *Machine) attempt(now time.Time, t *task) {
+func (m *Replica) attempt(now time.Time, t *task) {
 	if !m.caught && t.kind != catching {
 		m.end(t, nil, ErrCatching)
 		return
@@ -83,7 +83,7 @@
 			m.pause(now, t)
 			return
 		}
-		t.round = pact.NewRound(b, m.c.N, m.c.F, t.changes)
+		t.round = quorum.NewRound(b, m.c.N, m.c.F, t.changes)
 		m.ask(now, t, PreparePath, &Ask{Ballot: b, Keys: t.round.Keys()}, true)
 	case reading:
 		if m.c.F == 0 {
@@ -97,13 +97,13 @@
 			return
 		}
 		// Its ballot lies after all that it can have promised before: those were Ahead of its time of day at most.
-		t.floor = pact.Ballot{N: uint64(now.Add(Ahead).UnixMilli()) + 1, Who: m.c.Me.Node}
+		t.floor = quorum.Ballot{N: uint64(now.Add(Ahead).UnixMilli()) + 1, Who: m.c.Me.Node}
 		m.ask(now, t, RefusePath, &Ask{Ballot: t.floor}, false)
 	}
 }
 
 // ask sends a message to all members, this one too where its own word counts.
-func (m *Machine) ask(now time.Time, t *task, path string, a *Ask, self bool) {
+func (m *Replica) ask(now time.Time, t *task, path string, a *Ask, self bool) {
 	t.waiting = 0
 	for _, x := range m.Members() {
 		m.number++
@@ -128,7 +128,7 @@
 }
 
 // Replied takes the reply to a message, or nil where none came.
-func (m *Machine) Replied(now time.Time, number uint64, r *Reply) {
+func (m *Replica) Replied(now time.Time, number uint64, r *Reply) {
 	s, ok := m.sent[number]
 	delete(m.sent, number)
 	if t := m.tasks[s.task]; ok && t != nil && t.try == s.try {
@@ -136,7 +136,7 @@
 	}
 }
 
-func (m *Machine) reply(now time.Time, t *task, from string, r *Reply) {
+func (m *Replica) reply(now time.Time, t *task, from string, r *Reply) {
 	t.waiting--
 	try, taking := t.try, t.taking
 	if r != nil {
@@ -157,7 +157,7 @@
 	}
 }
 
-func (m *Machine) hearRound(now time.Time, t *task, from string, r *Reply) {
+func (m *Replica) hearRound(now time.Time, t *task, from string, r *Reply) {
 	if !r.OK {
 		t.round.Refused(r.Refused)
 		return
@@ -175,7 +175,7 @@
 	}
 	chosen := t.round.Chosen()
 	m.save(now, Save{Entries: m.learn(now, chosen)}, nil) // whoever finds it unsettled settles it again: no word is wanted
-	values := make(map[string]pact.Value, len(chosen))
+	values := make(map[string]quorum.Value, len(chosen))
 	for _, e := range chosen {
 		values[e.Key] = e.Value
 	}
@@ -183,7 +183,7 @@
 	m.end(t, values, nil)
 }
 
-func (m *Machine) hearRead(now time.Time, t *task, from string, r *Reply) {
+func (m *Replica) hearRead(now time.Time, t *task, from string, r *Reply) {
 	if t.heard[from] {
 		return
 	}
@@ -199,15 +199,15 @@
 	})
 }
 
-func (m *Machine) readFrom(now time.Time, t *task, from string) {
+func (m *Replica) readFrom(now time.Time, t *task, from string) {
 	if t.heard[from] = true; len(t.heard) >= m.c.F {
 		m.read(now, t)
 	}
 }
 
 // read ends a read, once what it tells is chosen.
-func (m *Machine) read(now time.Time, t *task) {
-	t.kind, t.changes, t.values = settling, map[string]pact.Change{}, map[string]pact.Value{}
+func (m *Replica) read(now time.Time, t *task) {
+	t.kind, t.changes, t.values = settling, map[string]quorum.Change{}, map[string]quorum.Value{}
 	for _, e := range m.acceptor.All() {
 		switch {
 		case !strings.HasPrefix(e.Key, t.prefix):
@@ -224,13 +224,13 @@
 	m.attempt(now, t)
 }
 
-func keep(held pact.Value) pact.Value { return held }
+func keep(held quorum.Value) quorum.Value { return held }
 
 // catchUp is for a member whose disk came back empty. Until f+1 others that have not lost theirs have told what they hold,
 // and refuse the ballots from before, it neither promises nor accepts nor reads.
-func (m *Machine) catchUp(now time.Time) { m.begin(now, &task{kind: catching}) }
+func (m *Replica) catchUp(now time.Time) { m.begin(now, &task{kind: catching}) }
 
-func (m *Machine) hearCatching(now time.Time, t *task, from string, r *Reply) {
+func (m *Replica) hearCatching(now time.Time, t *task, from string, r *Reply) {
 	if t.heard[from] || t.taking {
 		return
 	}
@@ -261,11 +261,11 @@
 }
 
 // mend brings values to an end whose writer is gone: each holder waits a while, by lot, and then writes them again.
-func (m *Machine) mend(now time.Time) {
-	due := map[string]pact.Change{}
+func (m *Replica) mend(now time.Time) {
+	due := map[string]quorum.Change{}
 	for _, key := range slices.Sorted(maps.Keys(m.open)) {
 		at := m.open[key]
-		if e := m.acceptor.Get(key); e.Chosen || e.Accepted == (pact.Ballot{}) {
+		if e := m.acceptor.Get(key); e.Chosen || e.Accepted == (quorum.Ballot{}) {
 			delete(m.open, key)
 		} else if !now.Before(at) {
 			due[key] = keep
@@ -278,7 +278,7 @@
 }
 
 // pause ends an attempt that has failed; the next begins after a while, by lot, as another may be at the same registers.
-func (m *Machine) pause(now time.Time, t *task) {
+func (m *Replica) pause(now time.Time, t *task) {
 	if t.round != nil {
 		if after := t.round.After(); m.timely(now, after, 2*Ahead) {
 			m.acceptor.Seen(after)
@@ -291,7 +291,7 @@
 	t.again = now.Add(between + time.Duration(m.c.Luck()*float64(4*between)))
 }
 
-func (m *Machine) end(t *task, values map[string]pact.Value, err error) {
+func (m *Replica) end(t *task, values map[string]quorum.Value, err error) {
 	delete(m.tasks, t.number)
 	if t.after != nil {
 		t.after()
@@ -302,7 +302,7 @@
 }
 
 // Due is when Tick wants to be called next; zero where nothing is under way.
-func (m *Machine) Due() (at time.Time) {
+func (m *Replica) Due() (at time.Time) {
 	earlier := func(x time.Time) {
 		if !x.IsZero() && (at.IsZero() || x.Before(at)) {
 			at = x
@@ -320,7 +320,7 @@
 }
 
 // Tick does what is due by the clock among what is under way.
-func (m *Machine) Tick(now time.Time) {
+func (m *Replica) Tick(now time.Time) {
 	for _, number := range slices.Sorted(maps.Keys(m.tasks)) {
 		t := m.tasks[number]
 		switch {
--- a/moot/together_test.go
+++ b/internal/control/replica/together_test.go
@@ -1,4 +1,4 @@
-package moot
+package replica
 
 import (
 	"fmt"
--- a/plan/check.go
+++ b/plan/check.go
@@ -8,7 +8,7 @@
 	"github.com/mailru/easyjson"
 
 	"sagelever/boot"
-	"sagelever/pact"
+	"sagelever/internal/control/quorum"
 )
 
 // Kinds of items. The limits are one item, whose name is empty.
@@ -74,9 +74,9 @@
 }
 
 // Values are the registers that a call sets, by key.
-func (c *Call) Values() (map[string]pact.Value, error) {
-	out := map[string]pact.Value{}
-	put := func(kind, name, version string, v pact.Value) error {
+func (c *Call) Values() (map[string]quorum.Value, error) {
+	out := map[string]quorum.Value{}
+	put := func(kind, name, version string, v quorum.Value) error {
 		where := kind + " " + name
 		n, err := ParseVersion(version)
 		if err != nil {
@@ -99,7 +99,7 @@
 		if err := checkItem(it); err != nil {
 			return nil, err
 		}
-		if err := put(it.Type, it.Metadata.Name, it.Metadata.Version, pact.Value{Body: string(it.Body)}); err != nil {
+		if err := put(it.Type, it.Metadata.Name, it.Metadata.Version, quorum.Value{Body: string(it.Body)}); err != nil {
 			return nil, err
 		}
 	}
@@ -111,7 +111,7 @@
 			if r.Name == "" {
 				return nil, errors.Errorf("remove: %s without a name", kind)
 			}
-			if err := put(kind, r.Name, r.Version, pact.Value{Gone: true}); err != nil {
+			if err := put(kind, r.Name, r.Version, quorum.Value{Gone: true}); err != nil {
 				return nil, err
 			}
 		}
@@ -233,8 +233,8 @@
 
 // Apply is the rule of the configuration for one item: the highest version prevails, set or dropped; an equal or lower
 // one has no effect.
-func Apply(sent pact.Value) pact.Change {
-	return func(held pact.Value) pact.Value {
+func Apply(sent quorum.Value) quorum.Change {
+	return func(held quorum.Value) quorum.Value {
 		if sent.Version > held.Version {
 			return sent
 		}
@@ -244,8 +244,8 @@
 
 // Check says whether the values may come into force over what is held: every route of the call names services that there
 // are afterwards, none that stays is left without its service, and no two share host and prefix.
-func Check(held map[string]pact.Value, sent map[string]pact.Value) error {
-	after := func(key string) pact.Value {
+func Check(held map[string]quorum.Value, sent map[string]quorum.Value) error {
+	after := func(key string) quorum.Value {
 		v, in := sent[key]
 		if h, ok := held[key]; ok && (!in || h.Version >= v.Version) {
 			return h
@@ -261,7 +261,7 @@
 		return ok && !v.Gone
 	}
 	places := map[string]string{}
-	for _, set := range []map[string]pact.Value{sent, held} {
+	for _, set := range []map[string]quorum.Value{sent, held} {
 		for key := range set {
 			kind, name, ok := SplitKey(key)
 			if !ok || kind != Routes {
--- a/plan/cleared.go
+++ b/plan/cleared.go
@@ -4,7 +4,7 @@
 	"strconv"
 	"strings"
 
-	"sagelever/pact"
+	"sagelever/internal/control/quorum"
 )
 
 const (
@@ -58,12 +58,12 @@
 // withdrawn. An order has neither a name nor a body, so that one which is sent again as its answer was lost looks like
 // another; it is taken for the same while the last word was the same, and is not known to have had its answer: heard is the
 // version up to which that is known.
-func Clear(on bool, heard uint64) pact.Change {
-	return func(held pact.Value) pact.Value {
+func Clear(on bool, heard uint64) quorum.Change {
+	return func(held quorum.Value) quorum.Value {
 		c := readCleared(held.Body)
 		switch {
 		case held.Version == 0 && !on:
-			return pact.Value{Version: 1, Body: "off"}
+			return quorum.Value{Version: 1, Body: "off"}
 		case c.orders == 0 && !on, c.orders >= mostOrders && on:
 			return held
 		case held.Version > 0 && c.back == !on && heard != held.Version:
@@ -75,22 +75,22 @@
 			c.orders--
 		}
 		c.back = !on
-		return pact.Value{Version: held.Version + 1, Body: c.text()}
+		return quorum.Value{Version: held.Version + 1, Body: c.text()}
 	}
 }
 
 // Heard notes that the order which brought a version of a zone's register has had its answer.
-func Heard(version uint64) pact.Change {
-	return func(held pact.Value) pact.Value {
+func Heard(version uint64) quorum.Change {
+	return func(held quorum.Value) quorum.Value {
 		if ReadHeard(held) >= version {
 			return held
 		}
-		return pact.Value{Version: held.Version + 1, Body: strconv.FormatUint(version, 10)}
+		return quorum.Value{Version: held.Version + 1, Body: strconv.FormatUint(version, 10)}
 	}
 }
 
 // ReadHeard reads the register of HeardKey.
-func ReadHeard(v pact.Value) uint64 {
+func ReadHeard(v quorum.Value) uint64 {
 	n, _ := strconv.ParseUint(v.Body, 10, 64) // none is 0
 	return n
 }
--- a/plan/drains.go
+++ b/plan/drains.go
@@ -8,7 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/mailru/easyjson"
 
-	"sagelever/pact"
+	"sagelever/internal/control/quorum"
 )
 
 const drainKey = "drain/"
@@ -82,7 +82,7 @@
 }
 
 // ReadDrains reads a zone's register.
-func ReadDrains(v pact.Value) []Drain {
+func ReadDrains(v quorum.Value) []Drain {
 	l := &DrainList{}
 	if v.Body == "" || easyjson.Unmarshal([]byte(v.Body), l) != nil {
 		return nil
@@ -92,7 +92,7 @@
 
 // FindDrain finds a drain that stands by its name, and the register that holds it. An appliance may be gone by now: the name
 // is all that is needed.
-func FindDrain(held map[string]pact.Value, name string) (key string, d Drain, ok bool) {
+func FindDrain(held map[string]quorum.Value, name string) (key string, d Drain, ok bool) {
 	for key, v := range held {
 		zone, is := strings.CutPrefix(key, drainKey)
 		if !is {
@@ -109,8 +109,8 @@
 
 // BeginDrain adds a drain to a zone's; one that stands already changes nothing. Those of lives that are over go with it, and
 // where there are too many, none is added.
-func BeginDrain(d Drain, over func(id string) bool, now time.Time) pact.Change {
-	return func(held pact.Value) pact.Value {
+func BeginDrain(d Drain, over func(id string) bool, now time.Time) quorum.Change {
+	return func(held quorum.Value) quorum.Value {
 		list := ReadDrains(held)
 		if slices.ContainsFunc(list, d.Same) {
 			return held
@@ -125,8 +125,8 @@
 }
 
 // EndDrain withdraws a drain; one that does not stand changes nothing.
-func EndDrain(d Drain) pact.Change {
-	return func(held pact.Value) pact.Value {
+func EndDrain(d Drain) quorum.Change {
+	return func(held quorum.Value) quorum.Value {
 		list := ReadDrains(held)
 		left := slices.DeleteFunc(slices.Clone(list), d.Same)
 		if len(left) == len(list) {
@@ -136,7 +136,7 @@
 	}
 }
 
-func drains(held pact.Value, list []Drain) pact.Value {
+func drains(held quorum.Value, list []Drain) quorum.Value {
 	b, _ := easyjson.Marshal(&DrainList{list}) // texts and whole numbers only: it cannot fail
-	return pact.Value{Version: held.Version + 1, Body: string(b)}
+	return quorum.Value{Version: held.Version + 1, Body: string(b)}
 }
--- a/plan/table.go
+++ b/plan/table.go
@@ -10,7 +10,7 @@
 	"github.com/mailru/easyjson"
 
 	"sagelever/boot"
-	"sagelever/pact"
+	"sagelever/internal/control/quorum"
 )
 
 // Table is the configuration as a relay uses it: immutable, swapped whole.
@@ -65,7 +65,7 @@
 }
 
 // NewTable reads the registers into a table. What can't be read is passed over: it was checked when it was taken.
-func NewTable(values map[string]pact.Value) *Table {
+func NewTable(values map[string]quorum.Value) *Table {
 	t := &Table{hosts: map[string]map[string]*Way{}, lengths: map[string][]int{}, Services: map[string]*Backend{},
 		Cleared: map[string]bool{}, Drains: map[string][]Drain{}, Orders: map[string]uint64{}, Releases: map[string]*Release{}}
 	homes := map[string]map[string]bool{}
@@ -226,27 +226,27 @@
 )
 
 // Begin orders a release. The same order again, under way or decided, changes nothing.
-func Begin(target string, over time.Duration, now time.Time) pact.Change {
-	return func(held pact.Value) pact.Value {
+func Begin(target string, over time.Duration, now time.Time) quorum.Change {
+	return func(held quorum.Value) quorum.Value {
 		r := &Release{}
 		if held.Body != "" && easyjson.Unmarshal([]byte(held.Body), r) == nil && r.Target == target {
 			return held
 		}
 		next := &Release{Target: target, Phase: InService, OverMs: over.Milliseconds(), Began: now.UnixMilli(), Number: r.Number + 1}
-		return pact.Value{Version: held.Version + 1, Body: next.text()}
+		return quorum.Value{Version: held.Version + 1, Body: next.text()}
 	}
 }
 
 // Decide ends a release that is under way. One that is decided stays as it is, so that of two decisions that race the
 // register keeps one.
-func Decide(number uint64, phase string) pact.Change {
-	return func(held pact.Value) pact.Value {
+func Decide(number uint64, phase string) quorum.Change {
+	return func(held quorum.Value) quorum.Value {
 		r := &Release{}
 		if held.Body == "" || easyjson.Unmarshal([]byte(held.Body), r) != nil || r.Number != number || r.Phase != InService {
 			return held
 		}
 		r.Phase = phase
-		return pact.Value{Version: held.Version + 1, Body: r.text()}
+		return quorum.Value{Version: held.Version + 1, Body: r.text()}
 	}
 }
 
@@ -256,7 +256,7 @@
 }
 
 // ReadRelease reads a release's register.
-func ReadRelease(v pact.Value) (*Release, bool) {
+func ReadRelease(v quorum.Value) (*Release, bool) {
 	r := &Release{}
 	return r, v.Body != "" && easyjson.Unmarshal([]byte(v.Body), r) == nil
 }
--- a/relay/news.go
+++ b/relay/news.go
@@ -15,9 +15,9 @@
 	"go.uber.org/zap"
 
 	"sagelever/ebb"
+	"sagelever/internal/control/quorum"
+	"sagelever/internal/control/replica"
 	"sagelever/lore"
-	"sagelever/moot"
-	"sagelever/pact"
 	"sagelever/plan"
 	"sagelever/steward"
 )
@@ -38,14 +38,14 @@
 	wait   time.Duration // how long a pull waits for news
 
 	mu      sync.Mutex
-	members map[string]moot.Member // by address
-	reached time.Time              // when it last heard news
-	come    lore.Vector            // how far this relay has come, by every source's numbers
-	vector  map[string]uint64      // the same for a source that speaks the version before, by its own
-	at      map[string]string      // which such a source an address was last
-	passed  map[string]time.Time   // until when an address is passed over
-	now     string                 // the address pulled from
-	values  map[string]pact.Value
+	members map[string]replica.Member // by address
+	reached time.Time                 // when it last heard news
+	come    lore.Vector               // how far this relay has come, by every source's numbers
+	vector  map[string]uint64         // the same for a source that speaks the version before, by its own
+	at      map[string]string         // which such a source an address was last
+	passed  map[string]time.Time      // until when an address is passed over
+	now     string                    // the address pulled from
+	values  map[string]quorum.Value
 	front   string
 	changed uint64
 	told    map[string]string
@@ -55,8 +55,8 @@
 
 func newNews(r *Relay) *news {
 	n := &news{r: r, wait: ebb.Wait(r.settings.Bounds.Empty), life: r.settings.Node + "@" + strconv.FormatInt(time.Now().UnixNano(), 36),
-		members: map[string]moot.Member{}, come: lore.Vector{}, vector: map[string]uint64{}, at: map[string]string{}, passed: map[string]time.Time{},
-		values: map[string]pact.Value{}, told: map[string]string{}, changed: uint64(time.Now().UnixMilli())}
+		members: map[string]replica.Member{}, come: lore.Vector{}, vector: map[string]uint64{}, at: map[string]string{}, passed: map[string]time.Time{},
+		values: map[string]quorum.Value{}, told: map[string]string{}, changed: uint64(time.Now().UnixMilli())}
 	n.client = steward.Client(r.dial)
 	n.reload(append([]string{net.JoinHostPort(r.settings.IP, "0")}, r.settings.FirstContacts...)) // there may be a steward here
 	return n
@@ -70,7 +70,7 @@
 		if host, _, err := net.SplitHostPort(c); err == nil {
 			addr := net.JoinHostPort(host, n.r.settings.Peer())
 			if _, known := n.members[addr]; !known {
-				n.members[addr] = moot.Member{Addr: addr}
+				n.members[addr] = replica.Member{Addr: addr}
 			}
 		}
 	}
@@ -185,7 +185,7 @@
 }
 
 // call is this relay's word to the core.
-func (n *news) call(addr string, wait time.Duration) *moot.Pull {
+func (n *news) call(addr string, wait time.Duration) *replica.Pull {
 	front := ""
 	if n.r.ready() {
 		front = n.r.settings.Listens["front"]
@@ -196,8 +196,8 @@
 		n.front = front
 		n.changed = max(n.changed+1, uint64(time.Now().UnixMilli()))
 	}
-	p := &moot.Pull{From: moot.Member{Node: n.r.settings.Node, Zone: n.r.settings.Zone}, Role: moot.Edge,
-		Wire: moot.Wire, WaitMs: wait.Milliseconds(), Front: n.front, Life: n.changed}
+	p := &replica.Pull{From: replica.Member{Node: n.r.settings.Node, Zone: n.r.settings.Zone}, Role: replica.Edge,
+		Wire: replica.Wire, WaitMs: wait.Milliseconds(), Front: n.front, Life: n.changed}
 	if time.Since(n.reached) < longAway {
 		p.Come = maps.Clone(n.come)
 	}
@@ -210,7 +210,7 @@
 	return p
 }
 
-func (n *news) pull(ctx context.Context, addr string, wait time.Duration) (*moot.News, error) {
+func (n *news) pull(ctx context.Context, addr string, wait time.Duration) (*replica.News, error) {
 	p := n.call(addr, wait)
 	body, err := easyjson.Marshal(p)
 	if err != nil {
@@ -218,8 +218,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
 	defer cancel()
-	got, asked := &moot.News{}, time.Now()
-	if err := steward.Post(ctx, n.client, addr, moot.PullPath, body, got); err != nil {
+	got, asked := &replica.News{}, time.Now()
+	if err := steward.Post(ctx, n.client, addr, replica.PullPath, body, got); err != nil {
 		return nil, err
 	}
 	n.take(addr, p, got, asked)
@@ -227,7 +227,7 @@
 }
 
 // take takes up news: the configuration as a table swapped whole, the appliances, and what others count of releases.
-func (n *news) take(addr string, asked *moot.Pull, got *moot.News, at time.Time) {
+func (n *news) take(addr string, asked *replica.Pull, got *replica.News, at time.Time) {
 	now := time.Now()
 	n.mu.Lock()
 	anew := n.reach(addr, asked, got)
@@ -244,7 +244,7 @@
 		if !strings.HasPrefix(it.Key, lore.RegKey) {
 			continue
 		}
-		e := pact.Entry{}
+		e := quorum.Entry{}
 		if easyjson.Unmarshal([]byte(it.Body), &e) != nil || !e.Chosen || e.Value.Version <= n.values[e.Key].Version {
 			continue // within one life no item goes back
 		}
@@ -305,7 +305,7 @@
 
 // reach notes how far this relay has come with what an address has told, and tells whether that takes the place of what it
 // knew; under the lock. Several may be asked at once: an answer that builds on what was given up meanwhile claims nothing.
-func (n *news) reach(addr string, asked *moot.Pull, got *moot.News) (anew bool) {
+func (n *news) reach(addr string, asked *replica.Pull, got *replica.News) (anew bool) {
 	stale := len(n.come) == 0 || time.Since(n.reached) >= longAway
 	if addr != n.now {
 		n.counted = 0
@@ -314,7 +314,7 @@
 	delete(n.vector, n.at[addr])
 	delete(n.at, addr)
 	switch {
-	case got.Wire < moot.Wire:
+	case got.Wire < replica.Wire:
 		n.at[addr], n.vector[got.Source] = got.Source, got.Seq
 		return got.Whole
 	case got.Whole && stale:
@@ -354,13 +354,13 @@
 	if body, err := easyjson.Marshal(p); err == nil {
 		ctx, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
 		defer cancel()
-		_ = steward.Post(ctx, n.client, addr, moot.PullPath, body, nil)
+		_ = steward.Post(ctx, n.client, addr, replica.PullPath, body, nil)
 	}
 }
 
 // work answers a census of the core: what is out at appliances that leave, and what traffic is carried.
 func (n *news) work(addr string, count uint64) {
-	w := &moot.Work{From: moot.Member{Node: n.r.settings.Node, Zone: n.r.settings.Zone}, Count: count}
+	w := &replica.Work{From: replica.Member{Node: n.r.settings.Node, Zone: n.r.settings.Zone}, Count: count}
 	n.r.mu.Lock()
 	w.Rows, w.Loads, w.Drains = n.r.sway.Census(time.Now())
 	n.r.mu.Unlock()
@@ -370,7 +370,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	_ = steward.Post(ctx, n.client, addr, moot.WorkPath, body, nil) // one that is lost is told as unheard
+	_ = steward.Post(ctx, n.client, addr, replica.WorkPath, body, nil) // one that is lost is told as unheard
 }
 
 // tell tells this relay's counts of releases, where they have changed.
@@ -383,7 +383,7 @@
 	}
 	n.mu.Lock()
 	addr := n.now
-	out := &moot.News{}
+	out := &replica.News{}
 	for service, t := range tallies {
 		n.turns++
 		it := t.Item(service, n.turns)
@@ -402,7 +402,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	if steward.Post(ctx, n.client, addr, moot.TallyPath, body, nil) != nil {
+	if steward.Post(ctx, n.client, addr, replica.TallyPath, body, nil) != nil {
 		n.mu.Lock()
 		clear(n.told)
 		n.mu.Unlock()
--- a/steward/drains.go
+++ b/steward/drains.go
@@ -11,9 +11,9 @@
 	"github.com/mailru/easyjson"
 
 	"sagelever/ebb"
+	"sagelever/internal/control/quorum"
+	"sagelever/internal/control/replica"
 	"sagelever/lore"
-	"sagelever/moot"
-	"sagelever/pact"
 	"sagelever/plan"
 )
 
@@ -24,7 +24,7 @@
 
 // serveWork takes an agent's answer to a census.
 func (s *Steward) serveWork(w http.ResponseWriter, r *http.Request) {
-	x := &moot.Work{}
+	x := &replica.Work{}
 	if !read(w, r, x) {
 		return
 	}
@@ -40,7 +40,7 @@
 }
 
 // countHere waits until all have answered, or for countTime.
-func (s *Steward) countHere(ctx context.Context) (c moot.Census) {
+func (s *Steward) countHere(ctx context.Context) (c replica.Census) {
 	ctx, cancel := context.WithTimeout(ctx, countTime)
 	defer cancel()
 	s.step(func(now time.Time) { s.m.Count(now) })
@@ -60,20 +60,20 @@
 }
 
 // count asks every member for what its agents say. Unheard are agents that may have something out and have not answered.
-func (s *Steward) count(ctx context.Context) (all moot.Census, unheard []string) {
+func (s *Steward) count(ctx context.Context) (all replica.Census, unheard []string) {
 	ctx, cancel := context.WithTimeout(ctx, countTime+callTime/2) // a member that hangs holds up no operator
 	defer cancel()
 	s.mu.Lock()
 	members := s.m.Members()
 	s.mu.Unlock()
-	answers := make(chan moot.Census, len(members)+1)
+	answers := make(chan replica.Census, len(members)+1)
 	var wg sync.WaitGroup
 	for _, m := range members {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			c := moot.Census{}
-			if Post(ctx, s.client, m.Addr, moot.CensusPath, []byte("{}"), &c) == nil {
+			c := replica.Census{}
+			if Post(ctx, s.client, m.Addr, replica.CensusPath, []byte("{}"), &c) == nil {
 				answers <- c
 			}
 		}()
@@ -88,7 +88,7 @@
 	agents := s.m.Agents(s.now())
 	s.mu.Unlock()
 	for _, node := range agents {
-		if !slices.ContainsFunc(all.Works, func(w moot.Work) bool { return w.From.Node == node }) {
+		if !slices.ContainsFunc(all.Works, func(w replica.Work) bool { return w.From.Node == node }) {
 			unheard = append(unheard, node)
 		}
 	}
@@ -116,12 +116,12 @@
 		http.Error(w, "target: no appliance of such a service is known", http.StatusNotFound)
 		return
 	}
-	out, order := ebb.Answer{Target: d.Names(zone)}, moot.Order(zone, d, 0)
+	out, order := ebb.Answer{Target: d.Names(zone)}, replica.Order(zone, d, 0)
 	_, _, out.Stood = plan.FindDrain(held, out.Target)
 	if !out.Stood && !word.Force {
 		census, unheard := s.count(r.Context())
 		_, loads := census.Reports()
-		spots := moot.Spots(plan.NewTable(held), apps, s.settings.Zones, s.now())
+		spots := replica.Spots(plan.NewTable(held), apps, s.settings.Zones, s.now())
 		out.Short, out.Unheard = ebb.Room(loads, spots, order.Covers), unheard
 		if len(out.Short) > 0 {
 			for _, x := range spots {
@@ -140,7 +140,7 @@
 	}
 	s.mu.Unlock()
 	key := plan.DrainKey(zone)
-	now, can := s.ordered(w, r, map[string]pact.Change{key: plan.BeginDrain(d, func(id string) bool { return over[id] }, s.now())})
+	now, can := s.ordered(w, r, map[string]quorum.Change{key: plan.BeginDrain(d, func(id string) bool { return over[id] }, s.now())})
 	switch {
 	case !can:
 	case !slices.ContainsFunc(plan.ReadDrains(now[key]), d.Same):
@@ -169,7 +169,7 @@
 		http.Error(w, "of: no such drain stands", http.StatusNotFound)
 		return
 	}
-	if _, can := s.ordered(w, r, map[string]pact.Change{key: plan.EndDrain(d)}); can {
+	if _, can := s.ordered(w, r, map[string]quorum.Change{key: plan.EndDrain(d)}); can {
 		tellJSON(w, http.StatusOK, ebb.Answer{Target: name})
 	}
 }
@@ -186,7 +186,7 @@
 		later(w, err.Error())
 		return
 	}
-	orders := moot.Orders(held)
+	orders := replica.Orders(held)
 	if name := r.URL.Query().Get("of"); name != "" {
 		orders = slices.DeleteFunc(orders, func(o ebb.Order) bool { return o.Target != name })
 		if len(orders) == 0 {
@@ -201,7 +201,7 @@
 		s.mu.Lock()
 		apps := s.m.Apps()
 		s.mu.Unlock()
-		spots := moot.Spots(plan.NewTable(held), apps, s.settings.Zones, s.now())
+		spots := replica.Spots(plan.NewTable(held), apps, s.settings.Zones, s.now())
 		out.Drains = ebb.Tell(orders, spots, reports, unheard, s.now())
 	}
 	tellJSON(w, http.StatusOK, out)
@@ -209,7 +209,7 @@
 
 // target reads what a word is about, with the registers as chosen and the appliances that are known; it answers 404 where
 // there is no such thing.
-func (s *Steward) target(w http.ResponseWriter, r *http.Request, name string) (zone string, d plan.Drain, held map[string]pact.Value, apps map[string]*lore.App, ok bool) {
+func (s *Steward) target(w http.ResponseWriter, r *http.Request, name string) (zone string, d plan.Drain, held map[string]quorum.Value, apps map[string]*lore.App, ok bool) {
 	if name == "" || len(name) > longestID {
 		http.Error(w, "target: missing or too long", http.StatusBadRequest)
 		return
--- a/steward/drive.go
+++ b/steward/drive.go
@@ -9,9 +9,9 @@
 	"github.com/mailru/easyjson"
 	"go.uber.org/zap"
 
+	"sagelever/internal/control/quorum"
+	"sagelever/internal/control/replica"
 	"sagelever/lore"
-	"sagelever/moot"
-	"sagelever/pact"
 )
 
 // Keys in the vault. The disk keeps a beginning of what is noted together, in the order of the keys: comeKey is the last,
@@ -44,7 +44,7 @@
 }
 
 // carry carries out what steps have brought; under the lock, so that the disk is handed all in its order.
-func (s *Steward) carry() []moot.Line {
+func (s *Steward) carry() []replica.Line {
 	out := s.m.Take()
 	for _, x := range out.Saves {
 		word := s.disk.Add(saved(x))
@@ -54,7 +54,7 @@
 			s.step(func(now time.Time) { s.m.Saved(now, x.Number, err) })
 		}()
 	}
-	bodies := map[*moot.Ask][]byte{}
+	bodies := map[*replica.Ask][]byte{}
 	for _, x := range out.Sends {
 		body := bodies[x.Ask]
 		if body == nil {
@@ -99,14 +99,14 @@
 }
 
 // saved is what a save writes.
-func saved(x moot.Save) map[string]string {
+func saved(x replica.Save) map[string]string {
 	values := make(map[string]string, len(x.Entries)+2)
 	for _, e := range x.Entries {
 		b, _ := easyjson.Marshal(e) // texts and whole numbers only: it cannot fail
 		values[entryKey+e.Key] = string(b)
 	}
 	if x.Floor != nil {
-		b, _ := easyjson.Marshal(&moot.Ask{Ballot: *x.Floor})
+		b, _ := easyjson.Marshal(&replica.Ask{Ballot: *x.Floor})
 		values[floorKey] = string(b)
 	}
 	if x.Caught {
@@ -116,10 +116,10 @@
 }
 
 // send carries a message to another member, and its reply back.
-func (s *Steward) send(x moot.Send, body []byte) {
+func (s *Steward) send(x replica.Send, body []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), slowest)
 	defer cancel()
-	r := &moot.Reply{}
+	r := &replica.Reply{}
 	if Post(ctx, s.client, x.To.Addr, x.Path, body, r) != nil {
 		r = nil
 	}
@@ -127,8 +127,8 @@
 }
 
 // answer is this member's part in what another has under way.
-func (s *Steward) answer(ctx context.Context, path string, a *moot.Ask) (*moot.Reply, error) {
-	ch := make(chan moot.Answer, 1)
+func (s *Steward) answer(ctx context.Context, path string, a *replica.Ask) (*replica.Reply, error) {
+	ch := make(chan replica.Answer, 1)
 	s.step(func(now time.Time) {
 		s.call++
 		s.calls[s.call] = ch
@@ -143,8 +143,8 @@
 }
 
 // await begins something with the others and waits for its end.
-func (s *Steward) await(ctx context.Context, begin func(now, until time.Time) uint64) (map[string]pact.Value, error) {
-	ch := make(chan moot.Done, 1)
+func (s *Steward) await(ctx context.Context, begin func(now, until time.Time) uint64) (map[string]quorum.Value, error) {
+	ch := make(chan replica.Done, 1)
 	left := callTime
 	if at, ok := ctx.Deadline(); ok {
 		left = time.Until(at)
@@ -154,18 +154,18 @@
 	case x := <-ch:
 		return x.Values, x.Err
 	case <-ctx.Done():
-		return nil, moot.ErrFew
+		return nil, replica.ErrFew
 	}
 }
 
 // decide makes changes to registers lasting.
-func (s *Steward) decide(ctx context.Context, changes map[string]pact.Change) (map[string]pact.Value, error) {
+func (s *Steward) decide(ctx context.Context, changes map[string]quorum.Change) (map[string]quorum.Value, error) {
 	s.counts.rounds.Add(1)
 	return s.await(ctx, func(now, until time.Time) uint64 { return s.m.Write(now, until, changes) })
 }
 
 // read is what was acknowledged last of the registers whose keys begin so.
-func (s *Steward) read(ctx context.Context, prefix string) (map[string]pact.Value, error) {
+func (s *Steward) read(ctx context.Context, prefix string) (map[string]quorum.Value, error) {
 	return s.await(ctx, func(now, until time.Time) uint64 { return s.m.Read(now, until, prefix) })
 }
 
@@ -234,16 +234,16 @@
 }
 
 // remembered is what the disk holds for the machine.
-func (s *Steward) remembered(fresh bool) (was moot.Memory, err error) {
+func (s *Steward) remembered(fresh bool) (was replica.Memory, err error) {
 	for _, text := range s.disk.Load(entryKey) {
-		e := pact.Entry{}
+		e := quorum.Entry{}
 		if err := easyjson.Unmarshal([]byte(text), &e); err != nil {
 			return was, err
 		}
 		was.Entries = append(was.Entries, e)
 	}
 	if text, ok := s.disk.Load(floorKey)[""]; ok {
-		floor := &moot.Ask{}
+		floor := &replica.Ask{}
 		if err := easyjson.Unmarshal([]byte(text), floor); err != nil {
 			return was, err
 		}
@@ -258,7 +258,7 @@
 	}
 	for node, text := range s.disk.Load(memberKey) {
 		if zone, addr, ok := strings.Cut(text, " "); ok {
-			was.Members = append(was.Members, moot.Member{Node: node, Zone: zone, Addr: addr})
+			was.Members = append(was.Members, replica.Member{Node: node, Zone: zone, Addr: addr})
 			s.told[node] = text
 		}
 	}
@@ -282,13 +282,13 @@
 		version, err := strconv.ParseUint(parts[0], 16, 64)
 		number, err2 := strconv.ParseUint(parts[2], 16, 64)
 		if err == nil && err2 == nil {
-			was.Items = append(was.Items, moot.Kept{Item: lore.Item{Key: key, Version: version, Body: parts[3]}, Origin: parts[1], Number: number})
+			was.Items = append(was.Items, replica.Kept{Item: lore.Item{Key: key, Version: version, Body: parts[3]}, Origin: parts[1], Number: number})
 		}
 	}
 	for key, text := range s.disk.Load(oldAppKey) {
 		number, body, _ := strings.Cut(text, " ")
 		if version, err := strconv.ParseUint(number, 16, 64); err == nil {
-			was.Items = append(was.Items, moot.Kept{Item: lore.Item{Key: key, Version: version, Body: body}})
+			was.Items = append(was.Items, replica.Kept{Item: lore.Item{Key: key, Version: version, Body: body}})
 		}
 		s.notes[oldAppKey+key] = ""
 	}
--- a/steward/outside.go
+++ b/steward/outside.go
@@ -15,9 +15,9 @@
 	"github.com/mailru/easyjson"
 
 	"sagelever/boot"
+	"sagelever/internal/control/quorum"
+	"sagelever/internal/control/replica"
 	"sagelever/lore"
-	"sagelever/moot"
-	"sagelever/pact"
 	"sagelever/plan"
 )
 
@@ -96,7 +96,7 @@
 	ok := s.m.Sound(s.now())
 	s.mu.Unlock()
 	if !ok {
-		later(w, moot.ErrUnsound.Error())
+		later(w, replica.ErrUnsound.Error())
 	}
 	return ok
 }
@@ -120,7 +120,7 @@
 		return
 	}
 	s.counts.pulses.Add(1)
-	var near moot.Member
+	var near replica.Member
 	s.step(func(now time.Time) { near = s.m.Pulse(now, id, p) })
 	if p.Phase == lore.Emptying {
 		ctx, cancel := context.WithTimeout(r.Context(), callTime)
@@ -138,7 +138,7 @@
 }
 
 // control is where a member takes the calls of appliances: all machines of a system have the same ports.
-func (s *Steward) control(m moot.Member) string {
+func (s *Steward) control(m replica.Member) string {
 	_, port, err := net.SplitHostPort(s.settings.Listens["control"])
 	host, _, err2 := net.SplitHostPort(m.Addr)
 	if err != nil || err2 != nil {
@@ -191,7 +191,7 @@
 		refuse(w, err)
 		return
 	}
-	changes := make(map[string]pact.Change, len(sent))
+	changes := make(map[string]quorum.Change, len(sent))
 	for key, v := range sent {
 		changes[key] = plan.Apply(v)
 	}
@@ -256,7 +256,7 @@
 			return
 		}
 		key, heard := plan.ClearedKey(zone), plan.HeardKey(zone)
-		now, ok := s.ordered(w, r, map[string]pact.Change{key: plan.Clear(on, plan.ReadHeard(known[heard]))})
+		now, ok := s.ordered(w, r, map[string]quorum.Change{key: plan.Clear(on, plan.ReadHeard(known[heard]))})
 		if !ok {
 			return
 		}
@@ -268,14 +268,14 @@
 			go func() {
 				ctx, cancel := context.WithTimeout(context.Background(), slowest)
 				defer cancel()
-				_, _ = s.decide(ctx, map[string]pact.Change{heard: plan.Heard(now[key].Version)}) // unknown, the same word counts as sent again
+				_, _ = s.decide(ctx, map[string]quorum.Change{heard: plan.Heard(now[key].Version)}) // unknown, the same word counts as sent again
 			}()
 		}
 	}
 }
 
 // ordered makes changes lasting; it answers 503 where that can't be done now.
-func (s *Steward) ordered(w http.ResponseWriter, r *http.Request, changes map[string]pact.Change) (map[string]pact.Value, bool) {
+func (s *Steward) ordered(w http.ResponseWriter, r *http.Request, changes map[string]quorum.Change) (map[string]quorum.Value, bool) {
 	ctx, cancel := context.WithTimeout(r.Context(), callTime)
 	defer cancel()
 	values, err := s.decide(ctx, changes)
@@ -303,7 +303,7 @@
 	if !s.able(w) {
 		return
 	}
-	if _, ok := s.ordered(w, r, map[string]pact.Change{plan.ReleaseKey(o.Service): plan.Begin(o.Target, over, s.now())}); ok {
+	if _, ok := s.ordered(w, r, map[string]quorum.Change{plan.ReleaseKey(o.Service): plan.Begin(o.Target, over, s.now())}); ok {
 		answerJSON(w, []byte("{}"))
 	}
 }
--- a/steward/peers.go
+++ b/steward/peers.go
@@ -11,8 +11,8 @@
 	"github.com/go-faster/errors"
 	"github.com/mailru/easyjson"
 
+	"sagelever/internal/control/replica"
 	"sagelever/lore"
-	"sagelever/moot"
 )
 
 const (
@@ -77,13 +77,13 @@
 			h(&counted{w, c}, r)
 		})
 	}
-	serve(moot.PullPath, s.servePull)
-	serve(moot.TallyPath, s.serveTally)
-	serve(moot.WorkPath, s.serveWork)
-	serve(moot.CensusPath, s.serveCensus)
-	for _, path := range []string{moot.PreparePath, moot.AcceptPath, moot.ReadPath, moot.RefusePath} {
+	serve(replica.PullPath, s.servePull)
+	serve(replica.TallyPath, s.serveTally)
+	serve(replica.WorkPath, s.serveWork)
+	serve(replica.CensusPath, s.serveCensus)
+	for _, path := range []string{replica.PreparePath, replica.AcceptPath, replica.ReadPath, replica.RefusePath} {
 		serve(path, func(w http.ResponseWriter, r *http.Request) {
-			a := &moot.Ask{}
+			a := &replica.Ask{}
 			if !read(w, r, a) {
 				return
 			}
@@ -141,13 +141,13 @@
 
 // servePull answers with what is new, at once or when there is some.
 func (s *Steward) servePull(w http.ResponseWriter, r *http.Request) {
-	p := &moot.Pull{}
+	p := &replica.Pull{}
 	if !read(w, r, p) {
 		return
 	}
 	end := time.NewTimer(time.Duration(max(0, min(p.WaitMs, 10_000))) * time.Millisecond)
 	defer end.Stop()
-	var wait *moot.Waiting
+	var wait *replica.Waiting
 	s.step(func(now time.Time) { wait = s.m.Pulled(now, p) })
 	s.mu.Lock()
 	n, ready := s.m.Answer(s.now(), wait)
@@ -188,7 +188,7 @@
 		if len(pulling)+1 < s.n {
 			for _, c := range contacts {
 				if host, _, err := net.SplitHostPort(c); err == nil && host != s.settings.IP {
-					go s.pull(ctx, moot.Member{Addr: net.JoinHostPort(host, s.settings.Peer())})
+					go s.pull(ctx, replica.Member{Addr: net.JoinHostPort(host, s.settings.Peer())})
 				}
 			}
 		} else {
@@ -203,7 +203,7 @@
 
 // follow pulls one member's news for as long as this agent runs. A member that answers at once without news, twice running,
 // is not asked without end.
-func (s *Steward) follow(ctx context.Context, m moot.Member) {
+func (s *Steward) follow(ctx context.Context, m replica.Member) {
 	quick := 0
 	held := func() bool {
 		s.mu.Lock()
@@ -236,7 +236,7 @@
 }
 
 // pull asks one agent once and takes up what it tells.
-func (s *Steward) pull(ctx context.Context, from moot.Member) (items int, err error) {
+func (s *Steward) pull(ctx context.Context, from replica.Member) (items int, err error) {
 	s.mu.Lock()
 	p := s.m.Ask(s.now(), from)
 	s.mu.Unlock()
@@ -246,8 +246,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(p.WaitMs)*time.Millisecond+time.Second)
 	defer cancel()
-	n := &moot.News{}
-	if err := Post(ctx, s.client, from.Addr, moot.PullPath, body, n); err != nil {
+	n := &replica.News{}
+	if err := Post(ctx, s.client, from.Addr, replica.PullPath, body, n); err != nil {
 		return 0, err
 	}
 	s.step(func(now time.Time) { s.m.Told(now, from, p, n) })
@@ -274,14 +274,14 @@
 // stopTogether puts the word on a removal off until the other members have heard of it, so that no agent goes on when it is
 // given; it lasts already, so that the word comes in any case, and within the caller's time.
 func (s *Steward) stopTogether(ctx context.Context, register string) {
-	ctx, cancel := context.WithTimeout(ctx, moot.Together)
+	ctx, cancel := context.WithTimeout(ctx, replica.Together)
 	defer cancel()
 	s.spread(ctx, lore.RegKey+register)
 }
 
 // serveTally takes what an edge agent has seen of a release.
 func (s *Steward) serveTally(w http.ResponseWriter, r *http.Request) {
-	n := &moot.News{}
+	n := &replica.News{}
 	if !read(w, r, n) {
 		return
 	}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -1,5 +1,5 @@
 // Package steward is the control plane of one machine: the sockets, the disk and the clock of a member of the core. What
-// the member does is decided by moot.
+// the member does is decided by replica.
 package steward
 
 import (
@@ -17,7 +17,7 @@
 	"go.uber.org/zap"
 
 	"sagelever/boot"
-	"sagelever/moot"
+	"sagelever/internal/control/replica"
 	"sagelever/strand"
 	"sagelever/vault"
 )
@@ -44,13 +44,13 @@
 	n, f     int
 	disk     *vault.Vault
 	client   *http.Client
-	me       moot.Member
+	me       replica.Member
 
 	mu        sync.Mutex
-	m         *moot.Machine
+	m         *replica.Replica
 	call      uint64
-	calls     map[uint64]chan moot.Answer // of other members, until the disk has their answers
-	tasks     map[uint64]chan moot.Done
+	calls     map[uint64]chan replica.Answer // of other members, until the disk has their answers
+	tasks     map[uint64]chan replica.Done
 	pulls     map[string]context.CancelFunc // by address: ends a pull under way, so that the next begins
 	due       time.Time                     // when the machine wants to be called next
 	news      chan struct{}                 // closed when there is news
@@ -84,8 +84,8 @@
 		return nil, err
 	}
 	s := &Steward{settings: c, log: o.Log, now: o.Now, n: c.CoreSize(o.PerZone), f: c.Lost(o.PerZone), disk: disk,
-		client: Client(o.Dial), me: moot.Member{Node: c.Node, Zone: c.Zone, Addr: net.JoinHostPort(c.IP, c.Peer())},
-		calls: map[uint64]chan moot.Answer{}, tasks: map[uint64]chan moot.Done{}, pulls: map[string]context.CancelFunc{}, news: make(chan struct{}),
+		client: Client(o.Dial), me: replica.Member{Node: c.Node, Zone: c.Zone, Addr: net.JoinHostPort(c.IP, c.Peer())},
+		calls: map[uint64]chan replica.Answer{}, tasks: map[uint64]chan replica.Done{}, pulls: map[string]context.CancelFunc{}, news: make(chan struct{}),
 		notes: map[string]string{}, told: map[string]string{}, contacts: c.FirstContacts, byPath: map[string]*pathCount{}}
 	s.diskFails.log = o.Log
 	if most := (s.n - 1) / 2; s.f > most {
@@ -97,7 +97,7 @@
 		return nil, errors.Wrap(err, "what is on the disk")
 	}
 	pulse := c.Bounds.Pulse
-	s.m = moot.New(moot.Config{Me: s.me, Source: c.Node + "@" + strconv.FormatInt(s.now().UnixNano(), 36), N: s.n, F: s.f, Zones: c.Zones,
+	s.m = replica.New(replica.Config{Me: s.me, Source: c.Node + "@" + strconv.FormatInt(s.now().UnixNano(), 36), N: s.n, F: s.f, Zones: c.Zones,
 		Silence: 2*pulse + pulse/2, Luck: rand.Float64}, was, s.now())
 	s.log.Info("state read", zap.Int("registers", len(was.Entries)), zap.Int("items", len(was.Items)), zap.Bool("caughtUp", was.Caught),
 		zap.Int64("cut", disk.Cut), zap.Bool("putAside", disk.Aside), zap.Int("core", s.n), zap.Int("mayLose", s.f))
