--- a/boot/boot.go
+++ b/boot/boot.go
@@ -11,6 +11,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/mailru/easyjson"
+
+	"sagelever/internal/control/membership"
 )
 
 // Settings is the settings file as the platform writes it. Fields not named here are passed over.
@@ -173,6 +175,11 @@
 // Peer is the port on which the agents of the system call one another; all machines of a system have the same ports.
 func (s *Settings) Peer() string { return strconv.Itoa(s.SparePorts[0]) }
 
+// Core is the control core that the settings ask for, given how many members the deploy file places in each zone.
+func (s *Settings) Core(perZone int) membership.Target {
+	return membership.Target{PerZone: perZone, Zones: len(s.Zones), Lose: s.Lost(perZone)}
+}
+
 // CoreSize is how many members the core has: as many in each zone as the deploy file says, which is what the program is
 // started with. No one tells more.
 func (s *Settings) CoreSize(perZone int) int { return len(s.Zones) * perZone }
--- a/internal/control/quorum/quorum.go
+++ b/internal/control/quorum/quorum.go
@@ -13,14 +13,25 @@
 	"slices"
 )
 
-// Ballot orders rounds; the zero one is before all. Who tells apart rounds of two members with one number.
+// Ballot orders rounds; the zero one is before all. Every ballot of an epoch comes before those of the next, so that nothing
+// that was promised or accepted under an earlier set of members goes before what a later set decides. Who tells apart rounds
+// of two members with one number.
 type Ballot struct {
-	N   uint64 `json:"n"`
-	Who string `json:"w,omitempty"`
+	Epoch uint64 `json:"e,omitempty"`
+	N     uint64 `json:"n"`
+	Who   string `json:"w,omitempty"`
 }
 
 // Less tells whether a comes before b.
-func (a Ballot) Less(b Ballot) bool { return a.N < b.N || a.N == b.N && a.Who < b.Who }
+func (a Ballot) Less(b Ballot) bool {
+	if a.Epoch != b.Epoch {
+		return a.Epoch < b.Epoch
+	}
+	if a.N != b.N {
+		return a.N < b.N
+	}
+	return a.Who < b.Who
+}
 
 // Value is the content of a register: the item with its own version. Gone stands for an item that was dropped.
 type Value struct {
@@ -64,8 +75,10 @@
 	return a.floor
 }
 
-// Next is a ballot after all that this member has seen.
-func (a *Acceptor) Next(who string) Ballot { return Ballot{max(a.top, a.floor.N) + 1, who} }
+// Next is a ballot of an epoch after all that this member has seen.
+func (a *Acceptor) Next(epoch uint64, who string) Ballot {
+	return Ballot{Epoch: epoch, N: max(a.top, a.floor.N) + 1, Who: who}
+}
 
 // Seen notes a number that another member holds to, so that the next ballot comes after it.
 func (a *Acceptor) Seen(b Ballot) { a.top = max(a.top, b.N) }
--- a/internal/control/replica/apps.go
+++ b/internal/control/replica/apps.go
@@ -102,6 +102,10 @@
 
 // Minute does what time brings: leases that ran out, appliances fallen silent, lives long gone, values without an end.
 func (m *Replica) Minute(now time.Time) {
+	m.count(now)
+	m.confirm(now)
+	m.takeOver(now)
+	m.steer(now)
 	m.look(now)
 	m.mend(now)
 	m.resave(now)
@@ -174,7 +178,7 @@
 		if !ok || a.Phase != lore.Ready && a.Phase != lore.Emptying {
 			return
 		}
-		if x := m.members[a.Home]; x != nil && !x.lost.IsZero() && now.Sub(x.lost) > m.c.Silence {
+		if since, lost := m.homeLost(now, a.Home); lost && now.Sub(since) > m.c.Silence {
 			found = append(found, a.Fallen(strings.TrimPrefix(it.Key, lore.AppKey), it.Version))
 		}
 	})
@@ -183,3 +187,18 @@
 		m.tombs[it.Key] = now.Add(tomb)
 	}
 }
+
+// homeLost is since when the member that an appliance called is not heard any more, or no member.
+func (m *Replica) homeLost(now time.Time, home string) (since time.Time, lost bool) {
+	if x := m.members[home]; x != nil {
+		delete(m.homeless, home)
+		return x.lost, !x.lost.IsZero()
+	}
+	if home == m.c.Me.Node {
+		return time.Time{}, false
+	}
+	if _, noted := m.homeless[home]; !noted {
+		m.homeless[home] = now
+	}
+	return m.homeless[home], true
+}
--- a/internal/control/replica/members.go
+++ b/internal/control/replica/members.go
@@ -12,7 +12,7 @@
 // meet takes up who calls.
 func (m *Replica) meet(now time.Time, p *Pull) (behind uint64) {
 	if p.Role == Core {
-		m.join(p.From)
+		m.meetReplica(now, p)
 		return 0
 	}
 	l := &lore.Lease{Node: p.From.Node, Role: p.Role, Zone: p.From.Zone, Front: p.Front, Home: m.c.Me.Node, Ended: p.Ended}
@@ -41,17 +41,19 @@
 	return 0
 }
 
-// join takes up a member of the core. There are no more than its size says; four times as many may have been told.
-func (m *Replica) join(x Member) {
-	if x.Node == m.c.Me.Node || x.Node == "" || len(m.members) >= 4*m.c.N {
+// meetReplica takes up a replica that calls: a member, where it is in the set with this disk, or a candidate.
+func (m *Replica) meetReplica(now time.Time, p *Pull) {
+	if p.From.Node == m.c.Me.Node || p.From.Node == "" {
 		return
 	}
-	if known := m.members[x.Node]; known != nil {
-		known.Member = x
+	m.noteGeneration(p.From, p.Disk, p.Start)
+	known := m.members[p.From.Node]
+	if known == nil || !known.Is(p.From) {
+		m.noteCandidate(now, p)
 		return
 	}
-	m.members[x.Node] = &member{Member: x}
-	m.say("member found", "member", x.Node, "known", strconv.Itoa(len(m.members)+1))
+	known.Member = p.From // it may have moved to another address
+	known.leaving = p.Ending
 }
 
 // Members are those that are known, this one not.
@@ -64,6 +66,9 @@
 	return out
 }
 
+// Generations are what is known of other replicas' disks, to be kept where it is good to have.
+func (m *Replica) Generations() map[string]Generation { return m.generations }
+
 // watch has this member look after an item that came from elsewhere or from its disk: of what it granted or heard in a
 // life before it knows only so.
 func (m *Replica) watch(now time.Time, it lore.Item) {
@@ -102,22 +107,39 @@
 	return x != nil && x.begun && now.Sub(x.heard) < Heard
 }
 
-// Sound tells whether what this member says may be relied on: it has caught up, and hears more than half of the core. A
-// member that does not may lack what the others have acknowledged.
+// takeoverGrace is for how long a member is still relied on that has not yet taken over from the epoch before: what it knows
+// is as new as what the others do, and orders wait until it acts.
+const takeoverGrace = 2 * time.Second
+
+// Sound tells whether what this member says may be relied on: it is a member, and hears more than half of the members. One
+// that does not may lack what the others have acknowledged.
 func (m *Replica) Sound(now time.Time) bool {
+	if m.leaving || !m.inForce(now) {
+		return false
+	}
 	near := 1
 	for node := range m.members {
 		if m.heardOf(node, now) {
 			near++
 		}
 	}
-	return m.caught && !m.leaving && 2*near > m.c.N
+	return m.standing.set.Majority(near)
+}
+
+// inForce tells whether this replica acts in the epoch in force, or is about to take over from the one before.
+func (m *Replica) inForce(now time.Time) bool {
+	s := &m.standing
+	if s.set.Epoch == 0 {
+		return false
+	}
+	return m.Acting() || s.confirmed && m.own() && s.member() && now.Sub(s.adopted) < takeoverGrace
 }
 
 // Leave has this member end: whoever pulls is answered at once, and goes elsewhere.
-func (m *Replica) Leave() {
+func (m *Replica) Leave(now time.Time) {
 	m.leaving = true
 	m.wake(0)
+	m.steer(now)
 }
 
 // look says when this member begins or ends to hear most of the core; whoever waits for news is told.
--- a/internal/control/replica/messages.go
+++ b/internal/control/replica/messages.go
@@ -2,16 +2,13 @@
 
 import (
 	"sagelever/ebb"
+	"sagelever/internal/control/membership"
 	"sagelever/internal/control/quorum"
 	"sagelever/lore"
 )
 
-// Member is a member of the core as agents tell one another.
-type Member struct {
-	Node string `json:"n"`
-	Zone string `json:"z"`
-	Addr string `json:"a"` // where its peers call it
-}
+// Member is a member of the core, or an agent that would be one, as agents tell one another.
+type Member = membership.Member
 
 // Wire is the version of these words. The first one pulled by the source's own numbers.
 const Wire = 2
@@ -31,6 +28,11 @@
 	Ended  bool              `json:"e,omitempty"`
 	Meet   bool              `json:"m,omitempty"` // asks only who the members are
 	Count  uint64            `json:"k,omitempty"` // the last census of the source that it has answered
+	Set    uint64            `json:"b,omitempty"` // of a replica: the newest epoch that it knows
+	Ready  bool              `json:"y,omitempty"` // of one that is no member: it holds all that a member held; see membership.Candidate
+	Ending bool              `json:"x,omitempty"` // of a member: its process is about to end
+	Disk   uint64            `json:"h,omitempty"` // of a replica: the generation of its disk
+	Start  uint64            `json:"d,omitempty"` // of a replica: see Generation
 	Epoch  int               `json:"-"`           // the caller's own: how often what it knew was given up
 }
 
@@ -58,6 +60,8 @@
 	Members []Member    `json:"m,omitempty"`
 	Life    uint64      `json:"l,omitempty"` // the caller's Life is behind what is known of it: it has to be later than this
 	Now     int64       `json:"t"`           // Unix milliseconds at the source
+	Disk    string      `json:"z,omitempty"` // of the replica that tells
+	Set     *SetEntry   `json:"b,omitempty"` // the members in force, where a replica asks that knows of an older epoch only
 	Count   uint64      `json:"k,omitempty"` // of a census under way: the caller is to say what it has out
 }
 
@@ -88,34 +92,50 @@
 	return ""
 }
 
-// Ask is a message of a round: a promise is asked where Values is empty.
+// SetEntry is the register that holds the set of members, as it was chosen.
+type SetEntry = quorum.Entry
+
+// Ask is a message between replicas of the core. Epoch is that of the sender's set; whoever knows a newer one refuses.
 //
 //easyjson:json
 type Ask struct {
-	Ballot quorum.Ballot  `json:"b"`
-	Keys   []string       `json:"k,omitempty"`
-	Values []quorum.Entry `json:"v,omitempty"`
-	Digest uint64         `json:"d,omitempty"`
+	Epoch      uint64         `json:"e,omitempty"`
+	Ballot     quorum.Ballot  `json:"b"`
+	Keys       []string       `json:"k,omitempty"` // PreparePath
+	Values     []quorum.Entry `json:"v,omitempty"` // AcceptPath
+	Digest     uint64         `json:"d,omitempty"` // ReadPath, StatePath: of what the asker holds
+	Prefix     string         `json:"p,omitempty"` // ReadPath: of the keys that are asked for
+	After      string         `json:"a,omitempty"` // ReadPath, StatePath: the key after which to go on
+	Set        *SetEntry      `json:"s,omitempty"` // StatePath: the set that the asker goes by
+	From       Member         `json:"f,omitzero"`  // GenerationPath
+	Generation uint64         `json:"g,omitempty"` // GenerationPath: of the asker's disk
+	Start      uint64         `json:"n,omitempty"` // GenerationPath: see Generation
 }
 
 // Reply answers an Ask.
 //
 //easyjson:json
 type Reply struct {
-	OK      bool           `json:"o"`
-	Same    bool           `json:"s,omitempty"` // the digest is the same
-	Held    []quorum.Entry `json:"h,omitempty"`
-	Refused quorum.Ballot  `json:"r"`
+	OK         bool           `json:"o"`
+	Same       bool           `json:"s,omitempty"` // the digest is the same
+	Held       []quorum.Entry `json:"h,omitempty"`
+	More       string         `json:"m,omitempty"` // there is more, after this key
+	Refused    quorum.Ballot  `json:"r"`
+	Set        *SetEntry      `json:"t,omitempty"` // a newer set than the asker's is in force
+	Acting     uint64         `json:"e,omitempty"` // StatePath: the epoch in which the replica acts, or acted last
+	Generation uint64         `json:"g,omitempty"` // GenerationPath: the last that is known of the asker's disk
+	Start      uint64         `json:"n,omitempty"` // GenerationPath: see Generation
 }
 
 // Kinds of asks, as the paths of calls.
 const (
-	PullPath    = "/pull"
-	TallyPath   = "/tally"
-	PreparePath = "/prepare"
-	AcceptPath  = "/accept"
-	ReadPath    = "/read"
-	RefusePath  = "/refuse"
-	WorkPath    = "/work"
-	CensusPath  = "/census"
+	PullPath       = "/pull"
+	TallyPath      = "/tally"
+	PreparePath    = "/prepare"
+	AcceptPath     = "/accept"
+	ReadPath       = "/read"
+	StatePath      = "/state"      // what a replica holds, for one that takes over or learns
+	GenerationPath = "/generation" // what is known of the asker's disk
+	WorkPath       = "/work"
+	CensusPath     = "/census"
 )
--- a/internal/control/replica/messages_easyjson.go
+++ b/internal/control/replica/messages_easyjson.go
@@ -8,6 +8,7 @@
 	jlexer "github.com/mailru/easyjson/jlexer"
 	jwriter "github.com/mailru/easyjson/jwriter"
 	ebb "sagelever/ebb"
+	membership "sagelever/internal/control/membership"
 	quorum "sagelever/internal/control/quorum"
 	lore "sagelever/lore"
 )
@@ -20,7 +21,7 @@
 	_ easyjson.Marshaler
 )
 
-func easyjsonF2f3c621DecodeSageleverMoot(in *jlexer.Lexer, out *Work) {
+func easyjson66c1e240DecodeSageleverInternalControlReplica(in *jlexer.Lexer, out *Work) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -35,7 +36,7 @@
 		in.WantColon()
 		switch key {
 		case "f":
-			easyjsonF2f3c621DecodeSageleverMoot1(in, &out.From)
+			easyjson66c1e240DecodeSageleverInternalControlMembership(in, &out.From)
 		case "k":
 			if in.IsNull() {
 				in.Skip()
@@ -130,14 +131,14 @@
 		in.Consumed()
 	}
 }
-func easyjsonF2f3c621EncodeSageleverMoot(out *jwriter.Writer, in Work) {
+func easyjson66c1e240EncodeSageleverInternalControlReplica(out *jwriter.Writer, in Work) {
 	out.RawByte('{')
 	first := true
 	_ = first
 	{
 		const prefix string = ",\"f\":"
 		out.RawString(prefix[1:])
-		easyjsonF2f3c621EncodeSageleverMoot1(out, in.From)
+		easyjson66c1e240EncodeSageleverInternalControlMembership(out, in.From)
 	}
 	{
 		const prefix string = ",\"k\":"
@@ -197,27 +198,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Work) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonF2f3c621EncodeSageleverMoot(&w, v)
+	easyjson66c1e240EncodeSageleverInternalControlReplica(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Work) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonF2f3c621EncodeSageleverMoot(w, v)
+	easyjson66c1e240EncodeSageleverInternalControlReplica(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Work) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonF2f3c621DecodeSageleverMoot(&r, v)
+	easyjson66c1e240DecodeSageleverInternalControlReplica(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Work) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonF2f3c621DecodeSageleverMoot(l, v)
+	easyjson66c1e240DecodeSageleverInternalControlReplica(l, v)
 }
-func easyjsonF2f3c621DecodeSageleverMoot1(in *jlexer.Lexer, out *Member) {
+func easyjson66c1e240DecodeSageleverInternalControlMembership(in *jlexer.Lexer, out *membership.Member) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -249,6 +250,12 @@
 			} else {
 				out.Addr = string(in.String())
 			}
+		case "d":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Disk = string(in.String())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -259,7 +266,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonF2f3c621EncodeSageleverMoot1(out *jwriter.Writer, in Member) {
+func easyjson66c1e240EncodeSageleverInternalControlMembership(out *jwriter.Writer, in membership.Member) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -278,9 +285,14 @@
 		out.RawString(prefix)
 		out.String(string(in.Addr))
 	}
+	if in.Disk != "" {
+		const prefix string = ",\"d\":"
+		out.RawString(prefix)
+		out.String(string(in.Disk))
+	}
 	out.RawByte('}')
 }
-func easyjsonF2f3c621DecodeSageleverMoot2(in *jlexer.Lexer, out *Reply) {
+func easyjson66c1e240DecodeSageleverInternalControlReplica1(in *jlexer.Lexer, out *Reply) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -333,8 +345,46 @@
 				}
 				in.Delim(']')
 			}
+		case "m":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.More = string(in.String())
+			}
 		case "r":
-			easyjsonF2f3c621DecodeSageleverPact(in, &out.Refused)
+			easyjson66c1e240DecodeSageleverInternalControlQuorum(in, &out.Refused)
+		case "t":
+			if in.IsNull() {
+				in.Skip()
+				out.Set = nil
+			} else {
+				if out.Set == nil {
+					out.Set = new(quorum.Entry)
+				}
+				if in.IsNull() {
+					in.Skip()
+				} else {
+					(*out.Set).UnmarshalEasyJSON(in)
+				}
+			}
+		case "e":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Acting = uint64(in.Uint64())
+			}
+		case "g":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Generation = uint64(in.Uint64())
+			}
+		case "n":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Start = uint64(in.Uint64())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -345,7 +395,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonF2f3c621EncodeSageleverMoot2(out *jwriter.Writer, in Reply) {
+func easyjson66c1e240EncodeSageleverInternalControlReplica1(out *jwriter.Writer, in Reply) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -373,10 +423,35 @@
 			out.RawByte(']')
 		}
 	}
+	if in.More != "" {
+		const prefix string = ",\"m\":"
+		out.RawString(prefix)
+		out.String(string(in.More))
+	}
 	{
 		const prefix string = ",\"r\":"
 		out.RawString(prefix)
-		easyjsonF2f3c621EncodeSageleverPact(out, in.Refused)
+		easyjson66c1e240EncodeSageleverInternalControlQuorum(out, in.Refused)
+	}
+	if in.Set != nil {
+		const prefix string = ",\"t\":"
+		out.RawString(prefix)
+		(*in.Set).MarshalEasyJSON(out)
+	}
+	if in.Acting != 0 {
+		const prefix string = ",\"e\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Acting))
+	}
+	if in.Generation != 0 {
+		const prefix string = ",\"g\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Generation))
+	}
+	if in.Start != 0 {
+		const prefix string = ",\"n\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Start))
 	}
 	out.RawByte('}')
 }
@@ -384,27 +459,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Reply) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonF2f3c621EncodeSageleverMoot2(&w, v)
+	easyjson66c1e240EncodeSageleverInternalControlReplica1(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Reply) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonF2f3c621EncodeSageleverMoot2(w, v)
+	easyjson66c1e240EncodeSageleverInternalControlReplica1(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Reply) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonF2f3c621DecodeSageleverMoot2(&r, v)
+	easyjson66c1e240DecodeSageleverInternalControlReplica1(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Reply) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonF2f3c621DecodeSageleverMoot2(l, v)
+	easyjson66c1e240DecodeSageleverInternalControlReplica1(l, v)
 }
-func easyjsonF2f3c621DecodeSageleverPact(in *jlexer.Lexer, out *quorum.Ballot) {
+func easyjson66c1e240DecodeSageleverInternalControlQuorum(in *jlexer.Lexer, out *quorum.Ballot) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -418,6 +493,12 @@
 		key := in.UnsafeFieldName(false)
 		in.WantColon()
 		switch key {
+		case "e":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Epoch = uint64(in.Uint64())
+			}
 		case "n":
 			if in.IsNull() {
 				in.Skip()
@@ -440,13 +521,24 @@
 		in.Consumed()
 	}
 }
-func easyjsonF2f3c621EncodeSageleverPact(out *jwriter.Writer, in quorum.Ballot) {
+func easyjson66c1e240EncodeSageleverInternalControlQuorum(out *jwriter.Writer, in quorum.Ballot) {
 	out.RawByte('{')
 	first := true
 	_ = first
+	if in.Epoch != 0 {
+		const prefix string = ",\"e\":"
+		first = false
+		out.RawString(prefix[1:])
+		out.Uint64(uint64(in.Epoch))
+	}
 	{
 		const prefix string = ",\"n\":"
-		out.RawString(prefix[1:])
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
 		out.Uint64(uint64(in.N))
 	}
 	if in.Who != "" {
@@ -456,7 +548,7 @@
 	}
 	out.RawByte('}')
 }
-func easyjsonF2f3c621DecodeSageleverMoot3(in *jlexer.Lexer, out *Pull) {
+func easyjson66c1e240DecodeSageleverInternalControlReplica2(in *jlexer.Lexer, out *Pull) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -471,7 +563,7 @@
 		in.WantColon()
 		switch key {
 		case "f":
-			easyjsonF2f3c621DecodeSageleverMoot1(in, &out.From)
+			easyjson66c1e240DecodeSageleverInternalControlMembership(in, &out.From)
 		case "r":
 			if in.IsNull() {
 				in.Skip()
@@ -568,6 +660,36 @@
 			} else {
 				out.Count = uint64(in.Uint64())
 			}
+		case "b":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Set = uint64(in.Uint64())
+			}
+		case "y":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Ready = bool(in.Bool())
+			}
+		case "x":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Ending = bool(in.Bool())
+			}
+		case "h":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Disk = uint64(in.Uint64())
+			}
+		case "d":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Start = uint64(in.Uint64())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -578,14 +700,14 @@
 		in.Consumed()
 	}
 }
-func easyjsonF2f3c621EncodeSageleverMoot3(out *jwriter.Writer, in Pull) {
+func easyjson66c1e240EncodeSageleverInternalControlReplica2(out *jwriter.Writer, in Pull) {
 	out.RawByte('{')
 	first := true
 	_ = first
 	{
 		const prefix string = ",\"f\":"
 		out.RawString(prefix[1:])
-		easyjsonF2f3c621EncodeSageleverMoot1(out, in.From)
+		easyjson66c1e240EncodeSageleverInternalControlMembership(out, in.From)
 	}
 	{
 		const prefix string = ",\"r\":"
@@ -665,33 +787,58 @@
 		out.RawString(prefix)
 		out.Uint64(uint64(in.Count))
 	}
+	if in.Set != 0 {
+		const prefix string = ",\"b\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Set))
+	}
+	if in.Ready {
+		const prefix string = ",\"y\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Ready))
+	}
+	if in.Ending {
+		const prefix string = ",\"x\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Ending))
+	}
+	if in.Disk != 0 {
+		const prefix string = ",\"h\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Disk))
+	}
+	if in.Start != 0 {
+		const prefix string = ",\"d\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Start))
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v Pull) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonF2f3c621EncodeSageleverMoot3(&w, v)
+	easyjson66c1e240EncodeSageleverInternalControlReplica2(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Pull) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonF2f3c621EncodeSageleverMoot3(w, v)
+	easyjson66c1e240EncodeSageleverInternalControlReplica2(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Pull) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonF2f3c621DecodeSageleverMoot3(&r, v)
+	easyjson66c1e240DecodeSageleverInternalControlReplica2(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Pull) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonF2f3c621DecodeSageleverMoot3(l, v)
+	easyjson66c1e240DecodeSageleverInternalControlReplica2(l, v)
 }
-func easyjsonF2f3c621DecodeSageleverMoot4(in *jlexer.Lexer, out *News) {
+func easyjson66c1e240DecodeSageleverInternalControlReplica3(in *jlexer.Lexer, out *News) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -740,7 +887,7 @@
 				}
 				for !in.IsDelim(']') {
 					var v16 lore.Item
-					easyjsonF2f3c621DecodeSageleverLore(in, &v16)
+					easyjson66c1e240DecodeSageleverLore(in, &v16)
 					out.Items = append(out.Items, v16)
 					in.WantComma()
 				}
@@ -856,16 +1003,16 @@
 				in.Delim('[')
 				if out.Members == nil {
 					if !in.IsDelim(']') {
-						out.Members = make([]Member, 0, 1)
+						out.Members = make([]membership.Member, 0, 1)
 					} else {
-						out.Members = []Member{}
+						out.Members = []membership.Member{}
 					}
 				} else {
 					out.Members = (out.Members)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v20 Member
-					easyjsonF2f3c621DecodeSageleverMoot1(in, &v20)
+					var v20 membership.Member
+					easyjson66c1e240DecodeSageleverInternalControlMembership(in, &v20)
 					out.Members = append(out.Members, v20)
 					in.WantComma()
 				}
@@ -883,6 +1030,26 @@
 			} else {
 				out.Now = int64(in.Int64())
 			}
+		case "z":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Disk = string(in.String())
+			}
+		case "b":
+			if in.IsNull() {
+				in.Skip()
+				out.Set = nil
+			} else {
+				if out.Set == nil {
+					out.Set = new(quorum.Entry)
+				}
+				if in.IsNull() {
+					in.Skip()
+				} else {
+					(*out.Set).UnmarshalEasyJSON(in)
+				}
+			}
 		case "k":
 			if in.IsNull() {
 				in.Skip()
@@ -899,7 +1066,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonF2f3c621EncodeSageleverMoot4(out *jwriter.Writer, in News) {
+func easyjson66c1e240EncodeSageleverInternalControlReplica3(out *jwriter.Writer, in News) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -929,7 +1096,7 @@
 				if v21 > 0 {
 					out.RawByte(',')
 				}
-				easyjsonF2f3c621EncodeSageleverLore(out, v22)
+				easyjson66c1e240EncodeSageleverLore(out, v22)
 			}
 			out.RawByte(']')
 		}
@@ -1010,7 +1177,7 @@
 				if v28 > 0 {
 					out.RawByte(',')
 				}
-				easyjsonF2f3c621EncodeSageleverMoot1(out, v29)
+				easyjson66c1e240EncodeSageleverInternalControlMembership(out, v29)
 			}
 			out.RawByte(']')
 		}
@@ -1025,6 +1192,16 @@
 		out.RawString(prefix)
 		out.Int64(int64(in.Now))
 	}
+	if in.Disk != "" {
+		const prefix string = ",\"z\":"
+		out.RawString(prefix)
+		out.String(string(in.Disk))
+	}
+	if in.Set != nil {
+		const prefix string = ",\"b\":"
+		out.RawString(prefix)
+		(*in.Set).MarshalEasyJSON(out)
+	}
 	if in.Count != 0 {
 		const prefix string = ",\"k\":"
 		out.RawString(prefix)
@@ -1036,27 +1213,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v News) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonF2f3c621EncodeSageleverMoot4(&w, v)
+	easyjson66c1e240EncodeSageleverInternalControlReplica3(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v News) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonF2f3c621EncodeSageleverMoot4(w, v)
+	easyjson66c1e240EncodeSageleverInternalControlReplica3(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *News) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonF2f3c621DecodeSageleverMoot4(&r, v)
+	easyjson66c1e240DecodeSageleverInternalControlReplica3(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *News) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonF2f3c621DecodeSageleverMoot4(l, v)
+	easyjson66c1e240DecodeSageleverInternalControlReplica3(l, v)
 }
-func easyjsonF2f3c621DecodeSageleverLore(in *jlexer.Lexer, out *lore.Item) {
+func easyjson66c1e240DecodeSageleverLore(in *jlexer.Lexer, out *lore.Item) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1110,7 +1287,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonF2f3c621EncodeSageleverLore(out *jwriter.Writer, in lore.Item) {
+func easyjson66c1e240EncodeSageleverLore(out *jwriter.Writer, in lore.Item) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1141,7 +1318,7 @@
 	}
 	out.RawByte('}')
 }
-func easyjsonF2f3c621DecodeSageleverMoot5(in *jlexer.Lexer, out *Census) {
+func easyjson66c1e240DecodeSageleverInternalControlReplica4(in *jlexer.Lexer, out *Census) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1219,7 +1396,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonF2f3c621EncodeSageleverMoot5(out *jwriter.Writer, in Census) {
+func easyjson66c1e240EncodeSageleverInternalControlReplica4(out *jwriter.Writer, in Census) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1263,27 +1440,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Census) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonF2f3c621EncodeSageleverMoot5(&w, v)
+	easyjson66c1e240EncodeSageleverInternalControlReplica4(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Census) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonF2f3c621EncodeSageleverMoot5(w, v)
+	easyjson66c1e240EncodeSageleverInternalControlReplica4(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Census) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonF2f3c621DecodeSageleverMoot5(&r, v)
+	easyjson66c1e240DecodeSageleverInternalControlReplica4(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Census) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonF2f3c621DecodeSageleverMoot5(l, v)
+	easyjson66c1e240DecodeSageleverInternalControlReplica4(l, v)
 }
-func easyjsonF2f3c621DecodeSageleverMoot6(in *jlexer.Lexer, out *Ask) {
+func easyjson66c1e240DecodeSageleverInternalControlReplica5(in *jlexer.Lexer, out *Ask) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1297,8 +1474,14 @@
 		key := in.UnsafeFieldName(false)
 		in.WantColon()
 		switch key {
+		case "e":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Epoch = uint64(in.Uint64())
+			}
 		case "b":
-			easyjsonF2f3c621DecodeSageleverPact(in, &out.Ballot)
+			easyjson66c1e240DecodeSageleverInternalControlQuorum(in, &out.Ballot)
 		case "k":
 			if in.IsNull() {
 				in.Skip()
@@ -1359,6 +1542,46 @@
 			} else {
 				out.Digest = uint64(in.Uint64())
 			}
+		case "p":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Prefix = string(in.String())
+			}
+		case "a":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.After = string(in.String())
+			}
+		case "s":
+			if in.IsNull() {
+				in.Skip()
+				out.Set = nil
+			} else {
+				if out.Set == nil {
+					out.Set = new(quorum.Entry)
+				}
+				if in.IsNull() {
+					in.Skip()
+				} else {
+					(*out.Set).UnmarshalEasyJSON(in)
+				}
+			}
+		case "f":
+			easyjson66c1e240DecodeSageleverInternalControlMembership(in, &out.From)
+		case "g":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Generation = uint64(in.Uint64())
+			}
+		case "n":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Start = uint64(in.Uint64())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -1369,14 +1592,25 @@
 		in.Consumed()
 	}
 }
-func easyjsonF2f3c621EncodeSageleverMoot6(out *jwriter.Writer, in Ask) {
+func easyjson66c1e240EncodeSageleverInternalControlReplica5(out *jwriter.Writer, in Ask) {
 	out.RawByte('{')
 	first := true
 	_ = first
+	if in.Epoch != 0 {
+		const prefix string = ",\"e\":"
+		first = false
+		out.RawString(prefix[1:])
+		out.Uint64(uint64(in.Epoch))
+	}
 	{
 		const prefix string = ",\"b\":"
-		out.RawString(prefix[1:])
-		easyjsonF2f3c621EncodeSageleverPact(out, in.Ballot)
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		easyjson66c1e240EncodeSageleverInternalControlQuorum(out, in.Ballot)
 	}
 	if len(in.Keys) != 0 {
 		const prefix string = ",\"k\":"
@@ -1411,29 +1645,59 @@
 		out.RawString(prefix)
 		out.Uint64(uint64(in.Digest))
 	}
+	if in.Prefix != "" {
+		const prefix string = ",\"p\":"
+		out.RawString(prefix)
+		out.String(string(in.Prefix))
+	}
+	if in.After != "" {
+		const prefix string = ",\"a\":"
+		out.RawString(prefix)
+		out.String(string(in.After))
+	}
+	if in.Set != nil {
+		const prefix string = ",\"s\":"
+		out.RawString(prefix)
+		(*in.Set).MarshalEasyJSON(out)
+	}
+	if (in.From != membership.Member{}) {
+		const prefix string = ",\"f\":"
+		out.RawString(prefix)
+		easyjson66c1e240EncodeSageleverInternalControlMembership(out, in.From)
+	}
+	if in.Generation != 0 {
+		const prefix string = ",\"g\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Generation))
+	}
+	if in.Start != 0 {
+		const prefix string = ",\"n\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Start))
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v Ask) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonF2f3c621EncodeSageleverMoot6(&w, v)
+	easyjson66c1e240EncodeSageleverInternalControlReplica5(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Ask) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonF2f3c621EncodeSageleverMoot6(w, v)
+	easyjson66c1e240EncodeSageleverInternalControlReplica5(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Ask) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonF2f3c621DecodeSageleverMoot6(&r, v)
+	easyjson66c1e240DecodeSageleverInternalControlReplica5(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Ask) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonF2f3c621DecodeSageleverMoot6(l, v)
+	easyjson66c1e240DecodeSageleverInternalControlReplica5(l, v)
 }
--- a/internal/control/replica/news.go
+++ b/internal/control/replica/news.go
@@ -69,11 +69,11 @@
 	if p.Wire >= Wire {
 		w.whole = len(p.Come) == 0
 	}
-	if x := m.members[p.From.Node]; p.Role == Core && x != nil && !m.heardOf(x.Node, now) && now.Sub(x.asked) > stuck {
+	if x := m.memberThat(p); x != nil && !m.heardOf(x.Node, now) && now.Sub(x.asked) > stuck {
 		x.asked = now
 		m.out.Call = append(m.out.Call, x.Member)
 	}
-	if p.Role == Core && !p.Meet && m.members[p.From.Node] != nil {
+	if !p.Meet && m.memberThat(p) != nil {
 		was, known := m.reach[p.From.Node]
 		m.reach[p.From.Node] = reached{come: p.Come, seq: p.Vector[m.feed.Source], at: now}
 		if away := now.Sub(was.at); known && away > Heard+LeaseTerm {
@@ -85,6 +85,15 @@
 	return w
 }
 
+// memberThat is the member that pulls; nil where an agent or a candidate does.
+func (m *Replica) memberThat(p *Pull) *member {
+	x := m.members[p.From.Node]
+	if p.Role != Core || x == nil || !x.Is(p.From) {
+		return nil
+	}
+	return x
+}
+
 // Answer is the news for a pull, and whether to send it: otherwise there is none, and it may wait unless that is its end.
 func (m *Replica) Answer(now time.Time, w *Waiting) (n *News, ready bool) {
 	p := w.p
@@ -92,7 +101,13 @@
 	sound := m.Sound(now)
 	n = &News{Source: m.feed.Source, Wire: Wire, Seq: m.feed.Seq(), Sound: sound, Life: w.behind, Now: now.UnixMilli()}
 	n.Agents, n.Here = m.roll.Count(p.From.Zone, now)
-	ready = m.leaving || sound != w.sound || w.behind != 0
+	if p.Role == Core {
+		n.Disk = m.standing.me.Disk
+		if p.Set < m.standing.set.Epoch {
+			n.Set = m.standing.entry()
+		}
+	}
+	ready = m.leaving || sound != w.sound || w.behind != 0 || n.Set != nil
 	if n.Count = m.counting(now); p.Role == Edge && n.Count > p.Count {
 		ready = true
 	}
@@ -132,15 +147,21 @@
 		ready = ready || !knows || w.whole
 	}
 	if _, knows := p.Come[m.feed.Origin]; p.Meet || p.Role == Edge && (!knows || len(n.Items) > 0) { // who has heard this life was told
-		n.Members = append(n.Members, m.c.Me)
-		for _, x := range m.members {
-			n.Members = append(n.Members, x.Member)
-		}
-		sort.Slice(n.Members, func(i, j int) bool { return n.Members[i].Node < n.Members[j].Node })
+		n.Members = m.callable()
 	}
 	return n, ready || len(n.Items) > 0
 }
 
+// callable are the members that agents may pull from: this replica is among them only while it is one.
+func (m *Replica) callable() []Member {
+	out := m.Members()
+	if m.standing.member() || len(out) == 0 {
+		out = append(out, m.standing.me)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Node < out[j].Node })
+	return out
+}
+
 // further is what of a vector goes beyond another.
 func further(v, than lore.Vector) lore.Vector {
 	out := lore.Vector{}
@@ -155,7 +176,14 @@
 // Ask is what this member asks another for: all that it lacks. Where it has not heard of the other lately the answer is
 // not to wait for news, as it is news itself that the other is there.
 func (m *Replica) Ask(now time.Time, to Member) *Pull {
-	p := &Pull{From: m.c.Me, Role: Core, Wire: Wire, Meet: to.Node == "", Epoch: m.epoch}
+	s := &m.standing
+	p := &Pull{From: s.me, Role: Core, Wire: Wire, Meet: to.Node == "", Epoch: m.epoch, Set: s.set.Epoch, Ending: m.leaving, Ready: s.learned}
+	if s.set.Epoch == 0 {
+		p.Ready = s.identity.Fresh
+	}
+	if s.saved {
+		p.Disk, p.Start = s.identity.Generation, s.start
+	}
 	if !p.Meet {
 		if m.heardOf(to.Node, now) {
 			p.WaitMs = CoreWait.Milliseconds()
@@ -213,8 +241,8 @@
 		}
 		changed = append(changed, m.take(now, it, origin, number)...)
 	}
-	for _, x := range n.Members {
-		m.join(x)
+	if n.Set != nil {
+		changed = append(changed, m.learn(now, []quorum.Entry{*n.Set})...)
 	}
 	if n.Wire >= Wire && !asked.Meet {
 		switch {
@@ -234,7 +262,7 @@
 	if !asked.Meet {
 		m.told = now
 	}
-	if x := m.members[from.Node]; x != nil {
+	if x := m.members[from.Node]; x != nil && (n.Disk == x.Disk || n.Wire < Wire) { // else a candidate calls from a member's address
 		x.heard, x.begun, m.heardAny = now, true, true
 		x.source, x.seq = "", 0
 		if len(n.Origins) > 0 {
@@ -353,7 +381,7 @@
 	if origin == "" {
 		return false
 	}
-	holders, all := 1, true
+	holders, all, size := 1, true, len(m.standing.set.Members)
 	for node := range m.members {
 		r, known := m.reach[node]
 		switch {
@@ -363,5 +391,5 @@
 			all = false
 		}
 	}
-	return holders >= m.c.N-m.c.N/2 && (all || now.Sub(since) >= Together)
+	return holders >= size-size/2 && (all || now.Sub(since) >= Together)
 }
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -5,8 +5,6 @@
 package replica
 
 import (
-	"crypto/sha256"
-	"encoding/binary"
 	"hash/fnv"
 	"slices"
 	"strconv"
@@ -16,6 +14,7 @@
 	"github.com/go-faster/errors"
 	"github.com/mailru/easyjson"
 
+	"sagelever/internal/control/membership"
 	"sagelever/internal/control/quorum"
 	"sagelever/lore"
 )
@@ -37,10 +36,6 @@
 	stuck   = 250 * time.Millisecond // a pull that has gone on for so long may hang on a member that was down when it began
 	between = 60 * time.Millisecond  // twice what a message takes between regions, about: the least pause after a refusal
 	settle  = 700 * time.Millisecond // after which a value without a known end is brought to one by whoever holds it
-
-	// Ahead is by how much a ballot's number may lie before this member's time of day. A member that lost its disk has
-	// forgotten its promises, but knows with this bound that none was later, and refuses all from before: see catchUp.
-	Ahead = 10 * time.Second
 )
 
 // Reasons why something was not done; whoever asked may ask another member, or again.
@@ -48,27 +43,31 @@
 	ErrFew      = errors.New("too few members answer")
 	ErrCatching = errors.New("this member is catching up")
 	ErrUnsound  = errors.New("this agent does not hear most of the core")
+	ErrOutside  = errors.New("this agent is not a member of the core")
 )
 
 // Config is what a member is told.
 type Config struct {
-	Me      Member
-	Source  string            // this member and its life, as the version before names it
-	N, F    int               // members of the core, and how many may lose their disks at once
-	Zones   map[string]string // zone to region
-	Silence time.Duration     // after which an appliance that pulsed here counts as silent
-	Luck    func() float64    // from [0, 1): spreads what several members would do at one moment
+	Me       Member            // without its disk's identity, which the disk holds
+	Source   string            // this member and its life, as the version before names it
+	Target   membership.Target // the core that the operator asks for
+	Contacts []string          // where the first contacts' peers call them: they decide the first set
+	Fresh    bool              // the whole system starts for the first time
+	Zones    map[string]string // zone to region
+	Silence  time.Duration     // after which an appliance that pulsed here counts as silent
+	Luck     func() float64    // from [0, 1): spreads what several members would do at one moment
 }
 
 // Memory is what a member's disk held.
 type Memory struct {
-	Entries []quorum.Entry
-	Floor   quorum.Ballot
-	Caught  bool // the disk is the member's own: never lost, or caught up since
-	Members []Member
-	Items   []Kept      // what was known
-	Come    lore.Vector // and how far that goes
-	Noted   time.Time   // when it was last so
+	Entries     []quorum.Entry
+	Floor       quorum.Ballot
+	Identity    Identity // the zero one where the disk is empty
+	Earlier     bool     // the disk was written by the version without sets of members, and is whole
+	Generations map[string]Generation
+	Items       []Kept      // what was known
+	Come        lore.Vector // and how far that goes
+	Noted       time.Time   // when it was last so
 }
 
 // Kept is an item with where it came from.
@@ -101,10 +100,10 @@
 
 // Save is to be on the disk, whole, before Saved is told so under its number.
 type Save struct {
-	Number  uint64
-	Entries []quorum.Entry
-	Floor   *quorum.Ballot
-	Caught  bool // the disk counts from now on
+	Number   uint64
+	Entries  []quorum.Entry
+	Floor    *quorum.Ballot
+	Identity *Identity
 }
 
 // Answer goes to another member's call.
@@ -131,7 +130,7 @@
 type Replica struct {
 	c        Config
 	acceptor *quorum.Acceptor
-	caught   bool
+	standing standing
 	leaving  bool
 	was      bool // sound, when last looked
 	begun    time.Time
@@ -143,46 +142,47 @@
 	saving  map[uint64]func(now time.Time, err error)
 	unsaved bool // the disk has refused something
 
-	feed     *lore.Feed
-	known    bool      // the feed is as far as its vector says
-	told     time.Time // when anyone last told this member news
-	epoch    int       // how often what was known was given up for what another told
-	heardAny bool      // in this life
-	roll     *lore.Roll
-	members  map[string]*member
-	reach    map[string]reached // how far each member has come that pulls here, by node
-	tombs    map[string]time.Time
-	apps     map[string]*lore.App // the newest of what pulses here have said
-	deciding map[string]bool      // services whose release is being decided
-	census   census
+	feed        *lore.Feed
+	known       bool      // the feed is as far as its vector says
+	told        time.Time // when anyone last told this member news
+	epoch       int       // how often what was known was given up for what another told
+	heardAny    bool      // in this life
+	roll        *lore.Roll
+	members     map[string]*member
+	candidates  map[string]*candidate // by node
+	generations map[string]Generation // by node: of other replicas' disks
+	homeless    map[string]time.Time  // by node: since when appliances are known whose home is no member
+	reach       map[string]reached    // how far each member has come that pulls here, by node
+	tombs       map[string]time.Time
+	apps        map[string]*lore.App // the newest of what pulses here have said
+	deciding    map[string]bool      // services whose release is being decided
+	census      census
 
 	out Out
 }
 
 type member struct {
 	Member
-	source string // as the version before numbers
-	seq    uint64
-	heard  time.Time
-	origin string    // of its life
-	asked  time.Time // when the last pull of it began
-	begun  bool      // heard since this member started
-	lost   time.Time // since when it is not heard any more; zero while it is
+	source  string // as the version before numbers
+	seq     uint64
+	heard   time.Time
+	origin  string    // of its life
+	asked   time.Time // when the last pull of it began
+	begun   bool      // heard since this member started
+	lost    time.Time // since when it is not heard any more; zero while it is
+	since   time.Time // when it became a member, as known here
+	leaving bool      // it has said that it ends
 }
 
 // New takes up what a disk held.
 func New(c Config, was Memory, now time.Time) *Replica {
-	m := &Replica{c: c, acceptor: quorum.NewAcceptor(was.Entries, was.Floor), caught: was.Caught, begun: now, open: map[string]time.Time{},
+	m := &Replica{c: c, acceptor: quorum.NewAcceptor(was.Entries, was.Floor), begun: now, open: map[string]time.Time{},
 		tasks: map[uint64]*task{}, sent: map[uint64]sent{}, saving: map[uint64]func(time.Time, error){},
-		members: map[string]*member{}, reach: map[string]reached{}, tombs: map[string]time.Time{},
+		members: map[string]*member{}, candidates: map[string]*candidate{}, homeless: map[string]time.Time{}, reach: map[string]reached{}, tombs: map[string]time.Time{},
 		apps: map[string]*lore.App{}, deciding: map[string]bool{}, out: Out{News: -1}}
 	m.feed = lore.NewFeed(c.Source, originOf(c.Me.Node, now, c.Luck()))
 	m.roll = lore.NewRoll(LeaseTerm, memory)
-	for _, x := range was.Members {
-		if x.Node != c.Me.Node {
-			m.members[x.Node] = &member{Member: x}
-		}
-	}
+	m.takePlace(now, was)
 	m.recall(was, now)
 	all := m.acceptor.All()
 	slices.SortFunc(all, func(a, b quorum.Entry) int { return strings.Compare(a.Key, b.Key) })
@@ -193,9 +193,7 @@
 			m.open[e.Key] = now.Add(settle)
 		}
 	}
-	if !m.caught {
-		m.catchUp(now)
-	}
+	m.beginStanding(now)
 	return m
 }
 
@@ -220,7 +218,7 @@
 
 // save has entries brought to the disk, and then goes on. Where nothing has changed it goes on at once.
 func (m *Replica) save(now time.Time, s Save, then func(now time.Time, err error)) {
-	if len(s.Entries) == 0 && s.Floor == nil && !s.Caught {
+	if len(s.Entries) == 0 && s.Floor == nil && s.Identity == nil {
 		if then != nil {
 			then(now, nil)
 		}
@@ -254,7 +252,8 @@
 	}
 	m.unsaved = false // a failure sets it again
 	floor := m.acceptor.Floor()
-	m.save(now, Save{Entries: m.acceptor.All(), Floor: &floor}, nil)
+	identity := m.standing.identity
+	m.save(now, Save{Entries: m.acceptor.All(), Floor: &floor, Identity: &identity}, nil)
 }
 
 // Asked takes another member's message, or this one's own; the answer comes under the call's number. What it says is on the
@@ -266,16 +265,27 @@
 }
 
 func (m *Replica) serve(now time.Time, path string, a *Ask, then func(now time.Time, r *Reply, err error)) {
-	if !m.caught {
+	switch path {
+	case GenerationPath:
+		then(now, m.serveGeneration(a), nil)
+		return
+	case StatePath:
+		m.serveState(now, a, then)
+		return
+	}
+	if a.Epoch < m.standing.set.Epoch { // it is told which set is in force
+		then(now, &Reply{Set: m.standing.entry()}, nil)
+		return
+	}
+	if a.Epoch > m.standing.set.Epoch || !m.Acting() {
 		then(now, nil, ErrCatching)
 		return
 	}
 	r := &Reply{OK: true}
 	var changed []quorum.Entry
-	var floor *quorum.Ballot
 	switch path {
 	case PreparePath, AcceptPath:
-		if !m.timely(now, a.Ballot, Ahead) {
+		if m.sealed() && !onlyMembers(a) {
 			then(now, &Reply{}, nil)
 			return
 		}
@@ -290,26 +300,12 @@
 			return
 		}
 	case ReadPath:
-		if all := m.acceptor.All(); Digest(all) == a.Digest {
-			r.Same = true
-		} else {
-			r.Held = all
-		}
-	case RefusePath:
-		if !m.timely(now, a.Ballot, 2*Ahead) {
-			then(now, nil, errors.New("the times of day stand too far apart"))
-			return
-		}
-		if m.acceptor.Refuse(a.Ballot) {
-			f := m.acceptor.Floor()
-			floor = &f
-		}
-		r.Held, r.Refused = m.acceptor.All(), m.acceptor.Floor()
+		m.fillPage(a, r)
 	}
 	for _, e := range changed { // whether or not the disk takes it
 		m.unsettled(now, e)
 	}
-	m.save(now, Save{Entries: changed, Floor: floor}, func(now time.Time, err error) {
+	m.save(now, Save{Entries: changed}, func(now time.Time, err error) {
 		if err != nil { // what is not on the disk is not said
 			r = nil
 		}
@@ -317,18 +313,17 @@
 	})
 }
 
-// timely tells whether a ballot's number lies at most so far ahead of the time of day.
-func (m *Replica) timely(now time.Time, b quorum.Ballot, ahead time.Duration) bool {
-	return b.N <= uint64(now.Add(ahead).UnixMilli())
-}
-
 // unsettled notes a register whose newest value this member holds without knowing that it is chosen.
 func (m *Replica) unsettled(now time.Time, e quorum.Entry) {
 	if held := m.acceptor.Get(e.Key); held.Chosen || held.Accepted == (quorum.Ballot{}) {
 		return
 	}
 	if _, noted := m.open[e.Key]; !noted {
-		m.open[e.Key] = now.Add(settle + time.Duration(m.c.Luck()*float64(settle)))
+		wait := settle
+		if e.Key == membership.Key { // nothing else is decided until it has an end
+			wait = settleMembers
+		}
+		m.open[e.Key] = now.Add(wait + time.Duration(m.c.Luck()*float64(wait)))
 	}
 }
 
@@ -339,6 +334,7 @@
 		if e.Chosen {
 			delete(m.open, e.Key)
 			m.publish(e)
+			m.adopt(now, e)
 		} else {
 			m.unsettled(now, e)
 		}
@@ -356,26 +352,5 @@
 	return string(b)
 }
 
-// Digest is equal for members that hold the same, and for others by a chance of one in 2^64: of a chosen value its version
-// says all, whichever ballot it came by. A sum of weak hashes, which needs no order, once took versions 20 and 11 of two
-// registers for 21 and 8.
-func Digest(entries []quorum.Entry) uint64 {
-	slices.SortFunc(entries, func(a, b quorum.Entry) int { return strings.Compare(a.Key, b.Key) })
-	var text []byte
-	for _, e := range entries {
-		n, who := e.Accepted.N, e.Accepted.Who
-		if e.Chosen {
-			n, who = e.Value.Version, ""
-		}
-		text = binary.BigEndian.AppendUint64(append(append(text, e.Key...), 0), n)
-		text = append(append(text, who...), 0)
-	}
-	sum := sha256.Sum256(text)
-	return binary.BigEndian.Uint64(sum[:])
-}
-
 // Held is a register as this member holds it.
 func (m *Replica) Held(key string) quorum.Entry { return m.acceptor.Get(key) }
-
-// Caught tells whether this member counts.
-func (m *Replica) Caught() bool { return m.caught }
--- a/internal/control/replica/round.go
+++ b/internal/control/replica/round.go
@@ -3,8 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"sagelever/internal/control/quorum"
@@ -24,26 +22,31 @@
 	try      int // numbers the attempts, so that late replies are told apart
 	taking   bool
 	round    *quorum.Round
-	floor    quorum.Ballot
-	held     []quorum.Entry
-	heard    map[string]bool
-	waiting  int       // replies that are still to come
-	deadline time.Time // of the attempt
-	again    time.Time // when the next attempt begins; zero while one is under way
+	heard    map[string]bool // members whose answer is whole
+	unsaved  int             // what was learned and is not on the disk yet
+	failed   bool            // the disk has refused it
+	waiting  int             // replies that are still to come
+	deadline time.Time       // of the attempt
+	again    time.Time       // when the next attempt begins; zero while one is under way
 }
 
 const (
 	writing = iota
 	reading
-	settling // what a read has found without a known end
-	catching
-	mending // what this member holds without a known end
+	settling   // what a read has found without a known end
+	mending    // what this member holds without a known end
+	confirming // that this member's disk is not one from the past
+	joining    // the epoch in force: taking over from the one before
+	learning   // what an acting member holds, as a candidate
 )
 
+// acts tells whether a task wants this member to act in the epoch in force.
+func (t *task) acts() bool { return t.kind <= mending }
+
 type sent struct {
 	task uint64
 	try  int
-	to   string
+	to   Member
 }
 
 // Write makes changes to registers lasting: when it is done without an error, so many disks hold the outcome that
@@ -68,91 +71,125 @@
 
 // attempt begins a task, or begins it again.
 func (m *Replica) attempt(now time.Time, t *task) {
-	if !m.caught && t.kind != catching {
-		m.end(t, nil, ErrCatching)
+	if t.acts() && !m.Acting() {
+		m.postpone(now, t)
 		return
 	}
 	t.try++
 	t.taking, t.again, t.deadline = false, time.Time{}, now.Add(attempt)
-	t.heard, t.held = map[string]bool{}, nil
+	t.heard, t.unsaved, t.failed = map[string]bool{}, 0, false
+	set := m.standing.set
 	switch t.kind {
 	case writing, settling, mending:
-		b := m.acceptor.Next(m.c.Me.Node)
-		b.N = max(b.N, uint64(now.UnixMilli()))
-		if !m.timely(now, b, Ahead) { // another's clock stood ahead of this one's
-			m.pause(now, t)
-			return
-		}
-		t.round = quorum.NewRound(b, m.c.N, m.c.F, t.changes)
-		m.ask(now, t, PreparePath, &Ask{Ballot: b, Keys: t.round.Keys()}, true)
+		t.round = quorum.NewRound(m.acceptor.Next(set.Epoch, m.self()), len(set.Members), set.Lose, t.changes)
+		m.askAll(now, t, PreparePath, &Ask{Epoch: set.Epoch, Ballot: t.round.Ballot, Keys: t.round.Keys()})
 	case reading:
-		if m.c.F == 0 {
+		if set.Lose == 0 {
 			m.read(now, t)
 			return
 		}
-		m.ask(now, t, ReadPath, &Ask{Digest: Digest(m.acceptor.All())}, false)
-	case catching:
-		if len(m.members) <= m.c.F { // each answer holds all that there is: none is asked for in vain
-			m.pause(now, t)
+		digest := Digest(m.registers(t.prefix))
+		m.ask(now, t, m.peers(), ReadPath, &Ask{Epoch: set.Epoch, Prefix: t.prefix, Digest: digest})
+	case confirming:
+		m.attemptConfirm(now, t)
+	case joining:
+		m.attemptJoin(now, t)
+	case learning:
+		m.attemptLearn(now, t)
+	}
+}
+
+// postpone has a task wait until this member acts in the epoch in force, where it is about to; else the task ends at once,
+// as another agent is better asked.
+func (m *Replica) postpone(now time.Time, t *task) {
+	switch {
+	case !m.standing.member():
+		m.end(t, nil, ErrOutside)
+	case !m.standing.identity.Acting:
+		m.end(t, nil, ErrCatching)
+	default:
+		t.again = now.Add(between/2 + time.Duration(m.c.Luck()*float64(between)))
+	}
+}
+
+// askAll sends a message to all members, this one too.
+func (m *Replica) askAll(now time.Time, t *task, path string, a *Ask) {
+	peers := m.peers()
+	m.send(t, peers, path, a)
+	t.waiting = len(peers) + 1
+	try := t.try
+	m.serve(now, path, a, func(now time.Time, r *Reply, err error) {
+		if m.tasks[t.number] != t || t.try != try {
 			return
 		}
-		// Its ballot lies after all that it can have promised before: those were Ahead of its time of day at most.
-		t.floor = quorum.Ballot{N: uint64(now.Add(Ahead).UnixMilli()) + 1, Who: m.c.Me.Node}
-		m.ask(now, t, RefusePath, &Ask{Ballot: t.floor}, false)
+		if err != nil {
+			r = nil
+		}
+		m.reply(now, t, m.self(), r)
+	})
+}
+
+// ask sends a message to some others.
+func (m *Replica) ask(now time.Time, t *task, to []Member, path string, a *Ask) {
+	m.send(t, to, path, a)
+	t.waiting = len(to)
+	if t.waiting == 0 {
+		m.pause(now, t)
 	}
 }
 
-// ask sends a message to all members, this one too where its own word counts.
-func (m *Replica) ask(now time.Time, t *task, path string, a *Ask, self bool) {
-	t.waiting = 0
-	for _, x := range m.Members() {
+func (m *Replica) send(t *task, to []Member, path string, a *Ask) {
+	for _, x := range to {
 		m.number++
-		m.sent[m.number] = sent{t.number, t.try, x.Node}
+		m.sent[m.number] = sent{t.number, t.try, x}
 		m.out.Sends = append(m.out.Sends, Send{m.number, x, path, a})
-		t.waiting++
-	}
-	if self {
-		t.waiting++
-		try := t.try
-		m.serve(now, path, a, func(now time.Time, r *Reply, err error) {
-			if m.tasks[t.number] == t && t.try == try {
-				if err != nil {
-					r = nil
-				}
-				m.reply(now, t, m.c.Me.Node, r)
-			}
-		})
-	} else if t.waiting == 0 {
-		m.pause(now, t)
 	}
 }
 
+// askMore asks one member for the next page of its answer.
+func (m *Replica) askMore(t *task, from Member, path string, a *Ask) {
+	t.waiting++
+	m.send(t, []Member{from}, path, a)
+}
+
 // Replied takes the reply to a message, or nil where none came.
 func (m *Replica) Replied(now time.Time, number uint64, r *Reply) {
 	s, ok := m.sent[number]
 	delete(m.sent, number)
-	if t := m.tasks[s.task]; ok && t != nil && t.try == s.try {
-		m.reply(now, t, s.to, r)
+	if !ok {
+		return
+	}
+	if r != nil && r.Set != nil { // whoever asked goes by a set that is over
+		m.save(now, Save{Entries: m.learn(now, []quorum.Entry{*r.Set})}, nil)
+	}
+	if t := m.tasks[s.task]; t != nil && t.try == s.try {
+		m.replyFrom(now, t, s.to, r)
 	}
 }
 
 func (m *Replica) reply(now time.Time, t *task, from string, r *Reply) {
+	m.replyFrom(now, t, Member{Node: from}, r)
+}
+
+func (m *Replica) replyFrom(now time.Time, t *task, from Member, r *Reply) {
 	t.waiting--
-	try, taking := t.try, t.taking
+	try := t.try
 	if r != nil {
 		switch t.kind {
 		case writing, settling, mending:
-			m.hearRound(now, t, from, r)
+			m.hearRound(now, t, from.Node, r)
 		case reading:
 			m.hearRead(now, t, from, r)
-		case catching:
-			m.hearCatching(now, t, from, r)
+		case confirming:
+			m.hearGeneration(now, t, from, r)
+		case joining, learning:
+			m.hearState(now, t, from, r)
 		}
 	}
-	if m.tasks[t.number] != t || t.try != try || t.taking != taking || !t.again.IsZero() || t.kind == catching && t.taking {
+	if m.tasks[t.number] != t || t.try != try || !t.again.IsZero() || t.unsaved > 0 {
 		return
 	}
-	if t.waiting <= 0 || t.round != nil && t.round.Hopeless(t.waiting) {
+	if t.waiting <= 0 || t.round != nil && t.acts() && t.kind != reading && t.round.Hopeless(t.waiting) {
 		m.pause(now, t) // too few are left that could make enough
 	}
 }
@@ -166,7 +203,7 @@
 		if values := t.round.Told(from, r.Held); values != nil {
 			t.taking = true
 			t.try++ // promises that come after this are not counted as words
-			m.ask(now, t, AcceptPath, &Ask{Ballot: t.round.Ballot, Values: values}, true)
+			m.askAll(now, t, AcceptPath, &Ask{Epoch: t.round.Ballot.Epoch, Ballot: t.round.Ballot, Values: values})
 		}
 		return
 	}
@@ -183,37 +220,50 @@
 	m.end(t, values, nil)
 }
 
-func (m *Replica) hearRead(now time.Time, t *task, from string, r *Reply) {
-	if t.heard[from] {
-		return
-	}
-	if r.Same {
-		m.readFrom(now, t, from)
+func (m *Replica) hearRead(now time.Time, t *task, from Member, r *Reply) {
+	if t.heard[from.Node] || !r.OK {
 		return
 	}
-	try := t.try
-	m.save(now, Save{Entries: m.learn(now, r.Held)}, func(now time.Time, err error) {
-		if err == nil && m.tasks[t.number] == t && t.try == try {
-			m.readFrom(now, t, from)
+	m.learnFor(now, t, r.Held, func(now time.Time) {
+		if r.More != "" {
+			m.askMore(t, from, ReadPath, &Ask{Epoch: m.standing.set.Epoch, Prefix: t.prefix, After: r.More})
+			return
+		}
+		t.heard[from.Node] = true
+		if len(t.heard) >= m.standing.set.Lose {
+			m.read(now, t)
 		}
 	})
 }
 
-func (m *Replica) readFrom(now time.Time, t *task, from string) {
-	if t.heard[from] = true; len(t.heard) >= m.c.F {
-		m.read(now, t)
-	}
+// learnFor learns what a member has told in answer to a task, and goes on with it once that is on the disk.
+func (m *Replica) learnFor(now time.Time, t *task, held []quorum.Entry, then func(now time.Time)) {
+	try := t.try
+	t.unsaved++
+	m.save(now, Save{Entries: m.learn(now, held)}, func(now time.Time, err error) {
+		if m.tasks[t.number] != t || t.try != try {
+			return
+		}
+		t.unsaved--
+		if err != nil {
+			t.failed = true
+		}
+		if !t.failed {
+			then(now)
+		}
+		if m.tasks[t.number] == t && t.try == try && t.again.IsZero() && t.unsaved == 0 && t.waiting <= 0 {
+			m.pause(now, t)
+		}
+	})
 }
 
 // read ends a read, once what it tells is chosen.
 func (m *Replica) read(now time.Time, t *task) {
 	t.kind, t.changes, t.values = settling, map[string]quorum.Change{}, map[string]quorum.Value{}
-	for _, e := range m.acceptor.All() {
-		switch {
-		case !strings.HasPrefix(e.Key, t.prefix):
-		case e.Chosen:
+	for _, e := range m.registers(t.prefix) {
+		if e.Chosen {
 			t.values[e.Key] = e.Value
-		default:
+		} else {
 			t.changes[e.Key] = keep
 		}
 	}
@@ -226,40 +276,6 @@
 
 func keep(held quorum.Value) quorum.Value { return held }
 
-// catchUp is for a member whose disk came back empty. Until f+1 others that have not lost theirs have told what they hold,
-// and refuse the ballots from before, it neither promises nor accepts nor reads.
-func (m *Replica) catchUp(now time.Time) { m.begin(now, &task{kind: catching}) }
-
-func (m *Replica) hearCatching(now time.Time, t *task, from string, r *Reply) {
-	if t.heard[from] || t.taking {
-		return
-	}
-	t.heard[from] = true
-	if t.floor.Less(r.Refused) {
-		t.floor = r.Refused
-	}
-	t.held = append(t.held, r.Held...)
-	if len(t.heard) <= m.c.F {
-		return
-	}
-	t.taking, t.deadline = true, time.Time{} // it takes as long as the disk does
-	m.acceptor.Refuse(t.floor)
-	m.learn(now, t.held)
-	floor, try := m.acceptor.Floor(), t.try
-	m.save(now, Save{Entries: m.acceptor.All(), Floor: &floor, Caught: true}, func(now time.Time, err error) {
-		if m.tasks[t.number] != t || t.try != try {
-			return
-		}
-		if err != nil {
-			m.pause(now, t)
-			return
-		}
-		m.caught = true
-		m.end(t, nil, nil)
-		m.say("caught up after the disk was lost", "registers", strconv.Itoa(len(m.acceptor.All())))
-	})
-}
-
 // mend brings values to an end whose writer is gone: each holder waits a while, by lot, and then writes them again.
 func (m *Replica) mend(now time.Time) {
 	due := map[string]quorum.Change{}
@@ -272,7 +288,7 @@
 			m.open[key] = now.Add(attempt + time.Duration(m.c.Luck()*float64(settle)))
 		}
 	}
-	if len(due) > 0 && m.caught {
+	if len(due) > 0 && m.Acting() {
 		m.begin(now, &task{kind: mending, changes: due})
 	}
 }
@@ -280,9 +296,7 @@
 // pause ends an attempt that has failed; the next begins after a while, by lot, as another may be at the same registers.
 func (m *Replica) pause(now time.Time, t *task) {
 	if t.round != nil {
-		if after := t.round.After(); m.timely(now, after, 2*Ahead) {
-			m.acceptor.Seen(after)
-		}
+		m.acceptor.Seen(t.round.After())
 	}
 	if t.kind == mending { // it is tried again when it is due again
 		m.end(t, nil, ErrFew)
@@ -321,8 +335,11 @@
 
 // Tick does what is due by the clock among what is under way.
 func (m *Replica) Tick(now time.Time) {
-	for _, number := range slices.Sorted(maps.Keys(m.tasks)) {
+	for _, number := range m.taskNumbers() {
 		t := m.tasks[number]
+		if t == nil { // another one has ended it
+			continue
+		}
 		switch {
 		case !t.until.IsZero() && !now.Before(t.until):
 			m.end(t, nil, ErrFew)
@@ -336,3 +353,6 @@
 		}
 	}
 }
+
+// taskNumbers are the tasks in the order in which they began.
+func (m *Replica) taskNumbers() []uint64 { return slices.Sorted(maps.Keys(m.tasks)) }
--- /dev/null
+++ b/internal/control/replica/takeover.go
@@ -0,0 +1,208 @@
+package replica
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"sagelever/internal/control/quorum"
+)
+
+// attemptConfirm asks the other members which generation of this disk they know.
+func (m *Replica) attemptConfirm(now time.Time, t *task) {
+	s := &m.standing
+	m.ask(now, t, m.peers(), GenerationPath, &Ask{Epoch: s.set.Epoch, From: s.me, Generation: s.identity.Generation, Start: s.start})
+}
+
+// serveGeneration says which generation of a disk was known here, and notes the one that is told. It says so whether or not
+// this replica acts itself: after a loss of all power none does yet.
+func (m *Replica) serveGeneration(a *Ask) *Reply {
+	r := &Reply{OK: true}
+	if known := m.generations[a.From.Node]; known.Disk == a.From.Disk {
+		r.Generation, r.Start = known.Number, known.Start
+	}
+	m.noteGeneration(a.From, a.Generation, a.Start)
+	return r
+}
+
+func (m *Replica) noteGeneration(of Member, number, start uint64) {
+	if of.Disk == "" || number == 0 {
+		return
+	}
+	known := m.generations[of.Node]
+	if known.Disk == of.Disk && known.Number >= number {
+		return
+	}
+	if member, ok := m.standing.set.Find(of.Node); ok && member.Disk != of.Disk && known.Disk == member.Disk {
+		return // a candidate takes no member's place
+	}
+	m.generations[of.Node] = Generation{Disk: of.Disk, Number: number, Start: start}
+}
+
+// hearGeneration takes another's word on this disk.
+func (m *Replica) hearGeneration(now time.Time, t *task, from Member, r *Reply) {
+	s := &m.standing
+	if !r.OK || t.heard[from.Node] {
+		return
+	}
+	if r.Generation > s.before && r.Start != s.start {
+		m.end(t, nil, nil)
+		m.renewDisk(now)
+		return
+	}
+	t.heard[from.Node] = true
+	if len(t.heard) < s.set.Witnesses() {
+		return
+	}
+	s.confirmed = true
+	m.end(t, nil, nil)
+	m.takeOver(now)
+	m.look(now)
+}
+
+// attemptJoin asks the members of the epoch before, and of this one, for all that they hold.
+func (m *Replica) attemptJoin(now time.Time, t *task) {
+	s := &m.standing
+	var from []Member
+	for _, x := range append(slices.Clone(s.set.Previous), s.set.Members...) {
+		if x.Is(s.me) || slices.ContainsFunc(from, x.Is) {
+			continue
+		}
+		if known := m.members[x.Node]; known != nil && known.Is(x) {
+			x = known.Member
+		}
+		from = append(from, x)
+	}
+	if m.own() && s.set.Takeover() <= 1 {
+		m.finishJoin(now, t)
+		return
+	}
+	m.ask(now, t, from, StatePath, m.stateAsk(""))
+}
+
+// own tells whether this replica's own state is one of the epoch before.
+func (m *Replica) own() bool {
+	s := &m.standing
+	return s.identity.Acting && s.identity.Active+1 == s.set.Epoch && slices.ContainsFunc(s.set.Previous, s.me.Is)
+}
+
+// attemptLearn asks one acting member after the other.
+func (m *Replica) attemptLearn(now time.Time, t *task) {
+	peers := m.Members()
+	if len(peers) == 0 {
+		m.pause(now, t)
+		return
+	}
+	m.ask(now, t, []Member{peers[t.try%len(peers)]}, StatePath, m.stateAsk(""))
+}
+
+func (m *Replica) stateAsk(after string) *Ask {
+	a := &Ask{Epoch: m.standing.set.Epoch, Set: m.standing.entry(), After: after}
+	if after == "" {
+		a.Digest = Digest(m.registers(""))
+	}
+	return a
+}
+
+// serveState tells what this replica holds. One that is asked about an epoch that it did not know of adopts it first, and
+// has that on its disk before it answers: from then on what it holds of the epoch before does not change any more.
+func (m *Replica) serveState(now time.Time, a *Ask, then func(now time.Time, r *Reply, err error)) {
+	var changed []quorum.Entry
+	if a.Set != nil {
+		changed = m.learn(now, []quorum.Entry{*a.Set})
+	}
+	s := &m.standing
+	if a.Epoch < s.set.Epoch {
+		m.save(now, Save{Entries: changed}, func(now time.Time, _ error) { then(now, &Reply{Set: s.entry()}, nil) })
+		return
+	}
+	if !s.confirmed || !s.identity.Acting || a.Epoch != s.set.Epoch {
+		m.save(now, Save{Entries: changed}, func(now time.Time, _ error) { then(now, nil, ErrCatching) })
+		return
+	}
+	r := &Reply{OK: true, Acting: s.identity.Active}
+	m.fillPage(a, r)
+	m.save(now, Save{Entries: changed}, func(now time.Time, err error) {
+		if err != nil {
+			r = nil
+		}
+		then(now, r, err)
+	})
+}
+
+// hearState takes what another replica holds.
+func (m *Replica) hearState(now time.Time, t *task, from Member, r *Reply) {
+	if !r.OK || t.heard[from.Node+from.Disk] {
+		return
+	}
+	m.learnFor(now, t, r.Held, func(now time.Time) {
+		if r.More != "" {
+			m.askMore(t, from, StatePath, m.stateAsk(r.More))
+			return
+		}
+		if t.kind == learning {
+			m.finishLearn(now, t, r)
+			return
+		}
+		s := &m.standing
+		if r.Acting == s.set.Epoch { // it holds all that was chosen before this epoch
+			m.finishJoin(now, t)
+			return
+		}
+		if r.Acting+1 != s.set.Epoch || !slices.ContainsFunc(s.set.Previous, from.Is) {
+			return
+		}
+		t.heard[from.Node+from.Disk] = true
+		words := len(t.heard)
+		if m.own() {
+			words++
+		}
+		if words >= s.set.Takeover() {
+			m.finishJoin(now, t)
+		}
+	})
+}
+
+// finishJoin has this replica act in the epoch in force, once its disk says so.
+func (m *Replica) finishJoin(now time.Time, t *task) {
+	s := &m.standing
+	if t.taking {
+		return
+	}
+	t.taking, t.deadline = true, time.Time{} // it takes as long as the disk does
+	epoch, try := s.set.Epoch, t.try
+	m.acceptor.Refuse(quorum.Ballot{Epoch: epoch})
+	floor := m.acceptor.Floor()
+	next := s.identity
+	next.Acting, next.Active = true, epoch
+	t.unsaved++
+	m.save(now, Save{Floor: &floor, Identity: &next}, func(now time.Time, err error) {
+		if m.tasks[t.number] != t || t.try != try {
+			return
+		}
+		t.unsaved--
+		if err != nil || t.failed || next.Disk != s.identity.Disk {
+			m.pause(now, t)
+			return
+		}
+		next.Generation = s.identity.Generation
+		s.identity = next
+		m.end(t, nil, nil)
+		m.say("acts as a member", "epoch", strconv.FormatUint(epoch, 10), "registers", strconv.Itoa(len(m.acceptor.All())),
+			"afterMs", strconv.FormatInt(now.Sub(s.adopted).Milliseconds(), 10))
+		m.look(now)
+		m.wake(0)
+	})
+}
+
+// finishLearn makes a candidate ready to be voted in.
+func (m *Replica) finishLearn(now time.Time, t *task, r *Reply) {
+	if r.Acting != m.standing.set.Epoch {
+		m.pause(now, t)
+		return
+	}
+	m.standing.learned = true
+	m.end(t, nil, nil)
+	m.say("holds what the members hold, and waits to be voted in", "registers", strconv.Itoa(len(m.acceptor.All())))
+	m.wake(0)
+}
--- a/steward/drive.go
+++ b/steward/drive.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -17,12 +19,14 @@
 // Keys in the vault. The disk keeps a beginning of what is noted together, in the order of the keys: comeKey is the last,
 // so that it never claims an item that is not there.
 const (
-	entryKey  = "e/"
-	floorKey  = "floor"
-	bornKey   = "born"
-	memberKey = "m/"
-	itemKey   = "i/"
-	comeKey   = "z"
+	entryKey      = "e/"
+	floorKey      = "floor"
+	bornKey       = "born" // the version before sets of members: the disk was whole
+	memberKey     = "m/"   // the same: members, by node
+	identityKey   = "identity"
+	generationKey = "g/" // of other replicas' disks, by node
+	itemKey       = "i/"
+	comeKey       = "z"
 	// The version before kept appliances that were ready, and agents that held a lease, by these.
 	oldAppKey   = "a/"
 	oldLeaseKey = "l/"
@@ -109,8 +113,9 @@
 		b, _ := easyjson.Marshal(&replica.Ask{Ballot: *x.Floor})
 		values[floorKey] = string(b)
 	}
-	if x.Caught {
-		values[bornKey] = "caught up"
+	if x.Identity != nil {
+		b, _ := json.Marshal(x.Identity) // texts and whole numbers only: it cannot fail
+		values[identityKey] = string(b)
 	}
 	return values
 }
@@ -199,10 +204,11 @@
 	for _, k := range items {
 		notes[itemKey+k.Item.Key] = strings.Join([]string{strconv.FormatUint(k.Item.Version, 16), k.Origin, strconv.FormatUint(k.Number, 16), k.Item.Body}, " ")
 	}
-	for _, x := range s.m.Members() {
-		if text := x.Zone + " " + x.Addr; s.told[x.Node] != text {
-			s.told[x.Node] = text
-			notes[memberKey+x.Node] = text
+	for node, g := range s.m.Generations() {
+		text := g.Disk + " " + strconv.FormatUint(g.Number, 10) + " " + strconv.FormatUint(g.Start, 10)
+		if s.told[node] != text {
+			s.told[node] = text
+			notes[generationKey+node] = text
 		}
 	}
 	if come != nil {
@@ -234,7 +240,7 @@
 }
 
 // remembered is what the disk holds for the machine.
-func (s *Steward) remembered(fresh bool) (was replica.Memory, err error) {
+func (s *Steward) remembered() (was replica.Memory, err error) {
 	for _, text := range s.disk.Load(entryKey) {
 		e := quorum.Entry{}
 		if err := easyjson.Unmarshal([]byte(text), &e); err != nil {
@@ -249,16 +255,18 @@
 		}
 		was.Floor = floor.Ballot
 	}
-	_, was.Caught = s.disk.Load(bornKey)[""]
-	if !was.Caught && fresh && !s.disk.Aside {
-		was.Caught = true
-		if err := s.disk.Put(map[string]string{bornKey: "first start"}); err != nil {
+	if text, ok := s.disk.Load(identityKey)[""]; ok {
+		if err := json.Unmarshal([]byte(text), &was.Identity); err != nil {
 			return was, err
 		}
+	} else {
+		_, was.Earlier = s.disk.Load(bornKey)[""]
 	}
-	for node, text := range s.disk.Load(memberKey) {
-		if zone, addr, ok := strings.Cut(text, " "); ok {
-			was.Members = append(was.Members, replica.Member{Node: node, Zone: zone, Addr: addr})
+	was.Generations = map[string]replica.Generation{}
+	for node, text := range s.disk.Load(generationKey) {
+		g := replica.Generation{}
+		if _, err := fmt.Sscan(text, &g.Disk, &g.Number, &g.Start); err == nil {
+			was.Generations[node] = g
 			s.told[node] = text
 		}
 	}
--- a/steward/peers.go
+++ b/steward/peers.go
@@ -81,7 +81,7 @@
 	serve(replica.TallyPath, s.serveTally)
 	serve(replica.WorkPath, s.serveWork)
 	serve(replica.CensusPath, s.serveCensus)
-	for _, path := range []string{replica.PreparePath, replica.AcceptPath, replica.ReadPath, replica.RefusePath} {
+	for _, path := range []string{replica.PreparePath, replica.AcceptPath, replica.ReadPath, replica.StatePath, replica.GenerationPath} {
 		serve(path, func(w http.ResponseWriter, r *http.Request) {
 			a := &replica.Ask{}
 			if !read(w, r, a) {
@@ -171,28 +171,25 @@
 	s.sentTo(p.From.Zone, write(w, n))
 }
 
-// find keeps a pull going to every member known, and to the first contacts until the core is whole.
+// find keeps a pull going to every member known, and to the first contacts until this replica is one of the members and
+// hears most of them.
 func (s *Steward) find(ctx context.Context) {
-	pulling := map[string]bool{}
+	following := map[string]context.CancelFunc{}
 	for ctx.Err() == nil {
 		s.mu.Lock()
-		members, contacts := s.m.Members(), s.contacts
+		members, contacts, sound := s.m.Members(), s.contacts, s.m.Sound(s.now())
 		s.mu.Unlock()
-		for _, m := range members {
-			if !pulling[m.Addr] {
-				pulling[m.Addr] = true
-				go s.follow(ctx, m)
-			}
+		s.followAll(ctx, following, members)
+		pause := 8 * tick // only a set of members that all others went on without is still to be heard of
+		if !sound {
+			pause = tick
 		}
-		pause := tick
-		if len(pulling)+1 < s.n {
-			for _, c := range contacts {
-				if host, _, err := net.SplitHostPort(c); err == nil && host != s.settings.IP {
-					go s.pull(ctx, replica.Member{Addr: net.JoinHostPort(host, s.settings.Peer())})
+		if !sound || len(members) == 0 {
+			for _, addr := range s.peerAddresses(contacts) {
+				if addr != s.me.Addr {
+					go s.pull(ctx, replica.Member{Addr: addr})
 				}
 			}
-		} else {
-			pause = 8 * tick // the core is whole: only a member at a new address is still to be found
 		}
 		select {
 		case <-time.After(pause):
@@ -201,6 +198,25 @@
 	}
 }
 
+// followAll begins to pull from members that are new, and ends it for those that are none any more.
+func (s *Steward) followAll(ctx context.Context, following map[string]context.CancelFunc, members []replica.Member) {
+	present := map[string]bool{}
+	for _, m := range members {
+		present[m.Addr] = true
+		if following[m.Addr] == nil {
+			one, end := context.WithCancel(ctx)
+			following[m.Addr] = end
+			go s.follow(one, m)
+		}
+	}
+	for addr, end := range following {
+		if !present[addr] {
+			end()
+			delete(following, addr)
+		}
+	}
+}
+
 // follow pulls one member's news for as long as this agent runs. A member that answers at once without news, twice running,
 // is not asked without end.
 func (s *Steward) follow(ctx context.Context, m replica.Member) {
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"sagelever/boot"
+	"sagelever/internal/control/membership"
 	"sagelever/internal/control/replica"
 	"sagelever/strand"
 	"sagelever/vault"
@@ -41,7 +42,7 @@
 	settings *boot.Settings
 	log      *zap.Logger
 	now      func() time.Time
-	n, f     int
+	core     membership.Target
 	disk     *vault.Vault
 	client   *http.Client
 	me       replica.Member
@@ -58,7 +59,7 @@
 	notes     map[string]string
 	noted     uint64 // how far the machine's knowledge has been noted on the disk
 	notedAt   time.Time
-	told      map[string]string // members as noted
+	told      map[string]string // generations of other replicas' disks as noted
 	contacts  []string          // control addresses of some members
 	diskFails fails
 	counts    counts
@@ -83,24 +84,25 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Steward{settings: c, log: o.Log, now: o.Now, n: c.CoreSize(o.PerZone), f: c.Lost(o.PerZone), disk: disk,
+	s := &Steward{settings: c, log: o.Log, now: o.Now, core: c.Core(o.PerZone), disk: disk,
 		client: Client(o.Dial), me: replica.Member{Node: c.Node, Zone: c.Zone, Addr: net.JoinHostPort(c.IP, c.Peer())},
 		calls: map[uint64]chan replica.Answer{}, tasks: map[uint64]chan replica.Done{}, pulls: map[string]context.CancelFunc{}, news: make(chan struct{}),
 		notes: map[string]string{}, told: map[string]string{}, contacts: c.FirstContacts, byPath: map[string]*pathCount{}}
 	s.diskFails.log = o.Log
-	if most := (s.n - 1) / 2; s.f > most {
-		o.Log.Warn("the core is too small for what it should withstand", zap.Int("members", s.n), zap.Int("shouldLose", s.f), zap.Int("mayLose", most))
-		s.f = most
+	if most := (s.core.Size() - 1) / 2; s.core.Lose > most {
+		o.Log.Warn("the core is too small for what it should withstand", zap.Int("members", s.core.Size()), zap.Int("shouldLose", s.core.Lose), zap.Int("mayLose", most))
+		s.core.Lose = most
 	}
-	was, err := s.remembered(c.FreshStart)
+	was, err := s.remembered()
 	if err != nil {
 		return nil, errors.Wrap(err, "what is on the disk")
 	}
 	pulse := c.Bounds.Pulse
-	s.m = replica.New(replica.Config{Me: s.me, Source: c.Node + "@" + strconv.FormatInt(s.now().UnixNano(), 36), N: s.n, F: s.f, Zones: c.Zones,
-		Silence: 2*pulse + pulse/2, Luck: rand.Float64}, was, s.now())
-	s.log.Info("state read", zap.Int("registers", len(was.Entries)), zap.Int("items", len(was.Items)), zap.Bool("caughtUp", was.Caught),
-		zap.Int64("cut", disk.Cut), zap.Bool("putAside", disk.Aside), zap.Int("core", s.n), zap.Int("mayLose", s.f))
+	s.m = replica.New(replica.Config{Me: s.me, Source: c.Node + "@" + strconv.FormatInt(s.now().UnixNano(), 36), Target: s.core,
+		Contacts: s.peerAddresses(c.FirstContacts), Fresh: c.FreshStart && !disk.Aside, Zones: c.Zones, Silence: 2*pulse + pulse/2, Luck: rand.Float64}, was, s.now())
+	s.log.Info("state read", zap.Int("registers", len(was.Entries)), zap.Int("items", len(was.Items)), zap.String("disk", was.Identity.Disk),
+		zap.Bool("acted", was.Identity.Acting), zap.Uint64("epoch", was.Identity.Active), zap.Int64("cut", disk.Cut), zap.Bool("putAside", disk.Aside),
+		zap.Int("core", s.core.Size()), zap.Int("mayLose", s.core.Lose))
 	return s, nil
 }
 
@@ -149,7 +151,8 @@
 	}()
 	s.log.Info("steward started", zap.String("node", s.settings.Node))
 	<-ctx.Done()
-	s.step(func(time.Time) { s.m.Leave() })
+	s.step(func(now time.Time) { s.m.Leave(now) })
+	s.handOver(work)
 	end, cancel := context.WithTimeout(work, time.Second)
 	defer cancel()
 	for _, srv := range servers {
@@ -159,6 +162,45 @@
 	return s.disk.Close()
 }
 
+// handingOver bounds how long an ending member waits until its successor has taken its place: well within the time that the
+// platform leaves a process after SIGTERM.
+const handingOver = 2 * time.Second
+
+// handOver goes on for a while where a successor is ready to take this member's place.
+func (s *Steward) handOver(ctx context.Context) {
+	end := time.NewTimer(min(handingOver, s.settings.Bounds.Leeway/2))
+	defer end.Stop()
+	poll := time.NewTicker(20 * time.Millisecond)
+	defer poll.Stop()
+	for s.handing() {
+		select {
+		case <-poll.C:
+		case <-end.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Steward) handing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.m.Handing(s.now())
+}
+
+// peerAddresses are where the agents at some control addresses are called by their peers: all machines of a system have the
+// same ports.
+func (s *Steward) peerAddresses(control []string) []string {
+	var out []string
+	for _, address := range control {
+		if host, _, err := net.SplitHostPort(address); err == nil {
+			out = append(out, net.JoinHostPort(host, s.settings.Peer()))
+		}
+	}
+	return out
+}
+
 // counts are told in the log every so often.
 type counts struct {
 	pulses, pulls, lookups, rounds, calls atomic.Int64
