--- a/internal/control/replica/messages.go
+++ b/internal/control/replica/messages.go
@@ -123,6 +123,7 @@
 	Refused    quorum.Ballot  `json:"r"`
 	Set        *SetEntry      `json:"t,omitempty"` // a newer set than the asker's is in force
 	Acting     uint64         `json:"e,omitempty"` // StatePath: the epoch in which the replica acts, or acted last
+	Disk       string         `json:"d,omitempty"` // GenerationPath, StatePath: of the replica that answers
 	Generation uint64         `json:"g,omitempty"` // GenerationPath: the last that is known of the asker's disk
 	Start      uint64         `json:"n,omitempty"` // GenerationPath: see Generation
 }
--- a/internal/control/replica/messages_easyjson.go
+++ b/internal/control/replica/messages_easyjson.go
@@ -373,6 +373,12 @@
 			} else {
 				out.Acting = uint64(in.Uint64())
 			}
+		case "d":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Disk = string(in.String())
+			}
 		case "g":
 			if in.IsNull() {
 				in.Skip()
@@ -443,6 +449,11 @@
 		out.RawString(prefix)
 		out.Uint64(uint64(in.Acting))
 	}
+	if in.Disk != "" {
+		const prefix string = ",\"d\":"
+		out.RawString(prefix)
+		out.String(string(in.Disk))
+	}
 	if in.Generation != 0 {
 		const prefix string = ",\"g\":"
 		out.RawString(prefix)
--- a/internal/control/replica/takeover.go
+++ b/internal/control/replica/takeover.go
@@ -17,7 +17,7 @@
 // serveGeneration says which generation of a disk was known here, and notes the one that is told. It says so whether or not
 // this replica acts itself: after a loss of all power none does yet.
 func (m *Replica) serveGeneration(a *Ask) *Reply {
-	r := &Reply{OK: true}
+	r := &Reply{OK: true, Disk: m.standing.me.Disk}
 	if known := m.generations[a.From.Node]; known.Disk == a.From.Disk {
 		r.Generation, r.Start = known.Number, known.Start
 	}
@@ -42,7 +42,7 @@
 // hearGeneration takes another's word on this disk.
 func (m *Replica) hearGeneration(now time.Time, t *task, from Member, r *Reply) {
 	s := &m.standing
-	if !r.OK || t.heard[from.Node] {
+	if !r.OK || t.heard[from.Node] || r.Disk != from.Disk { // a member that lost its disk knows nothing
 		return
 	}
 	if r.Generation > s.before && r.Start != s.start {
@@ -120,7 +120,7 @@
 		m.save(now, Save{Entries: changed}, func(now time.Time, _ error) { then(now, nil, ErrCatching) })
 		return
 	}
-	r := &Reply{OK: true, Acting: s.identity.Active}
+	r := &Reply{OK: true, Disk: s.me.Disk, Acting: s.identity.Active}
 	m.fillPage(a, r)
 	m.save(now, Save{Entries: changed}, func(now time.Time, err error) {
 		if err != nil {
@@ -132,7 +132,7 @@
 
 // hearState takes what another replica holds.
 func (m *Replica) hearState(now time.Time, t *task, from Member, r *Reply) {
-	if !r.OK || t.heard[from.Node+from.Disk] {
+	if !r.OK || t.heard[from.Node+from.Disk] || r.Disk != from.Disk {
 		return
 	}
 	m.learnFor(now, t, r.Held, func(now time.Time) {
