--- a/internal/control/replica/messages.go
+++ b/internal/control/replica/messages.go
@@ -61,6 +61,7 @@
 	Life    uint64      `json:"l,omitempty"` // the caller's Life is behind what is known of it: it has to be later than this
 	Now     int64       `json:"t"`           // Unix milliseconds at the source
 	Disk    string      `json:"z,omitempty"` // of the replica that tells
+	Acting  uint64      `json:"y,omitempty"` // the epoch in which the replica that tells acts
 	Set     *SetEntry   `json:"b,omitempty"` // the members in force, where a replica asks that knows of an older epoch only
 	Count   uint64      `json:"k,omitempty"` // of a census under way: the caller is to say what it has out
 }
--- a/internal/control/replica/messages_easyjson.go
+++ b/internal/control/replica/messages_easyjson.go
@@ -1047,6 +1047,12 @@
 			} else {
 				out.Disk = string(in.String())
 			}
+		case "y":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Acting = uint64(in.Uint64())
+			}
 		case "b":
 			if in.IsNull() {
 				in.Skip()
@@ -1208,6 +1214,11 @@
 		out.RawString(prefix)
 		out.String(string(in.Disk))
 	}
+	if in.Acting != 0 {
+		const prefix string = ",\"y\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Acting))
+	}
 	if in.Set != nil {
 		const prefix string = ",\"b\":"
 		out.RawString(prefix)
--- a/internal/control/replica/news.go
+++ b/internal/control/replica/news.go
@@ -61,11 +61,12 @@
 	sound  bool
 	behind uint64
 	whole  bool
+	acting uint64 // the epoch in which this member acted
 }
 
 // Pulled takes up who calls: a lease for an edge agent, a member of the core. Answer has the news for it.
 func (m *Replica) Pulled(now time.Time, p *Pull) *Waiting {
-	w := &Waiting{p: p, by: m.feed.Seq(), come: m.feed.Vector(), sound: m.Sound(now), behind: m.meet(now, p)}
+	w := &Waiting{p: p, by: m.feed.Seq(), come: m.feed.Vector(), sound: m.Sound(now), behind: m.meet(now, p), acting: m.actingIn()}
 	if p.Wire >= Wire {
 		w.whole = len(p.Come) == 0
 	}
@@ -103,11 +104,12 @@
 	n.Agents, n.Here = m.roll.Count(p.From.Zone, now)
 	if p.Role == Core {
 		n.Disk = m.standing.me.Disk
+		n.Acting = m.actingIn()
 		if p.Set < m.standing.set.Epoch {
 			n.Set = m.standing.entry()
 		}
 	}
-	ready = m.leaving || sound != w.sound || w.behind != 0 || n.Set != nil
+	ready = m.leaving || sound != w.sound || w.behind != 0 || n.Set != nil || n.Acting != w.acting && p.Role == Core
 	if n.Count = m.counting(now); p.Role == Edge && n.Count > p.Count {
 		ready = true
 	}
@@ -264,6 +266,7 @@
 	}
 	if x := m.members[from.Node]; x != nil && (n.Disk == x.Disk || n.Wire < Wire) { // else a candidate calls from a member's address
 		x.heard, x.begun, m.heardAny = now, true, true
+		x.acting = n.Acting
 		x.source, x.seq = "", 0
 		if len(n.Origins) > 0 {
 			x.origin = n.Origins[0]
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -172,6 +172,7 @@
 	lost    time.Time // since when it is not heard any more; zero while it is
 	since   time.Time // when it became a member, as known here
 	leaving bool      // it has said that it ends
+	acting  uint64    // the epoch in which it acts, as it told last
 }
 
 // New takes up what a disk held.
@@ -300,6 +301,11 @@
 			return
 		}
 	case ReadPath:
+		// The next set may be in force already, and have decided what this member does not know of.
+		if m.sealed() {
+			then(now, &Reply{}, nil)
+			return
+		}
 		m.fillPage(a, r)
 	}
 	for _, e := range changed { // whether or not the disk takes it
--- a/internal/control/replica/round.go
+++ b/internal/control/replica/round.go
@@ -71,7 +71,7 @@
 
 // attempt begins a task, or begins it again.
 func (m *Replica) attempt(now time.Time, t *task) {
-	if t.acts() && !m.Acting() {
+	if t.acts() && !m.Acting() || t.kind == reading && m.sealed() {
 		m.postpone(now, t)
 		return
 	}
@@ -81,7 +81,7 @@
 	set := m.standing.set
 	switch t.kind {
 	case writing, settling, mending:
-		t.round = quorum.NewRound(m.acceptor.Next(set.Epoch, m.self()), len(set.Members), set.Lose, t.changes)
+		t.round = quorum.NewRound(m.acceptor.Next(set.Epoch, m.standing.proposer()), len(set.Members), set.Lose, t.changes)
 		m.askAll(now, t, PreparePath, &Ask{Epoch: set.Epoch, Ballot: t.round.Ballot, Keys: t.round.Keys()})
 	case reading:
 		if set.Lose == 0 {
@@ -259,6 +259,10 @@
 
 // read ends a read, once what it tells is chosen.
 func (m *Replica) read(now time.Time, t *task) {
+	if m.sealed() { // this member's own word does not count any more
+		m.pause(now, t)
+		return
+	}
 	t.kind, t.changes, t.values = settling, map[string]quorum.Change{}, map[string]quorum.Value{}
 	for _, e := range m.registers(t.prefix) {
 		if e.Chosen {
--- a/internal/control/replica/standing.go
+++ b/internal/control/replica/standing.go
@@ -161,6 +161,14 @@
 	return s.saved && s.identity.Acting && s.identity.Active == s.set.Epoch && s.member()
 }
 
+// actingIn is the epoch in which this replica acts; zero where it does not.
+func (m *Replica) actingIn() uint64 {
+	if !m.Acting() {
+		return 0
+	}
+	return m.standing.set.Epoch
+}
+
 // sealed tells whether this replica has accepted a next set: then nothing else is promised or accepted in this epoch, so that
 // whoever takes over finds all that can ever be chosen in it.
 func (m *Replica) sealed() bool {
@@ -182,7 +190,16 @@
 	return true
 }
 
-// self is this replica's name in the rounds of the epoch in force.
+// Epoch is the newest epoch that this replica knows of.
+func (m *Replica) Epoch() uint64 { return m.standing.set.Epoch }
+
+// CandidateReady tells whether a replica that is no member has told here that it holds what the members hold.
+func (m *Replica) CandidateReady(node string) bool {
+	c := m.candidates[node]
+	return c != nil && c.Ready
+}
+
+// self is this replica's name among those that answer in the rounds of the epoch in force.
 func (m *Replica) self() string {
 	if m.standing.set.Epoch == 0 {
 		return m.standing.me.Addr
@@ -190,6 +207,16 @@
 	return m.standing.me.Node
 }
 
+// proposer is this replica's name in ballots. It holds the generation of the disk at the start of this process: of what was
+// proposed in a life before, and not promised by this member's own disk yet, nothing is known, and no ballot may be used twice.
+func (s *standing) proposer() string {
+	name := s.me.Node
+	if s.set.Epoch == 0 {
+		name = s.me.Addr
+	}
+	return name + "/" + strconv.FormatUint(s.before+1, 36)
+}
+
 // peers are the other members of the epoch in force, where they were last heard.
 func (m *Replica) peers() []Member {
 	if m.standing.set.Epoch > 0 {
--- a/internal/control/replica/steer.go
+++ b/internal/control/replica/steer.go
@@ -134,12 +134,16 @@
 		after: func() { s.proposing = false }})
 }
 
-// Held tells whether an ending process should go on for a while: a successor is ready, and takes this member's place.
+// Handing tells whether an ending process should go on for a while: a successor is ready and takes this member's place, or has
+// taken it and so few members act in the new epoch that one more loss could take what only this replica holds with it.
 func (m *Replica) Handing(now time.Time) bool {
 	s := &m.standing
-	if !m.leaving || !m.Acting() {
+	if !m.leaving || !s.identity.Acting || !s.confirmed {
 		return false
 	}
+	if !s.member() {
+		return m.own() && m.actingNow() <= s.set.Lose
+	}
 	for _, c := range m.present(now) {
 		if c.Ready && c.Zone == s.me.Zone {
 			return true
@@ -147,3 +151,13 @@
 	}
 	return false
 }
+
+// actingNow is how many members have told that they act in the epoch in force.
+func (m *Replica) actingNow() (acting int) {
+	for _, x := range m.members {
+		if x.acting == m.standing.set.Epoch {
+			acting++
+		}
+	}
+	return acting
+}
--- /dev/null
+++ b/steward/members_test.go
@@ -0,0 +1,92 @@
+package steward
+
+import (
+	"strings"
+	"testing"
+
+	"sagelever/internal/control/replica"
+)
+
+// acts tells whether a member acts in an epoch.
+func (h *house) acts(i int) bool {
+	s := h.live[i].Steward
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.m.Acting()
+}
+
+// A successor that has joined beside the member that it will replace is no member: two of the three confirm a version, and the
+// other one and the successor, which never heard of it, confirm and serve nothing alone. (Before the sets of members they
+// served the version before as the newest, and confirmed another.)
+func TestSuccessorBesideItsMember(t *testing.T) {
+	t.Parallel()
+	h := newHouse(t)
+	h.startAll()
+	h.must(0, "settings.change", call("00000005", "five.example"))
+	h.start(3, false)
+	until(t, "the successor holds what the members hold", func() bool {
+		s := h.live[0].Steward
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.m.CandidateReady("n3")
+	})
+	h.kill(1)
+	h.kill(3)
+	h.must(0, "settings.change", call("00000008", "eight.example"))
+	h.kill(0)
+	h.kill(2)
+	h.start(1, false)
+	h.start(3, false)
+	for i := 1; i <= 3; i += 2 {
+		for _, c := range [][2]string{{"settings.read", ""}, {"settings.change", call("0000000a", "ten.example")}} {
+			status, text := 0, ""
+			until(t, "it answers", func() bool { status, text = h.call(i, c[0], c[1]); return status != 0 })
+			if status != 503 {
+				t.Errorf("member %d, %s: %d %s", i, c[0], status, text)
+			}
+		}
+	}
+	h.start(0, false)
+	if text := h.must(1, "settings.read", ""); !strings.Contains(text, "eight.example") {
+		t.Errorf("what two confirmed is gone: %s", text)
+	}
+}
+
+// A member that ends while its successor is ready is exchanged for it; what was acknowledged stays, the old member learns that
+// it is none any more, and takes no order.
+func TestReplaced(t *testing.T) {
+	t.Parallel()
+	h := newHouse(t)
+	h.startAll()
+	h.must(2, "settings.change", call("00000005", "five.example"))
+	h.start(3, false)
+	until(t, "the successor is ready", func() bool {
+		s := h.live[2].Steward
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.m.CandidateReady("n3")
+	})
+	h.kill(2)
+	until(t, "the successor acts", func() bool { return h.acts(3) && h.acts(0) && h.acts(1) })
+	h.must(3, "settings.change", call("00000008", "eight.example"))
+	h.start(2, false)
+	until(t, "the old member knows that it is replaced", func() bool {
+		s := h.live[2].Steward
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.m.Epoch() == 2
+	})
+	if status, text := h.call(2, "settings.change", call("0000000a", "ten.example")); status != 503 {
+		t.Errorf("a member that was replaced takes an order: %d %s", status, text)
+	}
+	if h.acts(2) {
+		t.Error("a member that was replaced acts")
+	}
+	if r, err := h.live[2].answer(t.Context(), replica.PreparePath, &replica.Ask{Epoch: 1, Keys: []string{"k"}}); err == nil && r.OK {
+		t.Error("a member that was replaced promises")
+	}
+	h.kill(0) // one loss right after
+	if text := h.must(1, "settings.read", ""); !strings.Contains(text, "eight.example") {
+		t.Errorf("after the replacement and a loss: %s", text)
+	}
+}
