--- a/internal/control/quorum/quorum.go
+++ b/internal/control/quorum/quorum.go
@@ -22,11 +22,14 @@
 // Less tells whether a comes before b.
 func (a Ballot) Less(b Ballot) bool { return a.N < b.N || a.N == b.N && a.Who < b.Who }
 
-// Value is the content of a register: the item with its own version. Gone stands for an item that was dropped.
+// Value is the content of a register: the item with its own version. Gone stands for an item that was dropped. Note belongs
+// to whoever writes the register and is kept with it as it is: what it needs to recognize an order that is sent again. Under
+// one version the note may change; Gone and Body never do.
 type Value struct {
 	Version uint64 `json:"v"`
 	Gone    bool   `json:"g,omitempty"`
 	Body    string `json:"b,omitempty"`
+	Note    string `json:"n,omitempty"`
 }
 
 // Entry is a register as one member holds it.
@@ -174,13 +177,29 @@
 // Change is what a writer wants of one register, given what it holds; it must come out the same for the same input.
 type Change func(held Value) Value
 
+// Decide is what a writer wants of all registers of a round, given what they hold; a register that it leaves out keeps its
+// value. It must come out the same for the same input.
+type Decide func(held map[string]Value) map[string]Value
+
+// Each is a change of each register by itself.
+func Each(changes map[string]Change) (keys []string, decide Decide) {
+	return slices.Sorted(maps.Keys(changes)), func(held map[string]Value) map[string]Value {
+		out := make(map[string]Value, len(changes))
+		for key, change := range changes {
+			out[key] = change(held[key])
+		}
+		return out
+	}
+}
+
 // Round is one writer's attempt on some registers, under one ballot. Replies go in, each member's once; what to send
 // next and how it ended come out.
 type Round struct {
 	Ballot  Ballot
 	need    int // holders that make a value chosen
 	ask     int // members that must tell what they hold
-	changes map[string]Change
+	keys    []string
+	decide  Decide
 	told    map[string]bool
 	took    map[string]bool
 	best    map[string]Entry
@@ -189,13 +208,13 @@
 }
 
 // NewRound begins a round of n members of which f may lose their disks.
-func NewRound(b Ballot, n, f int, changes map[string]Change) *Round {
-	return &Round{Ballot: b, need: n - f, ask: f + 1, changes: changes,
+func NewRound(b Ballot, n, f int, keys []string, decide Decide) *Round {
+	return &Round{Ballot: b, need: n - f, ask: f + 1, keys: keys, decide: decide,
 		told: map[string]bool{}, took: map[string]bool{}, best: map[string]Entry{}}
 }
 
 // Keys are the registers of the round.
-func (r *Round) Keys() []string { return slices.Sorted(maps.Keys(r.changes)) }
+func (r *Round) Keys() []string { return r.keys }
 
 // Told takes a member's promise; values is what is to be accepted, once enough have promised.
 func (r *Round) Told(member string, held []Entry) (values []Entry) {
@@ -211,12 +230,28 @@
 	if len(r.told) < r.ask {
 		return nil
 	}
-	for _, k := range r.Keys() {
-		r.values = append(r.values, Entry{Key: k, Accepted: r.Ballot, Value: r.changes[k](r.best[k].Value)})
-	}
+	r.values = r.settle()
 	return r.values
 }
 
+// settle is what the round writes: the decision on all that is held, and what it leaves out as it is.
+func (r *Round) settle() []Entry {
+	held := make(map[string]Value, len(r.keys))
+	for _, k := range r.keys {
+		held[k] = r.best[k].Value
+	}
+	decided := r.decide(held)
+	values := make([]Entry, 0, len(r.keys))
+	for _, k := range r.keys {
+		v, changed := decided[k]
+		if !changed {
+			v = held[k]
+		}
+		values = append(values, Entry{Key: k, Accepted: r.Ballot, Value: v})
+	}
+	return values
+}
+
 // Took takes a member's word that it holds the values on disk; done when so many do that they are chosen.
 func (r *Round) Took(member string) (done bool) {
 	r.took[member] = true
--- a/internal/control/quorum/quorum_easyjson.go
+++ b/internal/control/quorum/quorum_easyjson.go
@@ -17,7 +17,7 @@
 	_ easyjson.Marshaler
 )
 
-func easyjson14b2487cDecodeSageleverPact(in *jlexer.Lexer, out *Entry) {
+func easyjsonA60574f3DecodeSageleverInternalControlQuorum(in *jlexer.Lexer, out *Entry) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -38,11 +38,11 @@
 				out.Key = string(in.String())
 			}
 		case "p":
-			easyjson14b2487cDecodeSageleverPact1(in, &out.Promised)
+			easyjsonA60574f3DecodeSageleverInternalControlQuorum1(in, &out.Promised)
 		case "a":
-			easyjson14b2487cDecodeSageleverPact1(in, &out.Accepted)
+			easyjsonA60574f3DecodeSageleverInternalControlQuorum1(in, &out.Accepted)
 		case "x":
-			easyjson14b2487cDecodeSageleverPact2(in, &out.Value)
+			easyjsonA60574f3DecodeSageleverInternalControlQuorum2(in, &out.Value)
 		case "c":
 			if in.IsNull() {
 				in.Skip()
@@ -59,7 +59,7 @@
 		in.Consumed()
 	}
 }
-func easyjson14b2487cEncodeSageleverPact(out *jwriter.Writer, in Entry) {
+func easyjsonA60574f3EncodeSageleverInternalControlQuorum(out *jwriter.Writer, in Entry) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -71,17 +71,17 @@
 	{
 		const prefix string = ",\"p\":"
 		out.RawString(prefix)
-		easyjson14b2487cEncodeSageleverPact1(out, in.Promised)
+		easyjsonA60574f3EncodeSageleverInternalControlQuorum1(out, in.Promised)
 	}
 	{
 		const prefix string = ",\"a\":"
 		out.RawString(prefix)
-		easyjson14b2487cEncodeSageleverPact1(out, in.Accepted)
+		easyjsonA60574f3EncodeSageleverInternalControlQuorum1(out, in.Accepted)
 	}
 	{
 		const prefix string = ",\"x\":"
 		out.RawString(prefix)
-		easyjson14b2487cEncodeSageleverPact2(out, in.Value)
+		easyjsonA60574f3EncodeSageleverInternalControlQuorum2(out, in.Value)
 	}
 	if in.Chosen {
 		const prefix string = ",\"c\":"
@@ -94,27 +94,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Entry) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson14b2487cEncodeSageleverPact(&w, v)
+	easyjsonA60574f3EncodeSageleverInternalControlQuorum(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Entry) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson14b2487cEncodeSageleverPact(w, v)
+	easyjsonA60574f3EncodeSageleverInternalControlQuorum(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Entry) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson14b2487cDecodeSageleverPact(&r, v)
+	easyjsonA60574f3DecodeSageleverInternalControlQuorum(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Entry) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson14b2487cDecodeSageleverPact(l, v)
+	easyjsonA60574f3DecodeSageleverInternalControlQuorum(l, v)
 }
-func easyjson14b2487cDecodeSageleverPact2(in *jlexer.Lexer, out *Value) {
+func easyjsonA60574f3DecodeSageleverInternalControlQuorum2(in *jlexer.Lexer, out *Value) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -146,6 +146,12 @@
 			} else {
 				out.Body = string(in.String())
 			}
+		case "n":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Note = string(in.String())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -156,7 +162,7 @@
 		in.Consumed()
 	}
 }
-func easyjson14b2487cEncodeSageleverPact2(out *jwriter.Writer, in Value) {
+func easyjsonA60574f3EncodeSageleverInternalControlQuorum2(out *jwriter.Writer, in Value) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -175,9 +181,14 @@
 		out.RawString(prefix)
 		out.String(string(in.Body))
 	}
+	if in.Note != "" {
+		const prefix string = ",\"n\":"
+		out.RawString(prefix)
+		out.String(string(in.Note))
+	}
 	out.RawByte('}')
 }
-func easyjson14b2487cDecodeSageleverPact1(in *jlexer.Lexer, out *Ballot) {
+func easyjsonA60574f3DecodeSageleverInternalControlQuorum1(in *jlexer.Lexer, out *Ballot) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -213,7 +224,7 @@
 		in.Consumed()
 	}
 }
-func easyjson14b2487cEncodeSageleverPact1(out *jwriter.Writer, in Ballot) {
+func easyjsonA60574f3EncodeSageleverInternalControlQuorum1(out *jwriter.Writer, in Ballot) {
 	out.RawByte('{')
 	first := true
 	_ = first
--- a/internal/control/replica/apps.go
+++ b/internal/control/replica/apps.go
@@ -94,9 +94,9 @@
 		}
 		m.deciding[service] = true
 		m.say("release decided by votes", "service", service, "phase", phase)
-		m.begin(now, &task{kind: writing, until: now.Add(4 * attempt),
-			changes: map[string]quorum.Change{plan.ReleaseKey(service): plan.Decide(rel.Number, phase)},
-			after:   func() { delete(m.deciding, service) }}) // without an end the votes stand, and are counted again
+		keys, decide := quorum.Each(map[string]quorum.Change{plan.ReleaseKey(service): plan.Decide(rel.Number, phase)})
+		m.begin(now, &task{kind: writing, until: now.Add(4 * attempt), keys: keys, decide: decide,
+			after: func() { delete(m.deciding, service) }}) // without an end the votes stand, and are counted again
 	}
 }
 
--- a/internal/control/replica/round.go
+++ b/internal/control/replica/round.go
@@ -12,14 +12,15 @@
 
 // task is what this member has under way with the others.
 type task struct {
-	number  uint64
-	kind    int
-	until   time.Time // after which it has failed; zero: it goes on until it is done
-	changes map[string]quorum.Change
-	prefix  string                  // of what a read is about
-	values  map[string]quorum.Value // what a read has found that is chosen
-	result  bool                    // whoever began it wants to hear of it
-	after   func()
+	number uint64
+	kind   int
+	until  time.Time // after which it has failed; zero: it goes on until it is done
+	keys   []string  // of a write
+	decide quorum.Decide
+	prefix string                  // of what a read is about
+	values map[string]quorum.Value // what a read has found that is chosen
+	result bool                    // whoever began it wants to hear of it
+	after  func()
 
 	try      int // numbers the attempts, so that late replies are told apart
 	taking   bool
@@ -49,7 +50,13 @@
 // Write makes changes to registers lasting: when it is done without an error, so many disks hold the outcome that
 // withstand can't lose it. It tries rounds until the time ends.
 func (m *Replica) Write(now time.Time, until time.Time, changes map[string]quorum.Change) uint64 {
-	return m.begin(now, &task{kind: writing, until: until, changes: changes, result: true})
+	keys, decide := quorum.Each(changes)
+	return m.WriteTogether(now, until, keys, decide)
+}
+
+// WriteTogether is Write for a change that depends on what all of its registers hold.
+func (m *Replica) WriteTogether(now time.Time, until time.Time, keys []string, decide quorum.Decide) uint64 {
+	return m.begin(now, &task{kind: writing, until: until, keys: keys, decide: decide, result: true})
 }
 
 // Read brings this member up to what f+1 members know, so that it has all that was ever acknowledged, and brings to an end
@@ -83,7 +90,7 @@
 			m.pause(now, t)
 			return
 		}
-		t.round = quorum.NewRound(b, m.c.N, m.c.F, t.changes)
+		t.round = quorum.NewRound(b, m.c.N, m.c.F, t.keys, t.decide)
 		m.ask(now, t, PreparePath, &Ask{Ballot: b, Keys: t.round.Keys()}, true)
 	case reading:
 		if m.c.F == 0 {
@@ -207,24 +214,25 @@
 
 // read ends a read, once what it tells is chosen.
 func (m *Replica) read(now time.Time, t *task) {
-	t.kind, t.changes, t.values = settling, map[string]quorum.Change{}, map[string]quorum.Value{}
+	t.kind, t.keys, t.decide, t.values = settling, nil, keep, map[string]quorum.Value{}
 	for _, e := range m.acceptor.All() {
 		switch {
 		case !strings.HasPrefix(e.Key, t.prefix):
 		case e.Chosen:
 			t.values[e.Key] = e.Value
 		default:
-			t.changes[e.Key] = keep
+			t.keys = append(t.keys, e.Key)
 		}
 	}
-	if len(t.changes) == 0 {
+	slices.Sort(t.keys)
+	if len(t.keys) == 0 {
 		m.end(t, t.values, nil)
 		return
 	}
 	m.attempt(now, t)
 }
 
-func keep(held quorum.Value) quorum.Value { return held }
+func keep(map[string]quorum.Value) map[string]quorum.Value { return nil }
 
 // catchUp is for a member whose disk came back empty. Until f+1 others that have not lost theirs have told what they hold,
 // and refuse the ballots from before, it neither promises nor accepts nor reads.
@@ -262,18 +270,18 @@
 
 // mend brings values to an end whose writer is gone: each holder waits a while, by lot, and then writes them again.
 func (m *Replica) mend(now time.Time) {
-	due := map[string]quorum.Change{}
+	var due []string
 	for _, key := range slices.Sorted(maps.Keys(m.open)) {
 		at := m.open[key]
 		if e := m.acceptor.Get(key); e.Chosen || e.Accepted == (quorum.Ballot{}) {
 			delete(m.open, key)
 		} else if !now.Before(at) {
-			due[key] = keep
+			due = append(due, key)
 			m.open[key] = now.Add(attempt + time.Duration(m.c.Luck()*float64(settle)))
 		}
 	}
 	if len(due) > 0 && m.caught {
-		m.begin(now, &task{kind: mending, changes: due})
+		m.begin(now, &task{kind: mending, keys: due, decide: keep})
 	}
 }
 
