--- a/internal/control/quorum/quorum_easyjson.go
+++ b/internal/control/quorum/quorum_easyjson.go
@@ -146,6 +146,12 @@
 			} else {
 				out.Body = string(in.String())
 			}
+		case "n":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Note = string(in.String())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -175,6 +181,11 @@
 		out.RawString(prefix)
 		out.String(string(in.Body))
 	}
+	if in.Note != "" {
+		const prefix string = ",\"n\":"
+		out.RawString(prefix)
+		out.String(string(in.Note))
+	}
 	out.RawByte('}')
 }
 func easyjsonA60574f3DecodeSageleverInternalControlQuorum1(in *jlexer.Lexer, out *Ballot) {
--- a/internal/control/replica/state.go
+++ b/internal/control/replica/state.go
@@ -43,17 +43,19 @@
 }
 
 // Digest is equal for members that hold the same, and for others by a chance of one in 2^64: of a chosen value its version
-// says all, whichever ballot it came by. A sum of weak hashes, which needs no order, once took versions 20 and 11 of two
+// and its writer's note say all, whichever ballot it came by. A sum of weak hashes, which needs no order, once took versions 20 and 11 of two
 // registers for 21 and 8.
 func Digest(entries []quorum.Entry) uint64 {
 	slices.SortFunc(entries, func(a, b quorum.Entry) int { return strings.Compare(a.Key, b.Key) })
 	var text []byte
 	for _, e := range entries {
-		n, who := e.Accepted.N, e.Accepted.Who
+		epoch, n, who := e.Accepted.Epoch, e.Accepted.N, e.Accepted.Who
 		if e.Chosen {
-			n, who = e.Value.Version, ""
+			epoch, n, who = 0, e.Value.Version, e.Value.Note
 		}
-		text = binary.BigEndian.AppendUint64(append(append(text, e.Key...), 0), n)
+		text = append(append(text, e.Key...), 0)
+		text = binary.BigEndian.AppendUint64(text, epoch)
+		text = binary.BigEndian.AppendUint64(text, n)
 		text = append(append(text, who...), 0)
 	}
 	sum := sha256.Sum256(text)
--- a/internal/control/replica/steer.go
+++ b/internal/control/replica/steer.go
@@ -130,8 +130,8 @@
 	s := &m.standing
 	s.proposing = true
 	m.say("next members proposed", "epoch", strconv.FormatUint(next.Epoch, 10), "reason", string(reason), "members", strconv.Itoa(len(next.Members)))
-	m.begin(now, &task{kind: writing, until: now.Add(4 * attempt), changes: map[string]quorum.Change{membership.Key: s.set.Change(next)},
-		after: func() { s.proposing = false }})
+	keys, decide := quorum.Each(map[string]quorum.Change{membership.Key: s.set.Change(next)})
+	m.begin(now, &task{kind: writing, until: now.Add(4 * attempt), keys: keys, decide: decide, after: func() { s.proposing = false }})
 }
 
 // Handing tells whether an ending process should go on for a while: a successor is ready and takes this member's place, or has
