--- a/internal/control/replica/apps.go
+++ b/internal/control/replica/apps.go
@@ -102,6 +102,7 @@
 
 // Minute does what time brings: leases that ran out, appliances fallen silent, lives long gone, values without an end.
 func (m *Replica) Minute(now time.Time) {
+	m.keepTime(now)
 	m.count(now)
 	m.confirm(now)
 	m.takeOver(now)
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -134,6 +134,7 @@
 	leaving  bool
 	was      bool // sound, when last looked
 	begun    time.Time
+	latest   time.Time            // when this replica was last told the time
 	open     map[string]time.Time // registers held without a known end, and when to bring them to one
 
 	number  uint64
--- a/internal/control/replica/round.go
+++ b/internal/control/replica/round.go
@@ -343,17 +343,17 @@
 
 // Due is when Tick wants to be called next; zero where nothing is under way.
 func (m *Replica) Due() (at time.Time) {
-	earlier := func(x time.Time) {
+	first := func(x time.Time) {
 		if !x.IsZero() && (at.IsZero() || x.Before(at)) {
 			at = x
 		}
 	}
 	for _, t := range m.tasks {
-		earlier(t.until)
+		first(t.until)
 		if t.again.IsZero() {
-			earlier(t.deadline)
+			first(t.deadline)
 		} else {
-			earlier(t.again)
+			first(t.again)
 		}
 	}
 	return at
@@ -361,6 +361,7 @@
 
 // Tick does what is due by the clock among what is under way.
 func (m *Replica) Tick(now time.Time) {
+	m.keepTime(now)
 	for _, number := range m.taskNumbers() {
 		t := m.tasks[number]
 		if t == nil { // another one has ended it
