--- /dev/null
+++ b/internal/control/rangesync/index.go
@@ -0,0 +1,239 @@
+package rangesync
+
+import (
+	"slices"
+	"sort"
+)
+
+// Index holds keys in order with their fingerprints, and sums up any range of them. Set, Remove and Summary take time that
+// grows with the logarithm of the number of keys. It is a tree whose nodes know the sum of all below them. It is not safe
+// for use by several goroutines at once.
+type Index struct {
+	root *node
+}
+
+// Bounds on the size of a node: one that is larger is split, one that is smaller is joined with its neighbour.
+const (
+	mostInNode  = 64
+	leastInNode = mostInNode / 4
+)
+
+// node is a leaf with entries, or an inner node with children.
+type node struct {
+	least    string // no key below is smaller, and every key of the neighbour before is; unused in a first child
+	summary  Summary
+	entries  []entry
+	children []*node
+}
+
+type entry struct {
+	key    string
+	digest Digest
+}
+
+// NewIndex is an empty index.
+func NewIndex() *Index { return &Index{root: &node{}} }
+
+// Len is the number of keys.
+func (x *Index) Len() int { return x.root.summary.Count }
+
+// Set adds a key or changes its fingerprint. Keys are valid UTF-8, as they go into messages.
+func (x *Index) Set(key string, fingerprint Fingerprint) {
+	x.root.set(entry{key, fingerprint.digest})
+	if x.root.size() <= mostInNode {
+		return
+	}
+	left := x.root
+	right := left.split()
+	x.root = &node{children: []*node{left, right}, summary: left.summary.plus(right.summary)}
+}
+
+// Remove takes a key out; nothing happens where it is not there.
+func (x *Index) Remove(key string) {
+	x.root.remove(key)
+	if len(x.root.children) == 1 {
+		x.root = x.root.children[0]
+	}
+}
+
+// Summary sums up the entries in a range.
+func (x *Index) Summary(r Range) Summary {
+	upTo := x.root.summary
+	if r.To != "" {
+		upTo = x.root.before(r.To)
+	}
+	return upTo.minus(x.root.before(r.From))
+}
+
+// Keys lists the keys in a range in order, the first most of them.
+func (x *Index) Keys(r Range, most int) (keys []string) {
+	x.each(r, func(key string) bool {
+		if len(keys) == most {
+			return false
+		}
+		keys = append(keys, key)
+		return true
+	})
+	return keys
+}
+
+// each goes through the keys in a range in order until it is told to stop.
+func (x *Index) each(r Range, visit func(key string) (goOn bool)) {
+	x.root.each(r, visit)
+}
+
+// size is the number of entries or children.
+func (n *node) size() int { return len(n.entries) + len(n.children) }
+
+// find is where a key stands among the entries of a leaf, or would be put.
+func (n *node) find(key string) (at int, found bool) {
+	at = sort.Search(len(n.entries), func(i int) bool { return n.entries[i].key >= key })
+	return at, at < len(n.entries) && n.entries[at].key == key
+}
+
+// childFor is the child in which a key stands, or would be put.
+func (n *node) childFor(key string) int {
+	rest := n.children[1:]
+	return sort.Search(len(rest), func(i int) bool { return rest[i].least > key })
+}
+
+func (n *node) set(e entry) {
+	if n.children == nil {
+		n.setEntry(e)
+		return
+	}
+	at := n.childFor(e.key)
+	child := n.children[at]
+	n.summary = n.summary.minus(child.summary)
+	child.set(e)
+	n.summary = n.summary.plus(child.summary)
+	if child.size() > mostInNode {
+		n.children = slices.Insert(n.children, at+1, child.split())
+	}
+}
+
+func (n *node) setEntry(e entry) {
+	at, found := n.find(e.key)
+	if found {
+		n.summary.Digest = n.summary.Digest.Minus(n.entries[at].digest).Plus(e.digest)
+		n.entries[at].digest = e.digest
+		return
+	}
+	n.entries = slices.Insert(n.entries, at, e)
+	n.summary = n.summary.plus(Summary{1, e.digest})
+}
+
+func (n *node) remove(key string) {
+	if n.children == nil {
+		n.removeEntry(key)
+		return
+	}
+	at := n.childFor(key)
+	child := n.children[at]
+	n.summary = n.summary.minus(child.summary)
+	child.remove(key)
+	n.summary = n.summary.plus(child.summary)
+	if child.size() < leastInNode && len(n.children) > 1 {
+		n.join(max(at-1, 0))
+	}
+}
+
+func (n *node) removeEntry(key string) {
+	at, found := n.find(key)
+	if !found {
+		return
+	}
+	n.summary = n.summary.minus(Summary{1, n.entries[at].digest})
+	n.entries = slices.Delete(n.entries, at, at+1)
+}
+
+// join puts two neighbouring children together, and splits them evenly where that is too much for one.
+func (n *node) join(at int) {
+	left, right := n.children[at], n.children[at+1]
+	left.entries = append(left.entries, right.entries...)
+	left.children = append(left.children, right.children...)
+	left.summary = left.summary.plus(right.summary)
+	if left.size() > mostInNode {
+		n.children[at+1] = left.split()
+		return
+	}
+	n.children = slices.Delete(n.children, at+1, at+2)
+}
+
+// split takes the upper half out into a node of its own. Both halves get arrays of their own: what is cut off would be
+// kept in memory otherwise.
+func (n *node) split() *node {
+	right := &node{}
+	if n.children == nil {
+		half := len(n.entries) / 2
+		right.entries = slices.Clone(n.entries[half:])
+		n.entries = slices.Clone(n.entries[:half])
+		right.least = right.entries[0].key
+	} else {
+		half := len(n.children) / 2
+		right.children = slices.Clone(n.children[half:])
+		n.children = slices.Clone(n.children[:half])
+		right.least = right.children[0].least
+	}
+	right.summary = right.sumUp()
+	n.summary = n.summary.minus(right.summary)
+	return right
+}
+
+func (n *node) sumUp() (s Summary) {
+	for _, e := range n.entries {
+		s = s.plus(Summary{1, e.digest})
+	}
+	for _, c := range n.children {
+		s = s.plus(c.summary)
+	}
+	return s
+}
+
+// before sums up the entries with keys smaller than this.
+func (n *node) before(key string) (s Summary) {
+	if n.children == nil {
+		at, _ := n.find(key)
+		for _, e := range n.entries[:at] {
+			s = s.plus(Summary{1, e.digest})
+		}
+		return s
+	}
+	at := n.childFor(key)
+	for _, c := range n.children[:at] {
+		s = s.plus(c.summary)
+	}
+	return s.plus(n.children[at].before(key))
+}
+
+// at is the key with so many before it.
+func (n *node) at(rank int) string {
+	if n.children == nil {
+		return n.entries[rank].key
+	}
+	for _, c := range n.children {
+		if rank < c.summary.Count {
+			return c.at(rank)
+		}
+		rank -= c.summary.Count
+	}
+	panic("rangesync: a rank beyond the last key")
+}
+
+func (n *node) each(r Range, visit func(key string) (goOn bool)) (goOn bool) {
+	if n.children == nil {
+		at, _ := n.find(r.From)
+		for _, e := range n.entries[at:] {
+			if r.endsBefore(e.key) || !visit(e.key) {
+				return false
+			}
+		}
+		return true
+	}
+	for _, c := range n.children[n.childFor(r.From):] {
+		if !c.each(r, visit) {
+			return false
+		}
+	}
+	return true
+}
