--- a/internal/control/rangesync/answer.go
+++ b/internal/control/rangesync/answer.go
@@ -16,7 +16,7 @@
 	answer := &Answer{Session: request.Session, Number: request.Number}
 	room := a.Limits.MessageBytes - headText
 	for i, asked := range request.Ranges {
-		p := a.tell(asked, room)
+		p := a.tell(asked, room, len(request.Ranges))
 		if p.size > room && i > 0 {
 			break
 		}
@@ -36,16 +36,42 @@
 
 // tell answers for one range. A piece that is larger than the room does not fit; the first piece of an answer goes out in
 // any case, so that each answer goes on.
-func (a *Answerer) tell(asked Asked, room int) piece {
+func (a *Answerer) tell(asked Asked, room, ranges int) piece {
 	own := a.Index.Summary(asked.Range)
 	switch {
 	case own.Count == 0 || own == asked.Summary && !asked.All:
 		return piece{size: toldText}
 	case a.sends(asked, own):
 		return a.send(asked.Range, room)
-	default:
+	case ranges > 1 || asked.Count == 0: // what is empty is filled part by part, and a part with a few keys is not empty
 		return a.split(asked.Range, own)
+	default:
+		return a.sendRecent(asked, own, room)
+	}
+}
+
+// sendRecent is for a range that is asked for alone, as the first of a comparison is. Where the asker has what this side
+// had a while ago, what has changed since is sent and no more is to be done. Else the latest changes go with the split.
+func (a *Answerer) sendRecent(asked Asked, own Summary, room int) piece {
+	if keys, known := a.Index.since(asked.Range, asked.Summary); known {
+		if p := a.pack(piece{size: toldText}, keys, room); len(p.keys) == len(keys) {
+			return p
+		}
+	}
+	return a.pack(a.split(asked.Range, own), a.Index.recent(asked.Range, a.Limits.RecentKeys), room)
+}
+
+// pack adds the entries of keys to a piece, as far as they fit.
+func (a *Answerer) pack(p piece, keys []string, room int) piece {
+	for _, key := range keys {
+		size := a.Size(key)
+		if p.size+size > room {
+			break
+		}
+		p.size += size
+		p.keys = append(p.keys, key)
 	}
+	return p
 }
 
 // sends tells whether the entries of a range are sent rather than compared further.
--- a/internal/control/rangesync/index.go
+++ b/internal/control/rangesync/index.go
@@ -9,7 +9,8 @@
 // grows with the logarithm of the number of keys. It is a tree whose nodes know the sum of all below them. It is not safe
 // for use by several goroutines at once.
 type Index struct {
-	root *node
+	root    *node
+	history history
 }
 
 // Bounds on the size of a node: one that is larger is split, one that is smaller is joined with its neighbour.
@@ -31,6 +32,8 @@
 	digest Digest
 }
 
+func (e entry) summary() Summary { return Summary{1, e.digest} }
+
 // NewIndex is an empty index.
 func NewIndex() *Index { return &Index{root: &node{}} }
 
@@ -39,7 +42,9 @@
 
 // Set adds a key or changes its fingerprint. Keys are valid UTF-8, as they go into messages.
 func (x *Index) Set(key string, fingerprint Fingerprint) {
-	x.root.set(entry{key, fingerprint.digest})
+	e := entry{key, fingerprint.digest}
+	before := x.root.set(e)
+	x.history.note(change{key: key, before: before, after: e.summary()})
 	if x.root.size() <= mostInNode {
 		return
 	}
@@ -51,6 +56,7 @@
 // Remove takes a key out; nothing happens where it is not there.
 func (x *Index) Remove(key string) {
 	x.root.remove(key)
+	x.history = history{} // it tells what was held and still is, or is later
 	if len(x.root.children) == 1 {
 		x.root = x.root.children[0]
 	}
@@ -97,30 +103,31 @@
 	return sort.Search(len(rest), func(i int) bool { return rest[i].least > key })
 }
 
-func (n *node) set(e entry) {
+// set puts an entry in its place and hands back what was there.
+func (n *node) set(e entry) (before Summary) {
 	if n.children == nil {
-		n.setEntry(e)
-		return
+		return n.setEntry(e)
 	}
 	at := n.childFor(e.key)
 	child := n.children[at]
-	n.summary = n.summary.minus(child.summary)
-	child.set(e)
-	n.summary = n.summary.plus(child.summary)
+	before = child.set(e)
+	n.summary = n.summary.minus(before).plus(e.summary())
 	if child.size() > mostInNode {
 		n.children = slices.Insert(n.children, at+1, child.split())
 	}
+	return before
 }
 
-func (n *node) setEntry(e entry) {
+func (n *node) setEntry(e entry) (before Summary) {
 	at, found := n.find(e.key)
 	if found {
-		n.summary.Digest = n.summary.Digest.Minus(n.entries[at].digest).Plus(e.digest)
+		before = n.entries[at].summary()
 		n.entries[at].digest = e.digest
-		return
+	} else {
+		n.entries = slices.Insert(n.entries, at, e)
 	}
-	n.entries = slices.Insert(n.entries, at, e)
-	n.summary = n.summary.plus(Summary{1, e.digest})
+	n.summary = n.summary.minus(before).plus(e.summary())
+	return before
 }
 
 func (n *node) remove(key string) {
@@ -143,7 +150,7 @@
 	if !found {
 		return
 	}
-	n.summary = n.summary.minus(Summary{1, n.entries[at].digest})
+	n.summary = n.summary.minus(n.entries[at].summary())
 	n.entries = slices.Delete(n.entries, at, at+1)
 }
 
@@ -182,7 +189,7 @@
 
 func (n *node) sumUp() (s Summary) {
 	for _, e := range n.entries {
-		s = s.plus(Summary{1, e.digest})
+		s = s.plus(e.summary())
 	}
 	for _, c := range n.children {
 		s = s.plus(c.summary)
@@ -195,7 +202,7 @@
 	if n.children == nil {
 		at, _ := n.find(key)
 		for _, e := range n.entries[:at] {
-			s = s.plus(Summary{1, e.digest})
+			s = s.plus(e.summary())
 		}
 		return s
 	}
--- a/internal/control/rangesync/messages.go
+++ b/internal/control/rangesync/messages.go
@@ -45,10 +45,11 @@
 	Parts        int // into which a range is split
 	SendKeys     int // a range of at most so many keys is sent rather than split
 	FillKeys     int // the same where the asker holds nothing of the range
+	RecentKeys   int // so many of the latest changes go with the first split
 }
 
 // DefaultLimits are chosen by the measurements in docs/rangesync.md.
-var DefaultLimits = Limits{MessageBytes: 256 << 10, Ranges: 256, Parts: 16, SendKeys: 4, FillKeys: 4096}
+var DefaultLimits = Limits{MessageBytes: 256 << 10, Ranges: 256, Parts: 16, SendKeys: 4, FillKeys: 4096, RecentKeys: 16}
 
 // ErrMalformed is a message that no correct peer sends.
 var ErrMalformed = errors.New("malformed comparison of ranges")
--- a/internal/control/rangesync/session.go
+++ b/internal/control/rangesync/session.go
@@ -83,7 +83,7 @@
 	delete(s.waiting, answer.Number)
 	s.open = append(s.open, asked[len(answer.Ranges):]...)
 	for i, told := range answer.Ranges {
-		s.take(asked[i], told)
+		s.take(asked[i], told, len(asked) <= fewRanges)
 	}
 	return nil
 }
@@ -102,7 +102,7 @@
 }
 
 // take keeps of a range what still may differ.
-func (s *Session) take(p pending, told Told) {
+func (s *Session) take(p pending, told Told, few bool) {
 	if told.Rest != "" {
 		p.From = told.Rest
 		s.open = append(s.open, p)
@@ -114,9 +114,22 @@
 		if i < len(told.Bounds) {
 			part.To = told.Bounds[i]
 		}
-		if count > 0 && s.index.Summary(part.Range) != (Summary{count, told.Digests[i]}) {
+		if count > 0 && !s.holds(part.Range, Summary{count, told.Digests[i]}, few) {
 			s.open = append(s.open, part)
 		}
 		part.From = part.To
 	}
 }
+
+// fewRanges bounds the work of looking back: each range in an answer to so many is sought among the latest changes.
+const fewRanges = 16
+
+// holds tells whether the asker holds all that the answerer says of a range: it says the same now, or where it looks back
+// said the same before its latest changes. What it holds never goes back.
+func (s *Session) holds(r Range, theirs Summary, lookBack bool) bool {
+	if !lookBack {
+		return s.index.Summary(r) == theirs
+	}
+	_, known := s.index.since(r, theirs)
+	return known
+}
