--- a/internal/control/rangesync/answer.go
+++ b/internal/control/rangesync/answer.go
@@ -1,5 +1,7 @@
 package rangesync
 
+import "slices"
+
 // Answerer answers requests from an index.
 type Answerer struct {
 	Index  *Index
@@ -51,10 +53,14 @@
 }
 
 // sendRecent is for a range that is asked for alone, as the first of a comparison is. Where the asker has what this side
-// had a while ago, what has changed since is sent and no more is to be done. Else the latest changes go with the split.
+// had a while ago, just what has changed since is sent: the earliest first, so that the asker can be found in the history
+// again where they do not all fit. Else the latest changes go with the split.
 func (a *Answerer) sendRecent(asked Asked, own Summary, room int) piece {
 	if keys, known := a.Index.since(asked.Range, asked.Summary); known {
-		if p := a.pack(piece{size: toldText}, keys, room); len(p.keys) == len(keys) {
+		slices.Reverse(keys)
+		p := a.pack(piece{size: toldText}, keys, room)
+		p.told.Again = len(p.keys) < len(keys)
+		if len(p.keys) > 0 {
 			return p
 		}
 	}
--- a/internal/control/rangesync/messages.go
+++ b/internal/control/rangesync/messages.go
@@ -32,6 +32,7 @@
 // Told is what the answerer says of a range. Without any field the range is done: both hold the same, or all of the
 // answerer's entries go with the answer.
 type Told struct {
+	Again   bool     `json:"a,omitempty"` // some entries go with the answer, and the range is to be asked for again
 	Rest    string   `json:"m,omitempty"` // entries before this key go with the answer, those from it on are to be asked for
 	Bounds  []string `json:"b,omitempty"` // where the range is split: the parts lie before, between and after them
 	Counts  []int    `json:"c,omitempty"` // of the parts
@@ -59,7 +60,7 @@
 	numberText  = 20                                       // a number of 64 bits
 	headText    = len(`{"s":,"n":,"r":[]}`) + 2*numberText // of a request or an answer
 	askedText   = len(`{"f":,"t":,"n":,"d":"","a":true},`) + numberText + digestText
-	toldText    = len(`{"m":,"b":[],"c":[],"d":[]},`)
+	toldText    = len(`{"a":true,"m":,"b":[],"c":[],"d":[]},`)
 	partText    = len(`,,"",`) + numberText + digestText
 	escapedText = 6 // a byte written as \u00XX
 	quotesText  = 2
@@ -87,7 +88,7 @@
 	if parts != len(t.Digests) || parts == 1 || len(t.Bounds) != max(parts-1, 0) {
 		return false
 	}
-	if t.Rest != "" && (parts > 0 || !r.splits(t.Rest)) {
+	if t.Rest != "" && (t.Again || parts > 0 || !r.splits(t.Rest)) || t.Again && parts > 0 {
 		return false
 	}
 	for _, bound := range t.Bounds {
--- a/internal/control/rangesync/messages_easyjson.go
+++ b/internal/control/rangesync/messages_easyjson.go
@@ -357,6 +357,12 @@
 		key := in.UnsafeFieldName(false)
 		in.WantColon()
 		switch key {
+		case "a":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Again = bool(in.Bool())
+			}
 		case "m":
 			if in.IsNull() {
 				in.Skip()
@@ -458,10 +464,20 @@
 	out.RawByte('{')
 	first := true
 	_ = first
-	if in.Rest != "" {
-		const prefix string = ",\"m\":"
+	if in.Again {
+		const prefix string = ",\"a\":"
 		first = false
 		out.RawString(prefix[1:])
+		out.Bool(bool(in.Again))
+	}
+	if in.Rest != "" {
+		const prefix string = ",\"m\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
 		out.String(string(in.Rest))
 	}
 	if len(in.Bounds) != 0 {
--- a/internal/control/rangesync/messages_test.go
+++ b/internal/control/rangesync/messages_test.go
@@ -86,6 +86,8 @@
 		"bounds turned":         {{Counts: counts(3), Digests: digests(3), Bounds: []string{"k", "j"}}},
 		"a rest that goes back": {{Rest: "a"}},
 		"a rest beyond":         {{Rest: "z"}},
+		"again and parts":       {{Again: true, Counts: counts(2), Digests: digests(2), Bounds: []string{"k"}}},
+		"again and a rest":      {{Again: true, Rest: "k"}},
 		"a rest and parts":      {{Rest: "k", Counts: counts(2), Digests: digests(2), Bounds: []string{"k"}}},
 	} {
 		s := NewSession(1, NewIndex(), Range{"a", "z"}, DefaultLimits)
--- a/internal/control/rangesync/session.go
+++ b/internal/control/rangesync/session.go
@@ -15,7 +15,7 @@
 // pending is a range that may differ.
 type pending struct {
 	Range
-	splits int // how often it was split off
+	splits int // how often it was split off, or asked for again
 	told   int // how many entries the answerer had in it
 }
 
@@ -103,7 +103,12 @@
 
 // take keeps of a range what still may differ.
 func (s *Session) take(p pending, told Told, few bool) {
-	if told.Rest != "" {
+	switch {
+	case told.Again:
+		p.splits++
+		s.open = append(s.open, p)
+		return
+	case told.Rest != "":
 		p.From = told.Rest
 		s.open = append(s.open, p)
 		return
@@ -122,7 +127,7 @@
 }
 
 // fewRanges bounds the work of looking back: each range in an answer to so many is sought among the latest changes.
-const fewRanges = 16
+const fewRanges = 4
 
 // holds tells whether the asker holds all that the answerer says of a range: it says the same now, or where it looks back
 // said the same before its latest changes. What it holds never goes back.
--- a/internal/control/rangesync/sync_test.go
+++ b/internal/control/rangesync/sync_test.go
@@ -187,6 +187,10 @@
 			learn(asker, key)
 		}
 	}
+	for range rapid.IntRange(0, 60).Draw(t, "later changes") { // where all were alike, the asker was away
+		key := keys[random.IntN(len(keys))]
+		answerer.learn(key, register{10 + random.Uint64N(3), "later"})
+	}
 	return asker, answerer
 }
 
