--- /dev/null
+++ b/internal/sim/explore/member.go
@@ -0,0 +1,138 @@
+package explore
+
+import "sagelever/internal/control/quorum"
+
+// Disk is all that a member has stored.
+type Disk struct {
+	Epoch   uint64 // in which it is active; 0: it is a learner
+	Entries []quorum.Entry
+}
+
+// Member is one member's registers with their epoch. A message carries the epoch that its sender is in.
+type Member interface {
+	// Prepare promises to take no ballot before b on the register, and tells what was accepted on it.
+	Prepare(epoch uint64, b quorum.Ballot, key string) (held quorum.Entry, ok bool)
+	// Accept takes a value under a ballot.
+	Accept(epoch uint64, b quorum.Ballot, value quorum.Entry) (ok bool)
+	// Read tells what is held, if the member may answer for the epoch.
+	Read(epoch uint64, key string) (held quorum.Entry, ok bool)
+	// Sealed tells what is held, if the member accepted the set of the epoch after this one.
+	Sealed(epoch uint64, key string) (held quorum.Entry, ok bool)
+	// Activate merges what others hold, and takes part in the epoch from now on. The set of that epoch is known to be
+	// chosen and is among what is handed in.
+	Activate(epoch uint64, held []quorum.Entry)
+	// Disk is what has to be stored before a reply goes out.
+	Disk() Disk
+}
+
+// Restore takes up what a disk held.
+type Restore func(Disk) Member
+
+// reference seals and activates as docs/model.md says, on today's registers.
+type reference struct {
+	fault     Fault
+	epoch     uint64
+	registers *quorum.Acceptor
+}
+
+// Reference makes members of the reference implementation, with a planted fault or none.
+func Reference(fault Fault) Restore {
+	return func(d Disk) Member {
+		return &reference{fault: fault, epoch: d.Epoch, registers: quorum.NewAcceptor(d.Entries, quorum.Ballot{})}
+	}
+}
+
+// isSealed tells whether this member accepted a set for the next epoch.
+func (r *reference) isSealed() bool {
+	return r.epoch > 0 && r.registers.Get(MembersKey).Value.Version > r.epoch
+}
+
+// takes tells whether a message of an epoch on a register may be answered.
+func (r *reference) takes(epoch uint64, key string) bool {
+	if epoch != r.epoch && !(r.fault == OldEpochTaken && epoch < r.epoch) {
+		return false
+	}
+	return key == MembersKey || !r.isSealed() || r.fault == NoSealing
+}
+
+func (r *reference) Prepare(epoch uint64, b quorum.Ballot, key string) (quorum.Entry, bool) {
+	if !r.takes(epoch, key) {
+		return quorum.Entry{}, false
+	}
+	held, _, refused := r.registers.Prepare(b, []string{key})
+	if refused != (quorum.Ballot{}) {
+		return quorum.Entry{}, false
+	}
+	return held[0], true
+}
+
+func (r *reference) Accept(epoch uint64, b quorum.Ballot, value quorum.Entry) bool {
+	if !r.takes(epoch, value.Key) {
+		return false
+	}
+	_, refused := r.registers.Accept(b, []quorum.Entry{value})
+	return refused == quorum.Ballot{}
+}
+
+func (r *reference) Read(epoch uint64, key string) (quorum.Entry, bool) {
+	sealed := r.isSealed() && r.fault != SealedReads && r.fault != NoSealing
+	if epoch != r.epoch || sealed {
+		return quorum.Entry{}, false
+	}
+	return r.registers.Get(key), true
+}
+
+func (r *reference) Sealed(epoch uint64, key string) (quorum.Entry, bool) {
+	if epoch != r.epoch || !r.isSealed() {
+		return quorum.Entry{}, false
+	}
+	return r.registers.Get(key), true
+}
+
+func (r *reference) Activate(epoch uint64, held []quorum.Entry) {
+	if r.fault == MergeForgetsOwn {
+		r.registers = quorum.NewAcceptor(nil, quorum.Ballot{})
+	}
+	for _, e := range held {
+		if r.merges(e) {
+			r.force(e)
+		}
+	}
+	r.epoch = epoch
+}
+
+// merges tells whether what another holds takes the place of what is held here.
+func (r *reference) merges(e quorum.Entry) bool {
+	own := r.registers.Get(e.Key)
+	newer, later := e.Value.Version > own.Value.Version, own.Accepted.Less(e.Accepted)
+	if e.Key == MembersKey {
+		return later
+	}
+	switch r.fault {
+	case MergeByVersion:
+		return newer
+	case MergeByVersionThenBallot:
+		return newer || e.Value.Version == own.Value.Version && later
+	}
+	return later
+}
+
+// force puts an entry in place; the registers' own Learn merges by ballot, and does the same where no fault is planted.
+func (r *reference) force(e quorum.Entry) {
+	own := r.registers.Get(e.Key)
+	if own.Accepted.Less(e.Accepted) {
+		r.registers.Learn([]quorum.Entry{{Key: e.Key, Accepted: e.Accepted, Value: e.Value}})
+		return
+	}
+	e.Promised = own.Promised
+	other := ItemKey
+	if e.Key == ItemKey {
+		other = MembersKey
+	}
+	entries := []quorum.Entry{e, r.registers.Get(other)}
+	r.registers = quorum.NewAcceptor(entries, quorum.Ballot{})
+}
+
+func (r *reference) Disk() Disk {
+	return Disk{Epoch: r.epoch, Entries: []quorum.Entry{r.registers.Get(ItemKey), r.registers.Get(MembersKey)}}
+}
