--- a/internal/sim/explore/steps.go
+++ b/internal/sim/explore/steps.go
@@ -60,9 +60,8 @@
 	step  Step
 }
 
-// successors are all states that one step leads to, always in the same order.
-func (m *model) successors(s *state) []successor {
-	var out []successor
+// successors are all states that one step leads to, always in the same order; they are appended to a slice.
+func (m *model) successors(s *state, out []successor) []successor {
 	for i := range m.rounds {
 		out = m.roundSteps(s, i, out)
 	}
