--- a/internal/sim/explore/check.go
+++ b/internal/sim/explore/check.go
@@ -15,6 +15,9 @@
 			}
 		}
 	}
+	if m.bounds.Recovery && m.stuck(s) {
+		return "the members that are left can't confirm an order that includes what was confirmed"
+	}
 	required := m.newest(s)
 	if required == 0 {
 		return ""
--- a/internal/sim/explore/member.go
+++ b/internal/sim/explore/member.go
@@ -54,6 +54,9 @@
 	if epoch != r.epoch && !(r.fault == OldEpochTaken && epoch < r.epoch) {
 		return false
 	}
+	if r.fault == SealedForGood && r.isSealed() {
+		return false
+	}
 	return key == MembersKey || !r.isSealed() || r.fault == NoSealing
 }
 
--- a/internal/sim/explore/model.go
+++ b/internal/sim/explore/model.go
@@ -71,6 +71,7 @@
 	Restarts    int
 	Reader      bool // quorum reads whose answers come at different moments; else at one
 	Copies      bool // members learn what others hold at any time, as readers and learners do
+	Recovery    bool // from each state the members that are left must be able to confirm an order
 	MaxStates   int
 }
 
@@ -96,6 +97,7 @@
 	StaleCopyCounts
 	BallotReused
 	LearnerCounts
+	SealedForGood
 	MergeForgetsOwn
 	MergeByVersionThenBallot
 	faultCount
@@ -120,6 +122,7 @@
 	StaleCopyCounts:          "what was fetched for an epoch counts for a later one",
 	BallotReused:             "a proposer that restarts uses its ballot again",
 	LearnerCounts:            "a member of the new set acts before it has merged",
+	SealedForGood:            "sealed members refuse rounds on the members too",
 	MergeForgetsOwn:          "activation drops what the member itself had accepted",
 }
 
@@ -190,8 +193,10 @@
 	ballots [256]quorum.Ballot
 	numbers map[quorum.Ballot]uint8
 	memo    memo
-	masks   []uint8 // of the bounds' sets
-	twins   bool    // the first two members have the same part in every set
+	// ordinary is how many rounds the steps play; those after them try whether the members recover.
+	ordinary int
+	masks    []uint8 // of the bounds' sets
+	twins    bool    // the first two members have the same part in every set
 }
 
 func newModel(b Bounds, fault Fault, restore Restore) (*model, error) {
@@ -206,6 +211,10 @@
 			m.rounds = append(m.rounds, roundSpec{key: MembersKey, value: uint8(i + 2), epoch: s.Epoch - 1})
 		}
 	}
+	m.ordinary = len(m.rounds)
+	if b.Recovery {
+		m.rounds = append(m.rounds, roundSpec{key: ItemKey, value: 1}, roundSpec{key: MembersKey, value: 2})
+	}
 	if len(m.rounds) > maxRounds {
 		return nil, fmt.Errorf("%d rounds, at most %d", len(m.rounds), maxRounds)
 	}
