--- a/plan/settle.go
+++ b/plan/settle.go
@@ -28,7 +28,7 @@
 	case sent.Version > held.Version:
 		return fresh
 	case sent.Version == held.Version:
-		if contentDigest(held) == contentDigest(sent) {
+		if held.Gone == sent.Gone && held.Body == sent.Body || contentDigest(held) == contentDigest(sent) {
 			return taken
 		}
 		return clashing
@@ -50,12 +50,16 @@
 // of the call changes anything. A version that others have passed by is confirmed without an effect and remembered, so that
 // no other content is confirmed under it later.
 func Settle(sent map[string]quorum.Value) quorum.Decide {
+	var call uint64
+	if len(sent) > 1 {
+		call = callDigest(sent)
+	}
 	return func(held map[string]quorum.Value) map[string]quorum.Value {
-		out := map[string]quorum.Value{}
+		out := make(map[string]quorum.Value, len(sent))
 		for key, v := range sent {
 			switch standingOf(held[key], v) {
 			case fresh:
-				out[key] = replaceBy(held[key], v, sent)
+				out[key] = replaceBy(held[key], v, call)
 			case late:
 				x := held[key]
 				x.Note = readHistory(x).with(v).note()
@@ -71,16 +75,14 @@
 	}
 }
 
-// replaceBy is an item's new value with what came before it.
-func replaceBy(held, v quorum.Value, call map[string]quorum.Value) quorum.Value {
+// replaceBy is an item's new value with what came before it; call is the digest of the call that it came by, 0 where it came
+// by itself.
+func replaceBy(held, v quorum.Value, call uint64) quorum.Value {
 	h := readHistory(held)
 	if held.Version > 0 {
 		h = h.with(held)
 	}
-	h.call = 0
-	if len(call) > 1 {
-		h.call = callDigest(call)
-	}
+	h.call = call
 	v.Note = h.note()
 	return v
 }
