--- a/cmd/accord/seat/seat.go
+++ b/cmd/accord/seat/seat.go
@@ -57,6 +57,7 @@
 	if drains.used() {
 		return drains.run(ctx, path, os.Stdout, os.Stderr)
 	}
+	hangups := hangups()
 	log, err := logger(level)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -71,18 +72,20 @@
 	if settings.Limits.RAMMb > 0 { // the collector works harder near half of the limit, long before it is reached
 		debug.SetMemoryLimit(int64(settings.Limits.RAMMb) << 20 / 2)
 	}
+	life, end := context.WithCancel(context.Background()) // ends once the role has, a while after the SIGTERM
+	defer end()
 	switch {
 	case checkCmd.Used:
 		fmt.Println("the settings are sound")
 		return fine
 	case relayCmd.Used:
 		r := relay.New(relay.Options{Settings: settings, Log: log})
-		go onChange(ctx, path, log, r.Reload)
+		go onChange(life, hangups, path, log, r.Reload)
 		err = r.Run(ctx)
 	case stewardCmd.Used:
 		var s *steward.Steward
 		if s, err = steward.New(steward.Options{Settings: settings, PerZone: perZone, Log: log}); err == nil {
-			go onChange(ctx, path, log, s.Reload)
+			go onChange(life, hangups, path, log, s.Reload)
 			err = s.Run(ctx)
 		}
 	default:
@@ -99,11 +102,16 @@
 // look is how often the settings file is looked at, as it may change without a signal: as long as contacts may lag.
 const look = 3 * time.Second
 
+// hangups takes SIGHUP over for the rest of the process's life. It is never given back: by default the signal ends the
+// process, and the platform may send it before the settings are read and while the process leaves after a SIGTERM.
+func hangups() <-chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
 // onChange reads the settings again at SIGHUP, and when the file has changed. One that can't be read changes nothing.
-func onChange(ctx context.Context, path string, log *zap.Logger, reload func(*boot.Settings)) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func onChange(ctx context.Context, hangups <-chan os.Signal, path string, log *zap.Logger, reload func(*boot.Settings)) {
 	t := time.NewTicker(look)
 	defer t.Stop()
 	seen := stamp(path)
@@ -111,7 +119,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-hangups:
 		case <-t.C:
 			if stamp(path) == seen {
 				continue
