--- a/strand/conn.go
+++ b/strand/conn.go
@@ -39,11 +39,14 @@
 
 // Use is one send's use of a connection.
 type Use struct {
-	Pass     func(write func()) bool // what has to be asked before anything is written; nil: nothing
-	Ours     func(http.Header) bool  // whether an answer is to this send; others are passed over. nil: all are
-	wrote    atomic.Bool             // anything has been written for it
-	began    atomic.Bool             // something has come for it
-	answered atomic.Bool             // its answer has been read whole
+	Pass     func(write func()) bool    // what has to be asked before anything is written; nil: nothing
+	Ours     func(http.Header) bool     // whether an answer is to this send; others are passed over. nil: all are
+	Refuse   func(*http.Response) error // why an answer in its place may not be believed, by its head; nil: all may
+	Whole    func() bool                // whether the request has been written whole; nil: it has, once it is answered
+	bodiless bool                       // no answer to it has a body, whatever its head says; set before anything is written
+	wrote    atomic.Bool                // anything has been written for it
+	began    atomic.Bool                // something has come for it
+	answered atomic.Bool                // its answer has been read whole
 }
 
 // Wrote tells whether anything was written for the send.
@@ -89,7 +92,10 @@
 		return 0, errUseless
 	}
 	write := func() {
-		u.wrote.Store(true)
+		if !u.wrote.Load() {
+			u.bodiless = bytes.HasPrefix(p, []byte(http.MethodHead+" "))
+			u.wrote.Store(true)
+		}
 		n, err = w.TCPConn.Write(p)
 	}
 	if u.Pass == nil {
@@ -163,8 +169,16 @@
 	case resp.ContentLength > w.terms.Longest:
 		return spoilt(errors.New("it is too long"))
 	}
+	if u.Refuse != nil {
+		if err := u.Refuse(resp); err != nil {
+			return spoilt(err)
+		}
+	}
 	w.heads, w.ahead, w.left = head, 0, resp.ContentLength
-	if resp.ContentLength < 0 {
+	if u.bodiless {
+		w.left = 0
+	}
+	if w.left < 0 {
 		w.left = toTheEnd
 		w.useless.Store(true) // where it ends is not for us to see: it is the last here
 	}
@@ -192,6 +206,9 @@
 // short, and noise looks the same: to serve it might be to serve half.
 func (w *Conn) end() error {
 	u := w.by.Load()
+	if u.Whole != nil && !u.Whole() {
+		w.useless.Store(true) // what is made of the rest of the request is not for us to see
+	}
 	if w.in.Buffered() > 0 || waits(w.TCPConn) {
 		w.useless.Store(true)
 		w.in.Peek(1) // does not wait: there is something, or the connection's end
--- a/sway/again.go
+++ b/sway/again.go
@@ -30,8 +30,8 @@
 	if !r.Way.Harmless && r.Verdict != verdict.NeverRan {
 		return false // it may have run: it is never sent again
 	}
-	if o.Status >= 400 && o.Status < 500 && o.Status != 421 && o.Verdict == verdict.Ran {
-		return false // its own fault, wherever it is sent
+	if o.Verdict == verdict.Ran && o.Status < 500 {
+		return false // an answer like any other, or its own fault wherever it is sent
 	}
 	if r.Arrivals >= r.Way.Tries || r.Sends >= r.Way.Tries+2 {
 		return false // what never reached an appliance does not count among its tries, within bounds
