--- a/cmd/sagelab/main.go
+++ b/cmd/sagelab/main.go
@@ -69,6 +69,7 @@
 	long.Flags().IntVar(&persecond, "rate", 200, "requests a second")
 	long.Flags().Uint64Var(&seed, "seed", 1, "of the keys")
 	root.AddCommand(ws, still, fast, long, drainCommand())
+	root.AddCommand(hollowCommands()...)
 	if root.Execute() != nil {
 		os.Exit(1)
 	}
