--- a/internal/testbed/hollow/bed.go
+++ b/internal/testbed/hollow/bed.go
@@ -187,34 +187,40 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
-	err := until(ctx, "every agent is told all, and every appliance heard", func() bool {
-		for _, agent := range b.agents {
-			if !agent.whole.Load() {
-				return false
-			}
+	if !until(ctx, func() bool { whole, heard := b.started(); return whole == len(b.agents) && heard == len(b.appliances) }) {
+		whole, heard := b.started()
+		return time.Since(begun), errors.Errorf("not in time: %d of %d agents were told all, %d of %d appliances heard", whole, len(b.agents), heard, len(b.appliances))
+	}
+	return time.Since(begun), nil
+}
+
+// started counts the agents that were told all, and the appliances that were acknowledged.
+func (b *Bed) started() (whole, heard int) {
+	for _, agent := range b.agents {
+		if agent.whole.Load() {
+			whole++
 		}
-		for _, appliance := range b.appliances {
-			if appliance.acked.Load() == 0 {
-				return false
-			}
+	}
+	for _, appliance := range b.appliances {
+		if appliance.acked.Load() > 0 {
+			heard++
 		}
-		return true
-	})
-	return time.Since(begun), err
+	}
+	return whole, heard
 }
 
-// until waits for a condition.
-func until(ctx context.Context, what string, so func() bool) error {
+// until waits for a condition, and tells whether it came about.
+func until(ctx context.Context, so func() bool) bool {
 	ticker := time.NewTicker(5 * time.Millisecond)
 	defer ticker.Stop()
 	for !so() {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return errors.Errorf("not in time: %s", what)
+			return false
 		}
 	}
-	return nil
+	return true
 }
 
 // Close ends all.
--- a/internal/testbed/hollow/measure.go
+++ b/internal/testbed/hollow/measure.go
@@ -111,6 +111,7 @@
 	Loaded       Loaded
 	Idle         []Usage // of members once the core stands, before anything was loaded
 	LoadedUse    []Usage // of members once all is loaded
+	StartedUse   []Usage // of members once every agent was told all, or the time for that had passed
 	Start        time.Duration
 	Whole        Traffic // that hollow agents had when each was told all
 	WholeItems   int64
@@ -148,6 +149,7 @@
 		return r, err
 	}
 	if r.Start, err = b.StartAgents(ctx); err != nil {
+		r.StartedUse, _, _ = readAll(b.members) // it tells what the core was busy with
 		return r, err
 	}
 	if err := b.calm(ctx, r); err != nil {
@@ -168,7 +170,7 @@
 	if err != nil {
 		return err
 	}
-	r.Whole, r.WholeItems = whole.Agents, whole.Items
+	r.Whole, r.WholeItems, r.StartedUse = whole.Agents, whole.Items, whole.Members
 	if len(b.agents) > 0 {
 		r.WholeBytes = b.agents[0].bodyBytes.Load()
 	}
--- a/internal/testbed/hollow/report.go
+++ b/internal/testbed/hollow/report.go
@@ -19,8 +19,8 @@
 	fmt.Fprintf(&out, "load member_cpu_s=%.2f member_rss_kb=%d to %d peak=%d\n", seconds(r.LoadedUse)-seconds(r.Idle),
 		memory(r.Idle), memory(r.LoadedUse), peak(r.LoadedUse))
 	if agents := float64(o.Agents); agents > 0 && r.Start > 0 {
-		fmt.Fprintf(&out, "start took=%s agent_items=%.0f agent_unpacked_b=%d agent_received_b=%.0f\n", milli(r.Start), float64(r.WholeItems)/agents,
-			r.WholeBytes, float64(r.Whole.Received)/agents)
+		fmt.Fprintf(&out, "start took=%s member_cpu_s=%.2f peak_kb=%d agent_items=%.0f agent_unpacked_b=%d agent_received_b=%.0f\n", milli(r.Start),
+			seconds(r.StartedUse)-seconds(r.LoadedUse), peak(r.StartedUse), float64(r.WholeItems)/agents, r.WholeBytes, float64(r.Whole.Received)/agents)
 	}
 	r.writePart(&out, "calm", r.Calm, 0)
 	r.writePart(&out, "change", r.Changing, len(r.Spreads))
