--- a/internal/control/replica/news.go
+++ b/internal/control/replica/news.go
@@ -189,6 +189,9 @@
 	if !p.Meet {
 		if m.heardOf(to.Node, now) {
 			p.WaitMs = CoreWait.Milliseconds()
+			if !s.member() {
+				p.WaitMs = candidateWait.Milliseconds()
+			}
 		}
 		x := m.members[to.Node]
 		if x != nil {
--- a/internal/control/replica/steer.go
+++ b/internal/control/replica/steer.go
@@ -19,6 +19,14 @@
 	firstTurn = 300 * time.Millisecond
 )
 
+const (
+	// candidateWait is for how long a candidate's pull waits for news: shorter than a member's, so that one that is gone is not
+	// voted in. From when a next set is accepted, losses count against both sets together.
+	candidateWait = time.Second
+	// candidateHeard is for how long a candidate counts as there after its last pull.
+	candidateHeard = candidateWait + 750*time.Millisecond
+)
+
 // candidate is a replica that is no member and has called.
 type candidate struct {
 	membership.Candidate
@@ -46,7 +54,7 @@
 func (m *Replica) present(now time.Time) []membership.Candidate {
 	var out []membership.Candidate
 	for node, c := range m.candidates {
-		if now.Sub(c.at) > Heard {
+		if now.Sub(c.at) > candidateHeard {
 			delete(m.candidates, node)
 		} else {
 			out = append(out, c.Candidate)
