--- a/internal/control/replica/steer.go
+++ b/internal/control/replica/steer.go
@@ -36,7 +36,7 @@
 // noteCandidate takes up a replica that calls and is no member.
 func (m *Replica) noteCandidate(now time.Time, p *Pull) {
 	s := &m.standing
-	ready := p.Ready && p.From.Disk != ""
+	ready := p.Ready && p.From.Disk != "" && !p.Ending
 	if s.set.Epoch > 0 {
 		ready = ready && p.Set > 0
 	}
--- a/internal/control/replica/takeover.go
+++ b/internal/control/replica/takeover.go
@@ -12,7 +12,7 @@
 // attemptConfirm asks the other members which generation of this disk they know.
 func (m *Replica) attemptConfirm(now time.Time, t *task) {
 	s := &m.standing
-	m.ask(now, t, m.peers(), GenerationPath, &Ask{Epoch: s.set.Epoch, From: s.me, Generation: s.identity.Generation, Start: s.start})
+	m.ask(now, t, m.sources(), GenerationPath, &Ask{Epoch: s.set.Epoch, From: s.me, Generation: s.identity.Generation, Start: s.start})
 }
 
 // serveGeneration says which generation of a disk was known here, and notes the one that is told. It says so whether or not
@@ -64,7 +64,17 @@
 // attemptJoin asks the members of the epoch before, and of this one, for all that they hold.
 func (m *Replica) attemptJoin(now time.Time, t *task) {
 	s := &m.standing
-	var from []Member
+	if m.own() && s.set.Takeover() <= 1 {
+		m.finishJoin(now, t)
+		return
+	}
+	from := m.sources()
+	m.ask(now, t, from, StatePath, m.rangesAsk(StatePath, m.compareWith(t, from, rangesync.Range{})))
+}
+
+// sources are the other members of the epoch before and of this one.
+func (m *Replica) sources() (from []Member) {
+	s := &m.standing
 	for _, x := range append(slices.Clone(s.set.Previous), s.set.Members...) {
 		if x.Is(s.me) || slices.ContainsFunc(from, x.Is) {
 			continue
@@ -74,11 +84,7 @@
 		}
 		from = append(from, x)
 	}
-	if m.own() && s.set.Takeover() <= 1 {
-		m.finishJoin(now, t)
-		return
-	}
-	m.ask(now, t, from, StatePath, m.rangesAsk(StatePath, m.compareWith(t, from, rangesync.Range{})))
+	return from
 }
 
 // own tells whether this replica's own state is one of the epoch before.
