--- a/internal/control/rangesync/doc.go
+++ b/internal/control/rangesync/doc.go
@@ -6,10 +6,13 @@
 // until they are so small that the answerer sends their entries. Equal sets cost one small message whatever their size,
 // and d differences among n keys about d log n digests.
 //
-// Both sides may change meanwhile. A range is closed only when the answerer's digest of it was the asker's at some moment
-// since the comparison began, or when all its entries have been sent. So an entry that the answerer held all the while,
-// unchanged, has been sent or was held by the asker at such a moment: see docs/rangesync.md. What the asker holds must
-// never go back, as with the registers of package quorum. Entries that changed meanwhile may be sent in vain or not at all.
+// Members mostly differ in what has just changed. So an index keeps its latest changes, and knows what it said of a range a
+// while ago: where that is what the other side says now, just the changes since are sent, or nothing at all.
+//
+// Both sides may change meanwhile. A range is closed only when what the answerer said of it was, then or before, what the
+// asker held, or when all its entries have been sent. So an entry that the answerer held all the while, unchanged, has been
+// sent or is held: see docs/rangesync.md. What the asker holds must never go back, as with the registers of package quorum.
+// Entries that changed meanwhile may be sent in vain, or not at all.
 //
 // The package is pure: it neither sends nor waits.
 package rangesync
