--- a/internal/control/rangesync/session.go
+++ b/internal/control/rangesync/session.go
@@ -8,6 +8,8 @@
 	number  uint64
 	index   *Index
 	limits  Limits
+	deepest int                  // after so many steps all of a range is asked for
+	divided bool                 // the first split has come
 	open    []pending            // the ranges that are to be asked for; the last ones go first, which keeps the list short
 	waiting map[uint64][]pending // by the numbers of the requests
 }
@@ -15,18 +17,22 @@
 // pending is a range that may differ.
 type pending struct {
 	Range
-	splits int // how often it was split off, or asked for again
-	told   int // how many entries the answerer had in it
+	steps int // how often it was split off, or asked for again
+	told  int // how many entries the answerer had in it
 }
 
-// mostSplits is how often a range is split before all of it is asked for: new keys in it, told by others all the while,
-// could go on splitting it without end. So many splits into two are enough for 2^32 keys.
-const mostSplits = 32
+// New keys in a range, told by others all the while, could go on splitting it without end. So it is split as often as the
+// answerer's keys at the first split take, and spareSplits times more; then all of it is asked for. Before the first split
+// it is asked for again mostAgain times at most: more than the history fills messages with.
+const (
+	spareSplits = 2
+	mostAgain   = 64
+)
 
 // NewSession begins a comparison of a range; the number of the session tells it apart from the asker's earlier ones with
 // the same answerer.
 func NewSession(id uint64, index *Index, r Range, limits Limits) *Session {
-	return &Session{id: id, index: index, limits: limits, open: []pending{{Range: r}}, waiting: map[uint64][]pending{}}
+	return &Session{id: id, index: index, limits: limits, deepest: mostAgain, open: []pending{{Range: r}}, waiting: map[uint64][]pending{}}
 }
 
 // Done tells whether the asker has been sent all.
@@ -46,7 +52,7 @@
 	room, fill := s.limits.MessageBytes-headText, s.limits.FillKeys
 	for len(s.open) > 0 && len(request.Ranges) < s.limits.Ranges {
 		p := s.open[len(s.open)-1]
-		asked := Asked{Range: p.Range, Summary: s.index.Summary(p.Range), All: p.splits >= mostSplits}
+		asked := Asked{Range: p.Range, Summary: s.index.Summary(p.Range), All: p.steps >= s.deepest}
 		if room -= asked.size(); room < 0 && len(request.Ranges) > 0 {
 			break
 		}
@@ -105,7 +111,7 @@
 func (s *Session) take(p pending, told Told, few bool) {
 	switch {
 	case told.Again:
-		p.splits++
+		p.steps++
 		s.open = append(s.open, p)
 		return
 	case told.Rest != "":
@@ -113,7 +119,11 @@
 		s.open = append(s.open, p)
 		return
 	}
-	part := pending{Range: p.Range, splits: p.splits + 1}
+	if !s.divided && len(told.Counts) > 0 {
+		s.divided = true
+		s.deepest = p.steps + s.limits.levels(told.Counts) + spareSplits
+	}
+	part := pending{Range: p.Range, steps: p.steps + 1}
 	for i, count := range told.Counts {
 		part.To, part.told = p.To, count
 		if i < len(told.Bounds) {
@@ -126,6 +136,18 @@
 	}
 }
 
+// levels is how often a range with so many entries in its parts is split until single ones are left.
+func (l Limits) levels(counts []int) (n int) {
+	entries := 0
+	for _, count := range counts {
+		entries += count
+	}
+	for ; entries > 1; n++ {
+		entries = (entries + l.Parts - 1) / l.Parts
+	}
+	return n
+}
+
 // fewRanges bounds the work of looking back: each range in an answer to so many is sought among the latest changes.
 const fewRanges = 4
 
--- a/internal/control/rangesync/sync_test.go
+++ b/internal/control/rangesync/sync_test.go
@@ -198,6 +198,39 @@
 	m.learn(key, register{rapid.Uint64Range(1, 12).Draw(t, "version"), strings.Repeat("x", rapid.IntRange(0, 30).Draw(t, "body"))})
 }
 
+// A comparison ends while new keys go on coming wherever it has got to, and misses none that was there.
+func TestEndsAmidNewKeys(t *testing.T) {
+	limits := Limits{MessageBytes: 4000, Ranges: 4, Parts: 2, SendKeys: 1, FillKeys: 1}
+	l := &link{limits: limits, asker: newMember(), answerer: newMember()}
+	for i := range 40 {
+		l.answerer.learn(fmt.Sprint("k", i), register{version: 1})
+		l.asker.learn(fmt.Sprint("k", i, "x"), register{version: 1})
+	}
+	unchanged := maps.Clone(l.answerer.registers)
+	s := NewSession(1, l.asker.index, Range{}, limits)
+	for number := 0; !s.Done(); number++ {
+		if number > 1000 {
+			t.Fatalf("no end: %d ranges open", len(s.open))
+		}
+		request := s.Next()
+		if err := l.take(s, l.ask(request)); err != nil {
+			t.Fatal(err)
+		}
+		if len(s.open) == 0 {
+			continue
+		}
+		r := s.open[len(s.open)-1].Range
+		for i := range 3 { // new keys in the range that is asked for next, on both sides
+			l.answerer.learn(r.From+fmt.Sprint("\x01", number, i), register{version: 1})
+			l.asker.learn(r.From+fmt.Sprint("\x01", number, i, "x"), register{version: 1})
+		}
+	}
+	t.Logf("%d requests, %d entries sent", l.requests, l.entries)
+	if key, found := lacks(l.asker, unchanged, Range{}); found {
+		t.Fatalf("%q is missed", key)
+	}
+}
+
 var rangeGen = rapid.Custom(func(t *rapid.T) Range {
 	switch rapid.IntRange(0, 3).Draw(t, "which") {
 	case 0:
