--- /dev/null
+++ b/internal/control/replica/world_disk_test.go
@@ -0,0 +1,167 @@
+package replica
+
+import (
+	"errors"
+	"maps"
+	"time"
+
+	"sagelever/internal/control/quorum"
+	"sagelever/lore"
+)
+
+// stored is what a disk holds for sure.
+type stored struct {
+	entries     map[string]quorum.Entry
+	floor       quorum.Ballot
+	identity    Identity
+	generations map[string]Generation
+	items       map[string]Kept
+	come        lore.Vector
+	noted       time.Time
+}
+
+// write is what was handed to the disk and is not synced.
+type write struct {
+	save  *Save
+	items []Kept
+	gone  []string
+	come  lore.Vector
+	at    time.Time
+	then  func(err error)
+}
+
+func emptyDisk() stored {
+	return stored{generations: map[string]Generation{}, entries: map[string]quorum.Entry{}, items: map[string]Kept{}, come: lore.Vector{}}
+}
+
+func (d *stored) apply(x write, torn bool) {
+	if x.save != nil {
+		for _, e := range x.save.Entries {
+			d.entries[e.Key] = e
+		}
+		if x.save.Floor != nil {
+			d.floor = *x.save.Floor
+		}
+		if x.save.Identity != nil {
+			d.identity = *x.save.Identity
+		}
+	}
+	for i, k := range x.items {
+		if torn && i > len(x.items)/2 {
+			return
+		}
+		d.items[k.Item.Key] = k
+	}
+	for _, k := range x.gone {
+		delete(d.items, k)
+	}
+	if x.come != nil && !torn {
+		d.come, d.noted = x.come, x.at
+	}
+}
+
+// syncIn has the disk sync what it was handed, after a while.
+func (x *node) syncIn(life int) {
+	w, k := x.w, len(x.queue)
+	took := w.ms(1, 12)
+	if x.slow {
+		took = w.ms(100, 3000)
+	}
+	if w.sync > 0 {
+		took = w.sync
+	}
+	refused := x.refuses && w.faulty
+	w.after(took, func() {
+		if !x.up || x.life != life {
+			return
+		}
+		k = min(k, len(x.queue))
+		done := x.queue[:k:k]
+		if k > 0 {
+			w.syncs++
+		}
+		x.queue = x.queue[k:]
+		for _, q := range done {
+			w.log(x.i, "synced", refused, q.save, len(q.items), q.come)
+			if !refused {
+				x.disk.apply(q, false)
+			}
+		}
+		w.check()
+		for _, q := range done {
+			if q.then != nil {
+				if refused {
+					q.then(errors.New("the disk refuses"))
+				} else {
+					q.then(nil)
+				}
+			}
+		}
+	})
+}
+
+// note notes what the machine wants kept.
+func (x *node) note() {
+	if x.frozen || x.refuses {
+		return
+	}
+	items, come, seq := x.m.Keep(x.noted)
+	if seq == x.noted {
+		return
+	}
+	x.noted = seq
+	x.queue = append(x.queue, write{items: items, come: come, at: x.clock(), then: func(err error) {
+		if err != nil {
+			x.noted = 0
+		}
+	}})
+	x.disk.generations = maps.Clone(x.m.Generations())
+}
+
+// kill ends the process; of what was handed to the disk a beginning may have lasted, the last of it torn.
+func (x *node) kill() {
+	if !x.up {
+		return
+	}
+	x.up = false
+	// The word of an appliance stands with two members until all have heard of it and noted it.
+	x.w.kills = append(x.w.kills[1:], x.w.now)
+	for id, at := range x.w.emptied {
+		if x.w.now.Sub(at) < 4*time.Second && !x.w.kills[0].Before(at) {
+			delete(x.w.emptied, id)
+		}
+	}
+	k := x.w.rng.IntN(len(x.queue) + 1)
+	for i, q := range x.queue[:k] {
+		x.w.log(x.i, "killed, lasts", q.save, len(q.items), q.come)
+		x.disk.apply(q, i == k-1 && q.save == nil)
+	}
+	x.queue = nil
+	for _, q := range x.waiting {
+		if q.reply != nil {
+			x.w.after(x.w.ms(1, 40), q.gone)
+		}
+	}
+	x.w.check()
+}
+
+func (x *node) wipe() {
+	if x.lost || x.w.lostNow() >= x.w.f {
+		return
+	}
+	x.kill()
+	x.before = x.disk.identity
+	x.queue, x.disk, x.lost = nil, emptyDisk(), true
+}
+
+func (w *world) lostNow() (k int) {
+	for _, x := range w.nodes {
+		if x.lost && x.up && x.m.Acting() {
+			x.lost = false
+		}
+		if x.lost {
+			k++
+		}
+	}
+	return k
+}
--- /dev/null
+++ b/internal/control/replica/world_faults_test.go
@@ -0,0 +1,125 @@
+package replica
+
+import "time"
+
+// fault brings about one.
+func (w *world) fault() {
+	x := w.nodes[w.rng.IntN(w.n)]
+	again := func(from, to int) { w.after(w.ms(from, to), x.start) }
+	kind := w.rng.IntN(14)
+	w.log("fault", kind, x.i)
+	switch kind {
+	case 0, 1:
+		x.kill()
+		again(50, 1500)
+	case 2:
+		x.wipe()
+		again(200, 1500)
+	case 3: // everyone's power, and perhaps some disks
+		for _, y := range w.nodes {
+			y.kill()
+			w.after(w.ms(300, 900), y.start)
+		}
+		for range w.rng.IntN(w.f + 1) {
+			w.nodes[w.rng.IntN(w.n)].wipe()
+		}
+	case 4, 5:
+		for i := range w.n {
+			if w.rng.IntN(2) == 0 {
+				x.cut[i] = true
+			} else {
+				w.nodes[i].cut[x.i] = true
+			}
+		}
+		w.after(w.ms(200, 6000), w.join)
+	case 6: // in two
+		for _, y := range w.nodes {
+			for i := range w.n {
+				if (y.i < w.n/2) != (i < w.n/2) {
+					y.cut[i] = true
+				}
+			}
+		}
+		w.after(w.ms(500, 6000), w.join)
+	case 7:
+		x.frozen = true
+		w.after(w.ms(100, 4000), x.thaw)
+	case 8:
+		x.slow = true
+		w.after(w.ms(500, 4000), func() { x.slow = false })
+	case 9:
+		x.refuses = true
+		w.after(w.ms(500, 3000), func() { x.refuses = false })
+	case 10:
+		x.skew = w.ms(0, 6000) - 3*time.Second // until the faults end
+	case 11, 12:
+		e := w.relays[w.rng.IntN(len(w.relays))]
+		e.up = false
+		w.after(w.ms(100, 12000), e.start)
+	case 13:
+		for _, y := range w.nodes { // a herd
+			if w.rng.IntN(3) > 0 {
+				y.kill()
+				w.after(w.ms(50, 900), y.start)
+			}
+		}
+	}
+	w.check()
+}
+
+func (x *node) thaw() {
+	x.frozen = false
+	asleep := x.asleep
+	x.asleep = nil
+	for _, do := range asleep {
+		do()
+	}
+	if x.up {
+		x.serveWaiting()
+	}
+}
+
+func (w *world) join() {
+	for _, x := range w.nodes {
+		x.cut = map[int]bool{}
+	}
+}
+
+// play plays some seconds of orders and faults, then the end of all faults, and what must hold afterwards.
+func (w *world) play(length time.Duration) {
+	begun := w.now
+	w.run(begun.Add(2 * time.Second))
+	for w.now.Before(begun.Add(length)) && w.wrong == "" {
+		switch k := w.rng.IntN(20); {
+		case k < 12:
+			w.order()
+		case k < 14:
+			w.look()
+		case k == 14:
+			w.fault()
+		}
+		w.run(w.now.Add(w.ms(5, 120)))
+	}
+	w.faulty = false
+	w.join()
+	for _, x := range w.nodes {
+		x.refuses, x.slow, x.skew = false, false, w.ms(0, 600)-300*time.Millisecond
+		x.thaw()
+		x.start()
+	}
+	for _, e := range w.relays {
+		e.start()
+	}
+	ended := w.now
+	for w.wrong == "" {
+		w.run(w.now.Add(50 * time.Millisecond))
+		what := w.amiss()
+		if what == "" {
+			w.heals = w.now.Sub(ended)
+			return
+		}
+		if w.now.Sub(ended) > 4*time.Second {
+			w.fail("4 s after the last fault %s", what)
+		}
+	}
+}
