--- a/internal/control/replica/replica_test.go
+++ b/internal/control/replica/replica_test.go
@@ -39,6 +39,7 @@
 		size := sizes[(seed>>2)%uint64(len(sizes))]
 		w := newWorld(seed, size[0], size[1], "")
 		w.trace = runs == 1
+		w.firstStart()
 		w.play(w.length())
 		acks += w.acks
 		slowest = max(slowest, w.heals)
@@ -85,6 +86,7 @@
 			t.Parallel()
 			for seed := range uint64(400) {
 				w := newWorld(seed, 6, 2, planted)
+				w.firstStart()
 				w.play(w.length())
 				if w.wrong != "" {
 					if t.Logf("found by run %d, %s", seed+1, w.wrong); !strings.Contains(w.wrong, by) {
--- a/internal/control/replica/world_links_test.go
+++ b/internal/control/replica/world_links_test.go
@@ -42,6 +42,9 @@
 			disk := to.m.standing.me.Disk
 			to.calls[to.nextNum] = func(r *Reply) {
 				w.sent++
+				if r != nil {
+					w.measure(r)
+				}
 				w.tookPart(to, disk, s, r)
 				w.carryTo(to.i, x.i, func() { back(r) })
 			}
@@ -51,6 +54,7 @@
 		})
 	}
 	w.sent++
+	w.measure(s.Ask)
 	w.carryTo(x.i, to.i, deliver)
 	if w.faulty && w.rng.IntN(15) == 0 { // once more, later
 		w.after(w.ms(0, 500), func() { w.carryTo(x.i, to.i, deliver) })
@@ -106,6 +110,7 @@
 						if b, _ := easyjson.Marshal(n); x.i == w.to {
 							w.handed += len(b)
 						}
+						w.measure(n)
 						x.step(func(now time.Time) { x.m.Told(now, y.me, asked, n) })
 						x.follow(to, life, 0)
 					}
@@ -173,3 +178,11 @@
 	}
 	return out
 }
+
+// measure notes the length of a message, where a test wants to know it.
+func (w *world) measure(message easyjson.Marshaler) {
+	if w.measures {
+		b, _ := easyjson.Marshal(message)
+		w.biggest = max(w.biggest, len(b))
+	}
+}
--- a/internal/control/replica/world_members_test.go
+++ b/internal/control/replica/world_members_test.go
@@ -9,6 +9,23 @@
 // is told in a pull within Heard, and is on the others' disks within another five seconds.
 const oldDisk = generationSpan + Heard + 6*time.Second
 
+// firstStart has the machines of a new system start in some order: as a rule within part of a second, else one of the first
+// contacts comes late, or never, or all come in any order over some seconds.
+func (w *world) firstStart() {
+	x := w.nodes[w.rng.IntN(min(3, w.n))]
+	switch w.rng.IntN(8) {
+	case 0:
+		x.notBefore, x.lost = w.now.Add(w.ms(500, 6000)), true
+	case 1:
+		x.gone = true
+		w.after(w.ms(500, 6000), func() { w.newcomer(x.place, 0) })
+	case 2:
+		for _, y := range w.nodes {
+			y.notBefore = w.now.Add(w.ms(0, 3000))
+		}
+	}
+}
+
 // change brings about a fault that concerns the set of members, or one that lasts.
 func (w *world) change(kind int, x *node) {
 	switch kind {
--- a/internal/control/replica/world_node_test.go
+++ b/internal/control/replica/world_node_test.go
@@ -13,28 +13,30 @@
 
 // node is a member: its process, its disk, its links.
 type node struct {
-	w        *world
-	i        int
-	place    int // the number of its zone
-	me       Member
-	m        *Replica
-	life     int
-	fresh    bool // its next start is the first of the whole system
-	up       bool
-	frozen   bool
-	asleep   []func() // what has come while it was frozen
-	skew     time.Duration
-	cut      map[int]bool // messages from here to there are lost
-	lost     bool         // its disk was lost, and it has not caught up since
-	gone     bool         // for good, or until it returns with the disk that it had
-	stale    string       // identity of a disk from the past that was put back: it must not count any more
-	forNode  *node        // whose place it was begun to take, while that one still serves
-	leaving  bool         // it was told to end
-	notedAt  time.Time
-	toldAt   time.Time // when
-	epoch    uint64    // the last that it was seen to go by
-	contacts []*node   // its first contacts
-	earlier  []copied  // what its disk held earlier
+	w         *world
+	i         int
+	place     int // the number of its zone
+	me        Member
+	m         *Replica
+	life      int
+	fresh     bool // its next start is the first of the whole system
+	up        bool
+	frozen    bool
+	asleep    []func() // what has come while it was frozen
+	skew      time.Duration
+	back      []setBack
+	cut       map[int]bool // messages from here to there are lost
+	lost      bool         // its disk was lost, and it has not caught up since
+	gone      bool         // for good, or until it returns with the disk that it had
+	stale     string       // identity of a disk from the past that was put back: it must not count any more
+	forNode   *node        // whose place it was begun to take, while that one still serves
+	leaving   bool         // it was told to end
+	notedAt   time.Time
+	notBefore time.Time // it does not start
+	toldAt    time.Time // when
+	epoch     uint64    // the last that it was seen to go by
+	contacts  []*node   // its first contacts
+	earlier   []copied  // what its disk held earlier
 
 	unsealed    quorum.Entry // for planted faults: what was taken out for a step
 	wasSet      membership.Set
@@ -61,6 +63,10 @@
 		return
 	}
 	w := x.w
+	if w.now.Before(x.notBefore) {
+		w.after(x.notBefore.Sub(w.now), x.start)
+		return
+	}
 	x.life++
 	w.log("start", x.i, x.disk.identity)
 	x.up, x.frozen, x.asleep, x.queue, x.noted, x.epoch = true, false, nil, nil, 0, 0
