--- a/internal/control/replica/takeover.go
+++ b/internal/control/replica/takeover.go
@@ -12,7 +12,11 @@
 // attemptConfirm asks the other members which generation of this disk they know.
 func (m *Replica) attemptConfirm(now time.Time, t *task) {
 	s := &m.standing
-	m.ask(now, t, m.sources(), GenerationPath, &Ask{Epoch: s.set.Epoch, From: s.me, Generation: s.identity.Generation, Start: s.start})
+	others := m.peers()
+	if !s.member() {
+		others = m.sources()
+	}
+	m.ask(now, t, others, GenerationPath, &Ask{Epoch: s.set.Epoch, From: s.me, Generation: s.identity.Generation, Start: s.start})
 }
 
 // serveGeneration says which generation of a disk was known here, and notes the one that is told. It says so whether or not
