--- a/internal/control/membership/next.go
+++ b/internal/control/membership/next.go
@@ -128,6 +128,6 @@
 	}
 	set := New(1, members, target.Lose)
 	set.Previous = set.Members
-	set.PrevLose = set.Lose
+	set.PrevLose = target.Lose // disks of the version before sets held what n - Lose of all that should be there had confirmed
 	return set, true
 }
--- a/steward/members_test.go
+++ b/steward/members_test.go
@@ -1,10 +1,12 @@
 package steward
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
 	"sagelever/internal/control/replica"
+	"sagelever/vault"
 )
 
 // acts tells whether a member acts in an epoch.
@@ -95,3 +97,46 @@
 		t.Errorf("after the replacement and a loss: %s", text)
 	}
 }
+
+// Disks of the version before, which knew no sets of members, are taken up by a core that is started whole: what two of three
+// had confirmed stands, whichever member is asked.
+func TestDisksOfTheVersionBefore(t *testing.T) {
+	t.Parallel()
+	h := newHouse(t)
+	for i := range members {
+		disk, err := vault.Open(h.disk(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		held := map[string]string{bornKey: "first start", floorKey: `{"b":{"n":1700000000000,"w":"n0"}}`}
+		if i != 1 { // one of three lacks it
+			for _, kind := range []string{"routes/r", "services/s"} {
+				held[entryKey+"item/"+kind] = fmt.Sprintf(`{"k":"item/%s","p":{"n":1700000000005,"w":"n2"},"a":{"n":1700000000005,"w":"n2"},"x":{"v":7,"b":%q},"c":true}`,
+					kind, bodyOf[kind])
+			}
+		}
+		if err := disk.Put(held); err != nil {
+			t.Fatal(err)
+		}
+		if err := disk.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range members {
+		h.start(i, false)
+	}
+	for i := range members {
+		if text := h.must(i, "settings.read", ""); !strings.Contains(text, "seven.example") {
+			t.Errorf("member %d: %s", i, text)
+		}
+	}
+	h.must(1, "settings.change", call("00000008", "eight.example"))
+	if text := h.must(2, "settings.read", ""); !strings.Contains(text, "eight.example") {
+		t.Errorf("a change after it: %s", text)
+	}
+}
+
+var bodyOf = map[string]string{
+	"routes/r":   `{"host":"seven.example","pathStart":"/x/","kind":"harmless","giveUp":"5000ms","service":"s"}`,
+	"services/s": `{"checkPath":"/h","warmUp":"3s","warmingRateS":2.9}`,
+}
