--- a/steward/orders.go
+++ b/steward/orders.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/mailru/easyjson"
 
 	"sagelever/internal/control/quorum"
@@ -74,24 +75,48 @@
 	end(w, err)
 }
 
-// settle has a round decide on a call that may come into force.
+// settle has a round decide on a call that may come into force. What is in force is read only where the call's validity
+// depends on it: a read costs a message to all members, and by the size of the configuration.
 func (s *Steward) settle(ctx context.Context, sent map[string]quorum.Value) error {
-	if plan.DependsOnOthers(sent) {
-		held, err := s.read(ctx, plan.ItemKey)
-		if err != nil {
-			return err
-		}
-		if err := s.index.check(held, sent); err != nil {
+	keys := slices.Sorted(maps.Keys(sent))
+	if !plan.DependsOnOthers(sent) {
+		return s.settleBy(ctx, keys, plan.Settle(sent), sent)
+	}
+	if plan.StandsAlone(s.held(keys), sent) {
+		err := s.settleBy(ctx, keys, plan.SettleAlone(sent), sent)
+		if _, unclear := errors.Into[*plan.Unclear](err); !unclear {
 			return err
 		}
 	}
-	chosen, err := s.decideTogether(ctx, slices.Sorted(maps.Keys(sent)), plan.Settle(sent))
+	held, err := s.read(ctx, plan.ItemKey)
+	if err != nil {
+		return err
+	}
+	if err := s.index.check(held, sent); err != nil {
+		return err
+	}
+	return s.settleBy(ctx, keys, plan.Settle(sent), sent)
+}
+
+func (s *Steward) settleBy(ctx context.Context, keys []string, decide quorum.Decide, sent map[string]quorum.Value) error {
+	chosen, err := s.decideTogether(ctx, keys, decide)
 	if err != nil {
 		return err
 	}
 	return plan.Outcome(chosen, sent)
 }
 
+// held is what this member holds of some registers, which others may have changed since.
+func (s *Steward) held(keys []string) map[string]quorum.Value {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]quorum.Value, len(keys))
+	for _, key := range keys {
+		out[key] = s.m.Held(key).Value
+	}
+	return out
+}
+
 // sharedIndex is the index of what is in force, for calls that come at once.
 type sharedIndex struct {
 	mu    sync.Mutex
