--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -290,10 +290,10 @@
 			return
 		}
 	case ReadPath:
-		if all := m.acceptor.All(); Digest(all) == a.Digest {
+		if held := m.asked(a.Keys); len(a.Keys) == 0 && Digest(held) == a.Digest {
 			r.Same = true
 		} else {
-			r.Held = all
+			r.Held = held
 		}
 	case RefusePath:
 		if !m.timely(now, a.Ballot, 2*Ahead) {
--- a/internal/control/replica/round.go
+++ b/internal/control/replica/round.go
@@ -18,6 +18,7 @@
 	keys   []string  // of a write
 	decide quorum.Decide
 	prefix string                  // of what a read is about
+	only   []string                // the registers that a read is about, where they are named
 	values map[string]quorum.Value // what a read has found that is chosen
 	result bool                    // whoever began it wants to hear of it
 	after  func()
@@ -65,6 +66,11 @@
 	return m.begin(now, &task{kind: reading, until: until, prefix: prefix, result: true})
 }
 
+// ReadKeys is Read for some registers by name: no more than these is told.
+func (m *Replica) ReadKeys(now time.Time, until time.Time, keys []string) uint64 {
+	return m.begin(now, &task{kind: reading, until: until, only: keys, result: true})
+}
+
 func (m *Replica) begin(now time.Time, t *task) uint64 {
 	m.number++
 	t.number = m.number
@@ -97,6 +103,10 @@
 			m.read(now, t)
 			return
 		}
+		if len(t.only) > 0 {
+			m.ask(now, t, ReadPath, &Ask{Keys: t.only}, false)
+			return
+		}
 		m.ask(now, t, ReadPath, &Ask{Digest: Digest(m.acceptor.All())}, false)
 	case catching:
 		if len(m.members) <= m.c.F { // each answer holds all that there is: none is asked for in vain
@@ -215,7 +225,7 @@
 // read ends a read, once what it tells is chosen.
 func (m *Replica) read(now time.Time, t *task) {
 	t.kind, t.keys, t.decide, t.values = settling, nil, keep, map[string]quorum.Value{}
-	for _, e := range m.acceptor.All() {
+	for _, e := range m.asked(t.only) {
 		switch {
 		case !strings.HasPrefix(e.Key, t.prefix):
 		case e.Chosen:
@@ -232,6 +242,20 @@
 	m.attempt(now, t)
 }
 
+// asked is what this member holds of some registers, or of all where none is named.
+func (m *Replica) asked(keys []string) []quorum.Entry {
+	if len(keys) == 0 {
+		return m.acceptor.All()
+	}
+	var held []quorum.Entry
+	for _, key := range keys {
+		if e := m.acceptor.Get(key); e.Accepted != (quorum.Ballot{}) {
+			held = append(held, e)
+		}
+	}
+	return held
+}
+
 func keep(map[string]quorum.Value) map[string]quorum.Value { return nil }
 
 // catchUp is for a member whose disk came back empty. Until f+1 others that have not lost theirs have told what they hold,
--- a/steward/orders.go
+++ b/steward/orders.go
@@ -82,11 +82,8 @@
 	if !plan.DependsOnOthers(sent) {
 		return s.settleBy(ctx, keys, plan.Settle(sent), sent)
 	}
-	if plan.StandsAlone(s.held(keys), sent) {
-		err := s.settleBy(ctx, keys, plan.SettleAlone(sent), sent)
-		if _, unclear := errors.Into[*plan.Unclear](err); !unclear {
-			return err
-		}
+	if ended, err := s.settleAlone(ctx, keys, sent); ended {
+		return err
 	}
 	held, err := s.read(ctx, plan.ItemKey)
 	if err != nil {
@@ -98,6 +95,28 @@
 	return s.settleBy(ctx, keys, plan.Settle(sent), sent)
 }
 
+// settleAlone has a round decide on a call that stands alone; ended is false where it doesn't.
+func (s *Steward) settleAlone(ctx context.Context, keys []string, sent map[string]quorum.Value) (ended bool, err error) {
+	lacks, alone := plan.LacksServices(s.held(keys), sent)
+	if !alone {
+		return false, nil
+	}
+	var known map[string]quorum.Value
+	if len(lacks) > 0 {
+		if known, err = s.readKeys(ctx, lacks); err != nil {
+			return true, err
+		}
+	}
+	err = s.settleBy(ctx, keys, plan.SettleAlone(known, sent), sent)
+	_, unclear := errors.Into[*plan.Unclear](err)
+	return !unclear, err
+}
+
+// readKeys is what was acknowledged last of some registers.
+func (s *Steward) readKeys(ctx context.Context, keys []string) (map[string]quorum.Value, error) {
+	return s.await(ctx, func(now, until time.Time) uint64 { return s.m.ReadKeys(now, until, keys) })
+}
+
 func (s *Steward) settleBy(ctx context.Context, keys []string, decide quorum.Decide, sent map[string]quorum.Value) error {
 	chosen, err := s.decideTogether(ctx, keys, decide)
 	if err != nil {
