--- a/steward/orders_test.go
+++ b/steward/orders_test.go
@@ -156,7 +156,7 @@
 			h.wants(i, 400, "settings.change", put(route("r", version, "w", "never")))
 		}
 		h.wants(i, 400, "settings.change", put(route("r", "00000003", "w", "s"))) // never taken, and s is gone
-		for _, service := range []string{"s", "never"} { // it would stay in its place
+		for _, service := range []string{"s", "never"} {                          // it would stay in its place
 			h.wants(i, 400, "settings.change", put(route("r", "00000009", "y", service)))
 		}
 	}
