--- a/internal/testbed/hollow/measure.go
+++ b/internal/testbed/hollow/measure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io/fs"
+	"os"
 	"path/filepath"
 	"runtime"
 	"slices"
@@ -19,6 +20,7 @@
 	At              time.Time
 	Members         []Usage // by process; empty where they share this one
 	Relays          []Usage
+	Hollow          Usage   // of this process: all that is hollow, and this program's own work
 	Core            Traffic // that members opened to one another, of all together
 	RealAgents      Traffic // that real relays opened to members
 	Agents          Traffic // that hollow agents opened
@@ -31,6 +33,9 @@
 // read takes all counters.
 func (b *Bed) read() (r Reading, err error) {
 	r.At = time.Now()
+	if r.Hollow, err = ReadUsage(os.Getpid()); err != nil && runtime.GOOS == "linux" {
+		return r, err
+	}
 	if r.Members, r.Core, err = readAll(b.members); err != nil {
 		return r, err
 	}
--- a/internal/testbed/hollow/report.go
+++ b/internal/testbed/hollow/report.go
@@ -49,6 +49,10 @@
 		1000*(seconds(after.Members)-seconds(before.Members))/per, 1000*busiest(before.Members, after.Members)/per,
 		each(core.Calls, r.Options.Members), each(core.Sent+core.Received, r.Options.Members), memory(after.Members), peak(after.Members))
 	agents := after.Agents.Minus(before.Agents)
+	served := agents.Plus(after.Appliances.Minus(before.Appliances)).Plus(after.RealAgents.Minus(before.RealAgents))
+	fmt.Fprintf(out, "%s role=member served_calls=%.2f served_sent_b=%.0f served_received_b=%.0f\n", name, each(served.Calls, r.Options.Members),
+		each(served.Received, r.Options.Members), each(served.Sent, r.Options.Members))
+	fmt.Fprintf(out, "%s role=hollow_process cpu_ms_per_%s=%.2f rss_kb=%d\n", name, unit, 1000*(after.Hollow.CPU-before.Hollow.CPU).Seconds()/per, after.Hollow.Memory/kilobyte)
 	fmt.Fprintf(out, "%s role=agent pulls=%.3f sent_b=%.1f received_b=%.1f items=%.3f failures=%d\n", name, each(after.Pulls-before.Pulls, r.Options.Agents),
 		each(agents.Sent, r.Options.Agents), each(agents.Received, r.Options.Agents), each(after.Items-before.Items, r.Options.Agents), after.Failures-before.Failures)
 	appliances := after.Appliances.Minus(before.Appliances)
