--- a/cmd/sagelab/hollow.go
+++ b/cmd/sagelab/hollow.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"os/signal"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -26,8 +27,10 @@
 			if err != nil {
 				return err
 			}
+			ctx, stop := signal.NotifyContext(c.Context(), os.Interrupt)
+			defer stop() // an interrupted run ends its processes and removes its files too
 			o.Folder, o.Launch = dir, hollow.Executable(self, hollowProcess)
-			r, err := hollow.Run(c.Context(), o)
+			r, err := hollow.Run(ctx, o)
 			c.Println(r)
 			return err
 		}}
