--- a/internal/sim/explore/model.go
+++ b/internal/sim/explore/model.go
@@ -99,6 +99,7 @@
 	LearnerCounts
 	SealedForGood
 	SkipsEpoch
+	NewestEpochOnly
 	MergeForgetsOwn
 	MergeByVersionThenBallot
 	faultCount
@@ -125,6 +126,7 @@
 	LearnerCounts:            "a member of the new set acts before it has merged",
 	SealedForGood:            "sealed members refuse rounds on the members too",
 	SkipsEpoch:               "a round of an epoch proposes the set after the next",
+	NewestEpochOnly:          "members become active in the newest epoch alone",
 	MergeForgetsOwn:          "activation drops what the member itself had accepted",
 }
 
--- a/internal/sim/explore/recover.go
+++ b/internal/sim/explore/recover.go
@@ -28,6 +28,10 @@
 	for m.activateOne(s, epoch) {
 	}
 	if epoch > 1 && m.active(s, epoch) < bits.OnesCount8(m.setMask(s, epoch))-losable {
+		// Members of the old set that never came to be active in it do so yet, to be sealed there: else two changes in a
+		// row, of which the first is not held by all, and one loss leave too few sealed members.
+		for m.fault != NewestEpochOnly && m.activateOne(s, epoch-1) {
+		}
 		m.playRound(s, m.membersRecovery(), epoch-1) // seals those of the old set that are left
 		return true
 	}
--- a/internal/sim/explore/search.go
+++ b/internal/sim/explore/search.go
@@ -12,13 +12,15 @@
 type Result struct {
 	States   int
 	Complete bool // every state within the bounds was looked at
-	Broken   string
-	Trace    []Step // the shortest way to what is broken
+	// Confirmed is in how many states a round on the item was chosen, by its epoch: what was never reached shows nothing.
+	Confirmed [maxEpochs + 1]int
+	Broken    string
+	Trace     []Step // the shortest way to what is broken
 }
 
 func (r Result) String() string {
 	if r.Broken == "" {
-		return fmt.Sprintf("%d states, complete: %t, nothing broken", r.States, r.Complete)
+		return fmt.Sprintf("%d states, complete: %t, confirmed by epoch: %v, nothing broken", r.States, r.Complete, r.Confirmed[1:])
 	}
 	var out strings.Builder
 	fmt.Fprintf(&out, "%d states: %s", r.States, r.Broken)
@@ -61,6 +63,7 @@
 	seed   maphash.Seed
 	seen   map[uint64]struct{}
 	visits []visit
+	result Result
 }
 
 // Explore looks at every state within the bounds, until one breaks something.
@@ -88,18 +91,31 @@
 					continue
 				}
 				at := uint32(len(s.visits) - 1)
+				s.count(&c.state)
 				if c.broken != "" {
-					return Result{States: len(s.visits), Broken: c.broken, Trace: append(s.trace(at), c.last...)}
+					s.result.Broken, s.result.Trace = c.broken, append(s.trace(at), c.last...)
+					return s.result
 				}
 				next = append(next, queued{c.state, at})
 			}
 			if len(s.visits) >= s.models[0].bounds.MaxStates {
-				return Result{States: len(s.visits)}
+				return s.result
 			}
 		}
 		level = next
 	}
-	return Result{States: len(s.visits), Complete: true}
+	s.result.Complete = true
+	return s.result
+}
+
+func (s *search) count(x *state) {
+	s.result.States = len(s.visits)
+	m := s.models[0]
+	for i, r := range m.rounds[:m.ordinary] {
+		if x.rounds[i].chosen && r.key == ItemKey {
+			s.result.Confirmed[x.rounds[i].epoch]++
+		}
+	}
 }
 
 // reach has the workers look at the successors of some states.
