--- a/internal/control/replica/world_faults_test.go
+++ b/internal/control/replica/world_faults_test.go
@@ -11,6 +11,9 @@
 	x := w.some()
 	again := func(from, to int) { w.after(w.ms(from, to), x.start) }
 	kind := w.rng.IntN(25)
+	if w.long && w.rng.IntN(6) == 0 {
+		kind = 18
+	}
 	w.log("fault", kind, x.i)
 	switch kind {
 	case 0, 1:
--- a/internal/control/replica/world_members_test.go
+++ b/internal/control/replica/world_members_test.go
@@ -89,6 +89,7 @@
 	if !w.faulty {
 		return
 	}
+	w.seen["second loss"]++
 	x := w.some()
 	switch w.rng.IntN(4) {
 	case 0:
@@ -151,6 +152,7 @@
 
 // newcomer is one more machine for a place, which starts after a while.
 func (w *world) newcomer(place int, in time.Duration) *node {
+	w.seen["newcomer"]++
 	y := w.newNode(place)
 	w.nodes = append(w.nodes, y)
 	w.after(in, func() {
@@ -186,6 +188,7 @@
 	}
 	inOrder := x.up && !x.frozen && !x.m.standing.member() && x.m.standing.confirmed && !x.m.Handing(x.clock())
 	if inOrder {
+		w.seen["left in order"]++
 		x.end()
 		return
 	}
@@ -204,6 +207,7 @@
 // end ends a machine for good.
 func (x *node) end() {
 	x.w.log("gone", x.i)
+	x.w.seen["gone"]++
 	x.kill()
 	x.gone = true
 }
@@ -228,6 +232,7 @@
 	if len(gone) == 0 {
 		return
 	}
+	w.seen["come back"]++
 	x := gone[w.rng.IntN(len(gone))]
 	x.gone, x.leaving = false, false
 	if w.rng.IntN(2) == 0 {
@@ -245,6 +250,7 @@
 	}
 	x.kill()
 	if x.putBack(oldDisk) {
+		w.seen["old disk"]++
 		w.log("old disk", x.i, x.disk.identity)
 		x.lost, x.stale = true, x.disk.identity.Disk
 	}
