--- a/internal/control/replica/replica_test.go
+++ b/internal/control/replica/replica_test.go
@@ -55,6 +55,9 @@
 			if wrong := one(seed); wrong != "" {
 				t.Errorf("seed %d: %s", seed, wrong)
 			}
+			if done := seed - from + 1; done%500 == 0 {
+				t.Logf("%d runs so far, %d acknowledged", done, acks)
+			}
 		}
 		t.Logf("%d runs, %.1f a second, %d acknowledged, the slowest healed in %v; seen %v", runs, float64(runs)/time.Since(begun).Seconds(), acks, slowest, seen)
 		return
--- a/internal/control/replica/world_links_test.go
+++ b/internal/control/replica/world_links_test.go
@@ -55,6 +55,7 @@
 	}
 	w.sent++
 	w.measure(s.Ask)
+	w.amidChange(s)
 	w.carryTo(x.i, to.i, deliver)
 	if w.faulty && w.rng.IntN(15) == 0 { // once more, later
 		w.after(w.ms(0, 500), func() { w.carryTo(x.i, to.i, deliver) })
--- a/internal/control/replica/world_members_test.go
+++ b/internal/control/replica/world_members_test.go
@@ -39,7 +39,11 @@
 		} else {
 			w.replaceUnplanned(x)
 		}
-		w.after(w.ms(0, 5000), w.second)
+		if w.rng.IntN(2) == 0 {
+			w.trap = true
+		} else {
+			w.after(w.ms(0, 5000), w.second)
+		}
 	case 17:
 		w.comeBack()
 	case 18:
@@ -108,6 +112,20 @@
 	}
 }
 
+// amidChange brings about another loss, or a cut, when the next set is about to be accepted.
+func (w *world) amidChange(s Send) {
+	if !w.trap || s.Path != AcceptPath || !onlyMembers(s.Ask) {
+		return
+	}
+	w.trap = false
+	if w.rng.IntN(2) == 0 {
+		w.after(w.ms(0, 80), w.second)
+		return
+	}
+	w.after(w.ms(0, 80), w.cutInTwo)
+	w.after(w.ms(500, 6000), w.join)
+}
+
 // powerOfAPart ends about a third of all processes at one moment.
 func (w *world) powerOfAPart() {
 	for _, y := range w.nodes {
--- a/internal/control/replica/world_node_test.go
+++ b/internal/control/replica/world_node_test.go
@@ -124,6 +124,9 @@
 			x.follow(w.byAddr(member.Addr).i, life, w.ms(0, 60))
 		}
 	}
+	if !x.fresh && x.m.Epoch() == 0 && len(x.contacts) > 0 && !slices.ContainsFunc(x.contacts, func(y *node) bool { return y != x && !y.gone }) {
+		x.contacts = w.someContacts() // all that it was told of are gone before it met one: an operator tells it others
+	}
 	if !x.frozen && !x.m.Sound(x.clock()) {
 		for _, y := range x.contacts {
 			if y != x {
@@ -225,6 +228,11 @@
 			done(d)
 		}
 	}
+	for _, member := range out.Call {
+		if x.following[member.Addr] {
+			x.meet(w.byAddr(member.Addr).i, life)
+		}
+	}
 	if len(out.Gone) > 0 {
 		x.queue = append(x.queue, write{gone: out.Gone})
 	}
--- a/internal/control/replica/world_test.go
+++ b/internal/control/replica/world_test.go
@@ -53,6 +53,7 @@
 	long     bool                      // it is long enough for old disks
 	lenient  bool                      // a disk too young to be noticed was put back: nothing is promised but that all act again
 	seen     map[string]int            // how often a run came to something
+	trap     bool                      // the next change of members meets another loss
 	measures bool
 	biggest  int // bytes of the longest message
 }
