--- a/internal/control/replica/world_test.go
+++ b/internal/control/replica/world_test.go
@@ -100,10 +100,10 @@
 		x := w.newNode(i)
 		x.fresh = true
 		w.nodes = append(w.nodes, x)
+		w.after(w.ms(0, 300), func() { x.start() })
 	}
 	for _, x := range w.nodes {
 		x.contacts = w.nodes[:min(3, n)]
-		w.after(w.ms(0, 300), func() { x.start() })
 	}
 	for i := range 3 {
 		e := &edge{w: w, i: i, home: i % n, leave: ebb.NewLeave(empty)}
