--- a/internal/control/replica/world_members_test.go
+++ b/internal/control/replica/world_members_test.go
@@ -39,7 +39,11 @@
 		} else {
 			w.replaceUnplanned(x)
 		}
-		w.after(w.ms(0, 5000), w.second)
+		if w.rng.IntN(2) == 0 {
+			w.trap = true
+		} else {
+			w.after(w.ms(0, 5000), w.second)
+		}
 	case 17:
 		w.comeBack()
 	case 18:
@@ -89,6 +93,7 @@
 	if !w.faulty {
 		return
 	}
+	w.seen["second loss"]++
 	x := w.some()
 	switch w.rng.IntN(4) {
 	case 0:
@@ -107,6 +112,20 @@
 	}
 }
 
+// amidChange brings about another loss, or a cut, when the next set is about to be accepted.
+func (w *world) amidChange(s Send) {
+	if !w.trap || s.Path != AcceptPath || !onlyMembers(s.Ask) {
+		return
+	}
+	w.trap = false
+	if w.rng.IntN(2) == 0 {
+		w.after(w.ms(0, 80), w.second)
+		return
+	}
+	w.after(w.ms(0, 80), w.cutInTwo)
+	w.after(w.ms(500, 6000), w.join)
+}
+
 // powerOfAPart ends about a third of all processes at one moment.
 func (w *world) powerOfAPart() {
 	for _, y := range w.nodes {
@@ -151,6 +170,7 @@
 
 // newcomer is one more machine for a place, which starts after a while.
 func (w *world) newcomer(place int, in time.Duration) *node {
+	w.seen["newcomer"]++
 	y := w.newNode(place)
 	w.nodes = append(w.nodes, y)
 	w.after(in, func() {
@@ -186,6 +206,7 @@
 	}
 	inOrder := x.up && !x.frozen && !x.m.standing.member() && x.m.standing.confirmed && !x.m.Handing(x.clock())
 	if inOrder {
+		w.seen["left in order"]++
 		x.end()
 		return
 	}
@@ -204,6 +225,7 @@
 // end ends a machine for good.
 func (x *node) end() {
 	x.w.log("gone", x.i)
+	x.w.seen["gone"]++
 	x.kill()
 	x.gone = true
 }
@@ -228,6 +250,7 @@
 	if len(gone) == 0 {
 		return
 	}
+	w.seen["come back"]++
 	x := gone[w.rng.IntN(len(gone))]
 	x.gone, x.leaving = false, false
 	if w.rng.IntN(2) == 0 {
@@ -245,6 +268,7 @@
 	}
 	x.kill()
 	if x.putBack(oldDisk) {
+		w.seen["old disk"]++
 		w.log("old disk", x.i, x.disk.identity)
 		x.lost, x.stale = true, x.disk.identity.Disk
 	}
