--- a/internal/control/replica/clock.go
+++ b/internal/control/replica/clock.go
@@ -22,7 +22,7 @@
 	for _, c := range m.candidates {
 		c.at = earlier(c.at, back)
 	}
-	m.begun = earlier(m.begun, back)
+	m.begun, m.calledBack = earlier(m.begun, back), earlier(m.calledBack, back)
 	m.standing.adopted = earlier(m.standing.adopted, back)
 }
 
--- a/internal/control/replica/members.go
+++ b/internal/control/replica/members.go
@@ -47,6 +47,10 @@
 		return
 	}
 	m.noteGeneration(p.From, p.Disk, p.Start)
+	if p.Set > m.standing.set.Epoch && now.Sub(m.calledBack) > stuck { // all whom this replica knows may be gone
+		m.calledBack = now
+		m.out.Call = append(m.out.Call, p.From)
+	}
 	known := m.members[p.From.Node]
 	if known == nil || !known.Is(p.From) {
 		m.noteCandidate(now, p)
--- a/internal/control/replica/news.go
+++ b/internal/control/replica/news.go
@@ -145,6 +145,7 @@
 		if n.Come = reach; !w.whole {
 			n.Come = further(reach, p.Come)
 		}
+		cutNews(n, p)
 		_, knows := p.Come[m.feed.Origin]
 		ready = ready || !knows || w.whole
 	}
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -86,7 +86,7 @@
 	Done    []Done
 	Lines   []Line        // changes of state, for the log
 	Gone    []string      // items that were forgotten
-	Call    []Member      // members that are up, though this one has not heard them: they are best pulled from at once
+	Call    []Member      // replicas that are up, though this one has not heard them: they are best pulled from, or asked who the members are, at once
 	News    time.Duration // whoever waits for news is to be woken after so long; below zero: there is none
 }
 
@@ -152,6 +152,7 @@
 	members     map[string]*member
 	candidates  map[string]*candidate // by node
 	generations map[string]Generation // by node: of other replicas' disks
+	calledBack  time.Time             // when one that knows a newer set was last called for it
 	homeless    map[string]time.Time  // by node: since when appliances are known whose home is no member
 	reach       map[string]reached    // how far each member has come that pulls here, by node
 	tombs       map[string]time.Time
--- a/internal/control/replica/steer.go
+++ b/internal/control/replica/steer.go
@@ -74,7 +74,7 @@
 		m.steerFirst(now)
 		return
 	}
-	if !m.leaving && (!m.Sound(now) || !m.firstHeard(now)) {
+	if !m.leaving && (!m.Sound(now) || !m.firstHeard(now)) || !m.settled(now) {
 		return
 	}
 	seen := []membership.Seen{{Member: s.me, Leaving: m.leaving}}
@@ -100,6 +100,24 @@
 	return last
 }
 
+// joinPatience is for how long the next change of members waits for one that is heard and does not act.
+const joinPatience = 10 * time.Second
+
+// settled tells whether all members that are heard act in the epoch in force. The next set takes over from these: proposed
+// sooner, it could find too few of them after one loss, and those that would still act in this epoch go for the newest one.
+func (m *Replica) settled(now time.Time) bool {
+	s := &m.standing
+	if now.Sub(s.adopted) >= joinPatience {
+		return true
+	}
+	for node, x := range m.members {
+		if m.heardOf(node, now) && x.acting != s.set.Epoch {
+			return false
+		}
+	}
+	return true
+}
+
 // firstHeard tells whether this member is the first by name of those that are heard.
 func (m *Replica) firstHeard(now time.Time) bool {
 	for node := range m.members {
--- a/steward/drive.go
+++ b/steward/drive.go
@@ -85,6 +85,8 @@
 	for _, x := range out.Call {
 		if again := s.pulls[x.Addr]; again != nil {
 			again()
+		} else { // no member that is known: it is asked who the members are
+			go s.pull(context.Background(), replica.Member{Addr: x.Addr})
 		}
 	}
 	if out.News >= 0 {
