--- a/internal/sim/explore/explore_test.go
+++ b/internal/sim/explore/explore_test.go
@@ -125,6 +125,7 @@
 		{"copies, two losses", Bounds{Orders: oneVersion, Sets: swapped12, SetRounds: 1, Losses: 2, Copies: true}},
 		{"two rounds for the set", Bounds{Orders: oneVersion, Sets: swapped12, SetRounds: 2, Losses: 1}},
 		{"competing sets", Bounds{Orders: oneVersion, Sets: competing, SetRounds: 1, Losses: 1}},
+		{"grown, then shrunk, two orders, no loss", Bounds{Orders: oneVersion, Sets: grownFirst, SetRounds: 1}},
 		{"grown, then shrunk", Bounds{Orders: oneVersion, Sets: grownFirst, SetRounds: 1, Losses: 1}},
 		{"recovery of competing sets", Bounds{Orders: oneVersion, Sets: competing, SetRounds: 1, Losses: 1, Recovery: true}},
 		{"recovery, two rounds for the set", Bounds{Orders: oneVersion, Sets: swapped12, SetRounds: 2, Losses: 2, Recovery: true}},
