--- a/internal/control/replica/messages.go
+++ b/internal/control/replica/messages.go
@@ -31,6 +31,7 @@
 	Count  uint64            `json:"k,omitempty"` // the last census of the source that it has answered
 	Set    uint64            `json:"b,omitempty"` // of a replica: the newest epoch that it knows
 	Ready  bool              `json:"y,omitempty"` // of one that is no member: it holds all that a member held; see membership.Candidate
+	Acting uint64            `json:"o,omitempty"` // the epoch in which the member that is asked acts, as the caller knows
 	Ending bool              `json:"x,omitempty"` // of a member: its process is about to end
 	Disk   uint64            `json:"h,omitempty"` // of a replica: the generation of its disk
 	Start  uint64            `json:"d,omitempty"` // of a replica: see Generation
--- a/internal/control/replica/messages_easyjson.go
+++ b/internal/control/replica/messages_easyjson.go
@@ -681,6 +681,12 @@
 			} else {
 				out.Ready = bool(in.Bool())
 			}
+		case "o":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Acting = uint64(in.Uint64())
+			}
 		case "x":
 			if in.IsNull() {
 				in.Skip()
@@ -806,6 +812,11 @@
 		out.RawString(prefix)
 		out.Bool(bool(in.Ready))
 	}
+	if in.Acting != 0 {
+		const prefix string = ",\"o\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Acting))
+	}
 	if in.Ending {
 		const prefix string = ",\"x\":"
 		out.RawString(prefix)
--- a/internal/control/replica/news.go
+++ b/internal/control/replica/news.go
@@ -61,12 +61,11 @@
 	sound  bool
 	behind uint64
 	whole  bool
-	acting uint64 // the epoch in which this member acted
 }
 
 // Pulled takes up who calls: a lease for an edge agent, a member of the core. Answer has the news for it.
 func (m *Replica) Pulled(now time.Time, p *Pull) *Waiting {
-	w := &Waiting{p: p, by: m.feed.Seq(), come: m.feed.Vector(), sound: m.Sound(now), behind: m.meet(now, p), acting: m.actingIn()}
+	w := &Waiting{p: p, by: m.feed.Seq(), come: m.feed.Vector(), sound: m.Sound(now), behind: m.meet(now, p)}
 	if p.Wire >= Wire {
 		w.whole = len(p.Come) == 0
 	}
@@ -109,7 +108,7 @@
 			n.Set = m.standing.entry()
 		}
 	}
-	ready = m.leaving || sound != w.sound || w.behind != 0 || n.Set != nil || n.Acting != w.acting && p.Role == Core
+	ready = m.leaving || sound != w.sound || w.behind != 0 || n.Set != nil || p.Role == Core && n.Acting != p.Acting
 	if n.Count = m.counting(now); p.Role == Edge && n.Count > p.Count {
 		ready = true
 	}
@@ -197,6 +196,7 @@
 		x := m.members[to.Node]
 		if x != nil {
 			x.asked = now
+			p.Acting = x.acting
 		}
 		if m.upToDate(now) {
 			p.Come = m.feed.Vector()
