--- a/steward/clearouts.go
+++ b/steward/clearouts.go
@@ -34,7 +34,7 @@
 		begun := s.now()
 		ctx, cancel := context.WithTimeout(r.Context(), callTime)
 		defer cancel()
-		version, err := s.orders.join(ctx, name+zone, func(ctx context.Context) (uint64, error) {
+		version, err := s.orders.join(ctx, name+zone, 0, func(ctx context.Context) (uint64, error) {
 			return s.clearZone(ctx, zone, on)
 		})
 		if err != nil {
--- a/steward/drains.go
+++ b/steward/drains.go
@@ -202,7 +202,7 @@
 	change := plan.BeginDrainNoted(zone, d, func(id string) bool { return over[id] }, now, s.resendTerm())
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	_, err := s.orders.join(ctx, "drains.begin "+zone+" "+d.Names(zone), func(ctx context.Context) (uint64, error) {
+	_, err := s.orders.join(ctx, "drains.begin "+zone+" "+d.Names(zone), 0, func(ctx context.Context) (uint64, error) {
 		chosen, err := s.decide(ctx, map[string]quorum.Change{key: change})
 		if err == nil && !slices.ContainsFunc(plan.ReadDrains(chosen[key]), d.Same) {
 			err = &tooMany{}
@@ -253,7 +253,7 @@
 		return &notFound{"of: no such drain stands"}
 	}
 	change := plan.EndDrainNoted(plan.ZoneOfDrains(key), d, now, s.resendTerm())
-	_, err = s.orders.join(ctx, "drains.end "+name, func(ctx context.Context) (uint64, error) {
+	_, err = s.orders.join(ctx, "drains.end "+name, 0, func(ctx context.Context) (uint64, error) {
 		_, err := s.decide(ctx, map[string]quorum.Change{key: change})
 		return 0, err
 	})
--- a/steward/flights.go
+++ b/steward/flights.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	mostFlights = 64              // orders that are under way at once; each may hold a call of longestCall
+	mostFlights = 64              // orders that are under way at once
+	mostFlying  = 2 * longestCall // bytes of their calls, so that a few large ones don't fill the memory
 	flightTerm  = 5 * time.Second // for how long an order goes on by itself: it may be resent for about so long
 )
 
@@ -27,10 +28,12 @@
 type flights struct {
 	mu    sync.Mutex
 	byKey map[string]*flight
+	bytes int // of the calls under way
 }
 
 type flight struct {
 	ended   chan struct{}
+	size    int
 	version uint64
 	err     error
 }
@@ -39,9 +42,9 @@
 type task = func(ctx context.Context) (version uint64, err error)
 
 // join waits for an order to end, and begins it unless it is under way. It returns errUnderWay when ctx ends first. do is
-// called once for all who join, with a time of its own.
-func (f *flights) join(ctx context.Context, key string, do task) (version uint64, err error) {
-	x, err := f.find(key, do)
+// called once for all who join, with a time of its own. size is how many bytes the order holds while it is under way.
+func (f *flights) join(ctx context.Context, key string, size int, do task) (version uint64, err error) {
+	x, err := f.find(key, size, do)
 	if err != nil {
 		return 0, err
 	}
@@ -53,20 +56,21 @@
 	}
 }
 
-func (f *flights) find(key string, do task) (*flight, error) {
+func (f *flights) find(key string, size int, do task) (*flight, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if x := f.byKey[key]; x != nil {
 		return x, nil
 	}
-	if len(f.byKey) >= mostFlights {
+	if len(f.byKey) >= mostFlights || f.bytes+size > mostFlying {
 		return nil, errManyUnder
 	}
 	if f.byKey == nil {
 		f.byKey = map[string]*flight{}
 	}
-	x := &flight{ended: make(chan struct{})}
+	x := &flight{ended: make(chan struct{}), size: size}
 	f.byKey[key] = x
+	f.bytes += size
 	go f.fly(x, key, do)
 	return x, nil
 }
@@ -77,6 +81,7 @@
 	x.version, x.err = do(ctx)
 	f.mu.Lock()
 	delete(f.byKey, key)
+	f.bytes -= x.size
 	f.mu.Unlock()
 	close(x.ended)
 }
--- a/steward/orders.go
+++ b/steward/orders.go
@@ -69,7 +69,7 @@
 	term := callTime + time.Duration(len(sent))*perItem
 	ctx, cancel := context.WithTimeout(r.Context(), term)
 	defer cancel()
-	_, err = s.orders.join(ctx, "settings.change "+plan.CallText(sent), func(ctx context.Context) (uint64, error) {
+	_, err = s.orders.join(ctx, "settings.change "+plan.CallText(sent), len(data), func(ctx context.Context) (uint64, error) {
 		return 0, insist(ctx, term, func(ctx context.Context) error { return s.settle(ctx, sent) })
 	})
 	end(w, err)
--- a/steward/releases.go
+++ b/steward/releases.go
@@ -36,7 +36,7 @@
 	key := "releases.begin " + o.Service + "\x00" + o.Target + "\x00" + over.String()
 	ctx, cancel := context.WithTimeout(r.Context(), callTime)
 	defer cancel()
-	_, err = s.orders.join(ctx, key, func(ctx context.Context) (uint64, error) {
+	_, err = s.orders.join(ctx, key, len(data), func(ctx context.Context) (uint64, error) {
 		_, err := s.decide(ctx, map[string]quorum.Change{plan.ReleaseKey(o.Service): change})
 		return 0, err
 	})
