--- a/internal/control/replica/news.go
+++ b/internal/control/replica/news.go
@@ -175,6 +175,10 @@
 	return out
 }
 
+// justHeard is for how long after a member's answer the next pull of it may wait for news: longer than the pause between two
+// pulls. After one that failed the answer itself is the news.
+const justHeard = time.Second
+
 // Ask is what this member asks another for: all that it lacks. Where it has not heard of the other lately the answer is
 // not to wait for news, as it is news itself that the other is there.
 func (m *Replica) Ask(now time.Time, to Member) *Pull {
@@ -183,11 +187,12 @@
 	if s.set.Epoch == 0 {
 		p.Ready = s.identity.Fresh
 	}
+	p.Ready = p.Ready && s.saved // a disk whose identity could still be lost is nobody's
 	if s.saved {
 		p.Disk, p.Start = s.identity.Generation, s.start
 	}
 	if !p.Meet {
-		if m.heardOf(to.Node, now) {
+		if x := m.members[to.Node]; x != nil && x.begun && now.Sub(x.heard) < justHeard {
 			p.WaitMs = CoreWait.Milliseconds()
 			if !s.member() {
 				p.WaitMs = candidateWait.Milliseconds()
--- a/internal/control/replica/steer.go
+++ b/internal/control/replica/steer.go
@@ -103,15 +103,16 @@
 // joinPatience is for how long the next change of members waits for one that is heard and does not act.
 const joinPatience = 10 * time.Second
 
-// settled tells whether all members that are heard act in the epoch in force. The next set takes over from these: proposed
+// settled tells whether all members that are not given up act in the epoch in force. The next set takes over from these: proposed
 // sooner, it could find too few of them after one loss, and those that would still act in this epoch go for the newest one.
 func (m *Replica) settled(now time.Time) bool {
 	s := &m.standing
 	if now.Sub(s.adopted) >= joinPatience {
 		return true
 	}
-	for node, x := range m.members {
-		if m.heardOf(node, now) && x.acting != s.set.Epoch {
+	for _, x := range m.members {
+		given := now.Sub(latest(x.heard, x.since)) >= Heard // it is given up
+		if !given && x.acting != s.set.Epoch {
 			return false
 		}
 	}
--- a/internal/control/replica/takeover.go
+++ b/internal/control/replica/takeover.go
@@ -154,7 +154,7 @@
 		}
 		t.heard[from.Node+from.Disk] = true
 		words := len(t.heard)
-		if m.own() {
+		if slices.ContainsFunc(s.set.Previous, s.me.Is) { // one that did not act there has accepted nothing there, and now holds what was chosen before
 			words++
 		}
 		if words >= s.set.Takeover() {
