--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -503,6 +503,25 @@
 	}
 }
 
+// A late answer to a request that had a connection before a probe is not the appliance's word on itself, be it good or bad.
+func TestProbePassesOverLateAnswers(t *testing.T) {
+	for _, status := range []int{200, 503} {
+		late := fmt.Sprintf("HTTP/1.1 %d Late\r\nX-Sagelever-Try-Id: t0\r\nX-Sagelever-Server-Id: i1\r\nContent-Length: 0\r\n\r\n", status)
+		word := fmt.Sprintf("HTTP/1.1 %d Word\r\nX-Sagelever-Server-Id: i1\r\nContent-Length: 0\r\n\r\n", 200+503-status)
+		address, _ := raw(t, late+word)
+		x := runWith(t, 200*time.Millisecond, app("i1", address))
+		x.core.mu.Lock()
+		x.core.sound = false
+		x.core.mu.Unlock()
+		open := func() bool { x.mu.Lock(); defer x.mu.Unlock(); return x.sway.Open(x.sway.App("i1"), time.Now()) }
+		until(t, "the leave has run out", func() bool { return !open() })
+		x.question(sway.Question{ID: "i1", Address: address, Path: "/h"})
+		if got, want := open(), status == 503; got != want {
+			t.Errorf("a late %d before its word: it may be sent to: %v", status, got)
+		}
+	}
+}
+
 // When an appliance leaves while requests are out there, a connection to where the next will go is opened ahead; the next
 // request takes it, and one that is not used is closed.
 func TestConnectionsAhead(t *testing.T) {
--- a/strand/conn_test.go
+++ b/strand/conn_test.go
@@ -83,3 +83,64 @@
 		t.Errorf("noise: %v", err)
 	}
 }
+
+// An answer to HEAD has no body, whatever length its head gives: what follows on the connection is the next answer, and is
+// looked at like any other.
+func TestAnswerToHead(t *testing.T) {
+	for _, x := range []struct {
+		what, next, body string
+	}{
+		{"its own", answer("two", "yes", 3), "yes"},
+		{"another's", answer("other", "no", 2), ""},
+	} {
+		l, err := Patience(1e9).Listen("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			in := bufio.NewReader(c)
+			for _, script := range []string{answer("one", "", 2000), x.next} {
+				if _, err := http.ReadRequest(in); err != nil {
+					return
+				}
+				io.WriteString(c, script)
+			}
+		}()
+		tr := &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := Patience(1e9).Dialer(1e9).DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return NewConn(c.(*net.TCPConn), &Terms{Longest: 1 << 20}), nil
+		}}
+		defer tr.CloseIdleConnections()
+		ask := func(method, id string) (body string, reused bool, err error) {
+			use := &Use{Ours: func(h http.Header) bool { return h.Get("Id") == id }}
+			ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+				reused = i.Reused
+				i.Conn.(*Conn).Take(use)
+			}})
+			req, _ := http.NewRequestWithContext(ctx, method, "http://"+l.Addr().String()+"/", nil)
+			CarryBody(req, nil) // else the transport sends it again by itself
+			resp, err := tr.RoundTrip(req)
+			if err != nil {
+				return "", reused, err
+			}
+			defer resp.Body.Close()
+			b, err := io.ReadAll(resp.Body)
+			return string(b), reused, err
+		}
+		if _, _, err := ask(http.MethodHead, "one"); err != nil {
+			t.Fatalf("%s: HEAD: %v", x.what, err)
+		}
+		if body, reused, err := ask(http.MethodGet, "two"); !reused || body != x.body || (err == nil) != (x.body != "") {
+			t.Errorf("%s: %q %v, on the same connection: %v", x.what, body, err, reused)
+		}
+	}
+}
