--- a/internal/control/replica/members.go
+++ b/internal/control/replica/members.go
@@ -46,7 +46,7 @@
 	if p.From.Node == m.c.Me.Node || p.From.Node == "" {
 		return
 	}
-	m.noteGeneration(p.From, p.Disk, p.Start)
+	m.noteGeneration(p.From, p.Disk)
 	if p.Set > m.standing.set.Epoch && now.Sub(m.calledBack) > stuck { // all whom this replica knows may be gone
 		m.calledBack = now
 		m.out.Call = append(m.out.Call, p.From)
--- a/internal/control/replica/messages.go
+++ b/internal/control/replica/messages.go
@@ -34,7 +34,6 @@
 	Acting uint64            `json:"o,omitempty"` // the epoch in which the member that is asked acts, as the caller knows
 	Ending bool              `json:"x,omitempty"` // of a member: its process is about to end
 	Disk   uint64            `json:"h,omitempty"` // of a replica: the generation of its disk
-	Start  uint64            `json:"d,omitempty"` // of a replica: see Generation
 	Epoch  int               `json:"-"`           // the caller's own: how often what it knew was given up
 }
 
@@ -110,7 +109,6 @@
 	Set        *SetEntry          `json:"s,omitempty"` // StatePath: the set that the asker goes by
 	From       Member             `json:"f,omitzero"`  // GenerationPath
 	Generation uint64             `json:"g,omitempty"` // GenerationPath: of the asker's disk
-	Start      uint64             `json:"n,omitempty"` // GenerationPath: see Generation
 }
 
 // Reply answers an Ask.
@@ -125,7 +123,6 @@
 	Acting     uint64            `json:"e,omitempty"` // StatePath: the epoch in which the replica acts, or acted last
 	Disk       string            `json:"d,omitempty"` // GenerationPath, StatePath: of the replica that answers
 	Generation uint64            `json:"g,omitempty"` // GenerationPath: the last that is known of the asker's disk
-	Start      uint64            `json:"n,omitempty"` // GenerationPath: see Generation
 }
 
 // Kinds of asks, as the paths of calls.
--- a/internal/control/replica/messages_easyjson.go
+++ b/internal/control/replica/messages_easyjson.go
@@ -388,12 +388,6 @@
 			} else {
 				out.Generation = uint64(in.Uint64())
 			}
-		case "n":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.Start = uint64(in.Uint64())
-			}
 		default:
 			in.SkipRecursive()
 		}
@@ -457,11 +451,6 @@
 		out.RawString(prefix)
 		out.Uint64(uint64(in.Generation))
 	}
-	if in.Start != 0 {
-		const prefix string = ",\"n\":"
-		out.RawString(prefix)
-		out.Uint64(uint64(in.Start))
-	}
 	out.RawByte('}')
 }
 
@@ -699,12 +688,6 @@
 			} else {
 				out.Disk = uint64(in.Uint64())
 			}
-		case "d":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.Start = uint64(in.Uint64())
-			}
 		default:
 			in.SkipRecursive()
 		}
@@ -827,11 +810,6 @@
 		out.RawString(prefix)
 		out.Uint64(uint64(in.Disk))
 	}
-	if in.Start != 0 {
-		const prefix string = ",\"d\":"
-		out.RawString(prefix)
-		out.Uint64(uint64(in.Start))
-	}
 	out.RawByte('}')
 }
 
@@ -1603,12 +1581,6 @@
 			} else {
 				out.Generation = uint64(in.Uint64())
 			}
-		case "n":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.Start = uint64(in.Uint64())
-			}
 		default:
 			in.SkipRecursive()
 		}
@@ -1687,11 +1659,6 @@
 		out.RawString(prefix)
 		out.Uint64(uint64(in.Generation))
 	}
-	if in.Start != 0 {
-		const prefix string = ",\"n\":"
-		out.RawString(prefix)
-		out.Uint64(uint64(in.Start))
-	}
 	out.RawByte('}')
 }
 
--- a/internal/control/replica/news.go
+++ b/internal/control/replica/news.go
@@ -188,7 +188,7 @@
 	}
 	p.Ready = p.Ready && s.saved // a disk whose identity could still be lost is nobody's
 	if s.saved {
-		p.Disk, p.Start = s.identity.Generation, s.start
+		p.Disk = s.identity.Generation
 	}
 	if !p.Meet {
 		if x := m.members[to.Node]; x != nil && x.begun && now.Sub(x.heard) < justHeard {
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -255,7 +255,7 @@
 	}
 	m.unsaved = false // a failure sets it again
 	floor := m.acceptor.Floor()
-	identity := m.standing.identity
+	identity := m.standing.handed
 	m.save(now, Save{Entries: m.acceptor.All(), Floor: &floor, Identity: &identity}, nil)
 }
 
--- a/internal/control/replica/takeover.go
+++ b/internal/control/replica/takeover.go
@@ -16,7 +16,7 @@
 	if !s.member() {
 		others = m.sources()
 	}
-	m.ask(now, t, others, GenerationPath, &Ask{Epoch: s.set.Epoch, From: s.me, Generation: s.identity.Generation, Start: s.start})
+	m.ask(now, t, others, GenerationPath, &Ask{Epoch: s.set.Epoch, From: s.me, Generation: s.identity.Generation})
 }
 
 // serveGeneration says which generation of a disk was known here, and notes the one that is told. It says so whether or not
@@ -24,13 +24,13 @@
 func (m *Replica) serveGeneration(a *Ask) *Reply {
 	r := &Reply{OK: true, Disk: m.standing.me.Disk}
 	if known := m.generations[a.From.Node]; known.Disk == a.From.Disk {
-		r.Generation, r.Start = known.Number, known.Start
+		r.Generation = known.Number
 	}
-	m.noteGeneration(a.From, a.Generation, a.Start)
+	m.noteGeneration(a.From, a.Generation)
 	return r
 }
 
-func (m *Replica) noteGeneration(of Member, number, start uint64) {
+func (m *Replica) noteGeneration(of Member, number uint64) {
 	if of.Disk == "" || number == 0 {
 		return
 	}
@@ -41,7 +41,7 @@
 	if member, ok := m.standing.set.Find(of.Node); ok && member.Disk != of.Disk && known.Disk == member.Disk {
 		return // a candidate takes no member's place
 	}
-	m.generations[of.Node] = Generation{Disk: of.Disk, Number: number, Start: start}
+	m.generations[of.Node] = Generation{Disk: of.Disk, Number: number}
 }
 
 // hearGeneration takes another's word on this disk.
@@ -50,7 +50,7 @@
 	if !r.OK || t.heard[from.Node] || r.Disk != from.Disk { // a member that lost its disk knows nothing
 		return
 	}
-	if r.Generation > s.before && r.Start != s.start {
+	if r.Generation > s.identity.Generation {
 		m.end(t, nil, nil)
 		m.renewDisk(now)
 		return
@@ -61,6 +61,7 @@
 	}
 	s.confirmed = true
 	m.end(t, nil, nil)
+	m.count(now)
 	m.takeOver(now)
 	m.look(now)
 }
@@ -173,8 +174,9 @@
 	epoch, try := s.set.Epoch, t.try
 	m.acceptor.Refuse(quorum.Ballot{Epoch: epoch})
 	floor := m.acceptor.Floor()
-	next := s.identity
+	next := s.handed
 	next.Acting, next.Active = true, epoch
+	s.handed = next
 	t.unsaved++
 	number := m.number + 1 // of this save
 	m.save(now, Save{Floor: &floor, Identity: &next}, func(now time.Time, err error) {
@@ -186,8 +188,7 @@
 			m.pause(now, t)
 			return
 		}
-		next.Generation = s.identity.Generation
-		s.identity = next
+		s.identity.Acting, s.identity.Active = true, epoch
 		m.end(t, nil, nil)
 		m.say("acts as a member", "epoch", strconv.FormatUint(epoch, 10), "registers", strconv.Itoa(len(m.acceptor.All())),
 			"afterMs", strconv.FormatInt(now.Sub(s.adopted).Milliseconds(), 10))
--- a/steward/drive.go
+++ b/steward/drive.go
@@ -207,7 +207,7 @@
 		notes[itemKey+k.Item.Key] = strings.Join([]string{strconv.FormatUint(k.Item.Version, 16), k.Origin, strconv.FormatUint(k.Number, 16), k.Item.Body}, " ")
 	}
 	for node, g := range s.m.Generations() {
-		text := g.Disk + " " + strconv.FormatUint(g.Number, 10) + " " + strconv.FormatUint(g.Start, 10)
+		text := g.Disk + " " + strconv.FormatUint(g.Number, 10)
 		if s.told[node] != text {
 			s.told[node] = text
 			notes[generationKey+node] = text
@@ -267,7 +267,7 @@
 	was.Generations = map[string]replica.Generation{}
 	for node, text := range s.disk.Load(generationKey) {
 		g := replica.Generation{}
-		if _, err := fmt.Sscan(text, &g.Disk, &g.Number, &g.Start); err == nil {
+		if _, err := fmt.Sscan(text, &g.Disk, &g.Number); err == nil {
 			was.Generations[node] = g
 			s.told[node] = text
 		}
