--- a/relay/leaving_test.go
+++ b/relay/leaving_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sagelever/boot"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -224,3 +225,38 @@
 		return len(x.links.ready) == 0 && x.links.open[third] == 0
 	})
 }
+
+// A relay that no longer listens goes on until what it has is answered, for as long as the leeway allows.
+func TestEndsBehindItsLastAnswer(t *testing.T) {
+	on, release := make(chan struct{}), make(chan struct{})
+	address, _ := appliance(t, func(w http.ResponseWriter, r *http.Request) {
+		close(on)
+		<-release
+		stamped(w, r)
+	})
+	x := runBounded(t, boot.Bounds{Leeway: 3 * time.Second}, app("i1", address))
+	got := make(chan string, 1)
+	go func() {
+		status, body, _, err := x.ask("POST", "/o/1", "x")
+		got <- fmt.Sprint(status, body, err)
+	}()
+	<-on
+	x.stop()
+	until(t, "it no longer listens", func() bool {
+		c, err := net.Dial("tcp4", x.front)
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+	select {
+	case <-x.ended:
+		t.Error("it has ended with a request under way")
+	case <-time.After(x.settings.Bounds.Leeway / 5):
+	}
+	close(release)
+	if g := <-got; g != "200yes<nil>" {
+		t.Error(g)
+	}
+	<-x.ended
+}
--- a/relay/rows_early_test.go
+++ b/relay/rows_early_test.go
@@ -25,7 +25,12 @@
 	until(t, "it waits", func() bool { return x.counts.waited.Load() == 1 })
 	switch r.event {
 	case verdict.CallerGone:
+		began := time.Now()
 		r.caller.Close()
+		until(t, "it is given up", func() bool { return x.counts.refused.Load() == 1 })
+		if held := time.Since(began); held > 5*time.Second { // it may wait for 9 s
+			t.Errorf("it was held for %v", held)
+		}
 	case verdict.Shutdown:
 		x.stop()
 		until(t, "it leaves", x.leaving.Load)
--- a/strand/conn.go
+++ b/strand/conn.go
@@ -88,7 +88,7 @@
 
 func (w *Conn) Write(p []byte) (n int, err error) {
 	u := w.by.Load()
-	if u == nil || w.useless.Load() {
+	if u == nil || w.useless.Load() && !u.wrote.Load() { // a request that is begun is written on: only the next may not be
 		return 0, errUseless
 	}
 	write := func() {
