--- a/internal/control/replica/replace_test.go
+++ b/internal/control/replica/replace_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sagelever/internal/control/membership"
+	"sagelever/internal/control/quorum"
 )
 
 // until steps until something holds, for so long at most.
@@ -194,3 +195,35 @@
 	}
 	return false
 }
+
+// Two of six lack what was confirmed, and a newcomer does. They hear of the next set and of nobody else: taking over from f
+// of them they would act without it, and from f+1 they wait.
+func TestTakeoverFromTooFew(t *testing.T) {
+	for planted, by := range map[string]string{"": "", smallTakeover: "acknowledged"} {
+		w := newWorld(1, 6, 2, planted)
+		w.faulty = false
+		w.run(w.now.Add(3 * time.Second))
+		leaving := w.nodes[3]
+		w.newcomer(leaving.place, 0)
+		w.run(w.now.Add(2 * time.Second))
+		w.cutOff(4, 0, 1, 2, 3)
+		w.cutOff(5, 0, 1, 2, 3)
+		w.cutOff(6, 0, 1, 2, 3)
+		w.nodes[0].orderItem("item/routes/r0", 7)
+		w.until(time.Second, func() bool { return w.acked["item/routes/r0"] == 7 })
+		leaving.step(leaving.m.Leave)
+		if !w.until(3*time.Second, func() bool { return w.set.Epoch == 2 }) || w.acked["item/routes/r0"] != 7 {
+			t.Fatalf("%q: nothing was confirmed, or no set followed", planted)
+		}
+		w.run(w.now.Add(200 * time.Millisecond))
+		told := w.nodes[0].m.standing.chosen
+		for _, x := range []*node{w.nodes[4], w.nodes[5], w.nodes[6]} {
+			x.step(func(now time.Time) { x.m.save(now, Save{Entries: x.m.learn(now, []quorum.Entry{told})}, nil) })
+		}
+		w.run(w.now.Add(2 * time.Second))
+		w.check()
+		if planted == "" && w.wrong != "" || !strings.Contains(w.wrong, by) || by != "" && w.wrong == "" {
+			t.Errorf("%q: found %q", planted, w.wrong)
+		}
+	}
+}
