--- a/internal/control/replica/world_faults_test.go
+++ b/internal/control/replica/world_faults_test.go
@@ -183,6 +183,9 @@
 			w.heals = w.now.Sub(ended)
 			return
 		}
+		if w.lastEnd.After(ended) { // one that was told to leave before has ended
+			ended, within = w.lastEnd, 4*time.Second+Heard
+		}
 		if w.now.Sub(ended) > within {
 			w.lenient = false
 			w.fail("%v after the last fault %s", within, what)
--- a/internal/control/replica/world_members_test.go
+++ b/internal/control/replica/world_members_test.go
@@ -236,6 +236,7 @@
 func (x *node) end() {
 	x.w.log("gone", x.i)
 	x.w.seen["gone"]++
+	x.w.lastEnd = x.w.now
 	x.kill()
 	x.gone = true
 }
--- a/internal/control/replica/world_test.go
+++ b/internal/control/replica/world_test.go
@@ -50,6 +50,7 @@
 	sets     map[uint64]membership.Set // by epoch
 	history  []linear.Operation        // orders and reads of items
 	taken    map[string]string         // by item and version: the content that was confirmed
+	lastEnd  time.Time                 // of a machine, for good
 	cutUntil time.Time                 // no cut ends before
 	long     bool                      // it is long enough for old disks
 	lenient  bool                      // a disk too young to be noticed was put back: nothing is promised but that all act again
