--- a/internal/control/replica/news.go
+++ b/internal/control/replica/news.go
@@ -321,6 +321,10 @@
 // about one moment: some ways between regions, and well within the second for which callers wait.
 const Together = 250 * time.Millisecond
 
+// leastHolders is how many members hold a removal at least, so that its word outlives the one that gave it: also in a first set of
+// two, of which one would be half.
+const leastHolders = 2
+
 // Spread tells whether what has been told here at a moment has gone far enough to be acknowledged: so many members hold it
 // that each that may be relied on, as it hears more than half of the core, hears one that does; and all of those that are
 // heard, unless that takes too long.
@@ -339,5 +343,5 @@
 			all = false
 		}
 	}
-	return holders >= size-size/2 && (all || now.Sub(since) >= Together)
+	return holders >= max(size-size/2, min(size, leastHolders)) && (all || now.Sub(since) >= Together)
 }
