--- a/internal/control/replica/news.go
+++ b/internal/control/replica/news.go
@@ -8,6 +8,7 @@
 
 	"github.com/mailru/easyjson"
 
+	"sagelever/internal/control/membership"
 	"sagelever/internal/control/quorum"
 	"sagelever/lore"
 )
@@ -112,8 +113,10 @@
 		ready = true
 	}
 	var wanted func(string) bool
-	if p.Role != Core { // edge agents need no leases
-		wanted = func(key string) bool { return !strings.HasPrefix(key, lore.LeaseKey) }
+	if p.Role != Core { // edge agents need neither leases nor the set of members
+		wanted = func(key string) bool {
+			return !strings.HasPrefix(key, lore.LeaseKey) && key != lore.RegKey+membership.Key
+		}
 	}
 	switch {
 	case p.Meet:
--- a/sway/sway.go
+++ b/sway/sway.go
@@ -81,6 +81,7 @@
 	tallies  map[string]*lore.Tally
 	leave    ebb.Leave
 	gone     map[string]*App // whose life is over, while something is out there
+	ended    ended           // lives of appliances that are over
 	asks     []Question
 	aheads   []Ahead
 }
@@ -177,6 +178,10 @@
 	}
 	if told.Phase == lore.Left {
 		s.forget(id, now)
+		s.ended.add(id, now)
+		return
+	}
+	if s.ended.has(id, now) { // a source that was cut off may still tell of it as it was
 		return
 	}
 	if a == nil {
