--- a/internal/control/replica/messages.go
+++ b/internal/control/replica/messages.go
@@ -115,14 +115,15 @@
 //
 //easyjson:json
 type Reply struct {
-	OK         bool              `json:"o"`
-	Held       []quorum.Entry    `json:"h,omitempty"`
-	Ranges     *rangesync.Answer `json:"s,omitempty"` // ReadPath, StatePath: Held goes with it
-	Refused    quorum.Ballot     `json:"r"`
-	Set        *SetEntry         `json:"t,omitempty"` // a newer set than the asker's is in force
-	Acting     uint64            `json:"e,omitempty"` // StatePath: the epoch in which the replica acts, or acted last
-	Disk       string            `json:"d,omitempty"` // GenerationPath, StatePath: of the replica that answers
-	Generation uint64            `json:"g,omitempty"` // GenerationPath: the last that is known of the asker's disk
+	OK         bool                  `json:"o"`
+	Held       []quorum.Entry        `json:"h,omitempty"`
+	Ranges     *rangesync.Answer     `json:"s,omitempty"` // ReadPath, StatePath: Held goes with it
+	Refused    quorum.Ballot         `json:"r"`
+	Set        *SetEntry             `json:"t,omitempty"` // a newer set than the asker's is in force
+	Acting     uint64                `json:"e,omitempty"` // StatePath: the epoch in which the replica acts, or acted last
+	Disk       string                `json:"d,omitempty"` // GenerationPath, StatePath: of the replica that answers
+	Others     map[string]Generation `json:"x,omitempty"` // StatePath: what is known of other replicas' disks, by node
+	Generation uint64                `json:"g,omitempty"` // GenerationPath: the last that is known of the asker's disk
 }
 
 // Kinds of asks, as the paths of calls.
--- a/internal/control/replica/messages_easyjson.go
+++ b/internal/control/replica/messages_easyjson.go
@@ -382,6 +382,26 @@
 			} else {
 				out.Disk = string(in.String())
 			}
+		case "x":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				in.Delim('{')
+				if !in.IsDelim('}') {
+					out.Others = make(map[string]Generation)
+				} else {
+					out.Others = nil
+				}
+				for !in.IsDelim('}') {
+					key := string(in.String())
+					in.WantColon()
+					var v10 Generation
+					easyjson66c1e240DecodeSageleverInternalControlReplica2(in, &v10)
+					(out.Others)[key] = v10
+					in.WantComma()
+				}
+				in.Delim('}')
+			}
 		case "g":
 			if in.IsNull() {
 				in.Skip()
@@ -412,11 +432,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v10, v11 := range in.Held {
-				if v10 > 0 {
+			for v11, v12 := range in.Held {
+				if v11 > 0 {
 					out.RawByte(',')
 				}
-				(v11).MarshalEasyJSON(out)
+				(v12).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -446,6 +466,25 @@
 		out.RawString(prefix)
 		out.String(string(in.Disk))
 	}
+	if len(in.Others) != 0 {
+		const prefix string = ",\"x\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('{')
+			v13First := true
+			for v13Name, v13Value := range in.Others {
+				if v13First {
+					v13First = false
+				} else {
+					out.RawByte(',')
+				}
+				out.String(string(v13Name))
+				out.RawByte(':')
+				easyjson66c1e240EncodeSageleverInternalControlReplica2(out, v13Value)
+			}
+			out.RawByte('}')
+		}
+	}
 	if in.Generation != 0 {
 		const prefix string = ",\"g\":"
 		out.RawString(prefix)
@@ -477,6 +516,58 @@
 func (v *Reply) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjson66c1e240DecodeSageleverInternalControlReplica1(l, v)
 }
+func easyjson66c1e240DecodeSageleverInternalControlReplica2(in *jlexer.Lexer, out *Generation) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "d":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Disk = string(in.String())
+			}
+		case "n":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Number = uint64(in.Uint64())
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjson66c1e240EncodeSageleverInternalControlReplica2(out *jwriter.Writer, in Generation) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"d\":"
+		out.RawString(prefix[1:])
+		out.String(string(in.Disk))
+	}
+	{
+		const prefix string = ",\"n\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Number))
+	}
+	out.RawByte('}')
+}
 func easyjson66c1e240DecodeSageleverInternalControlQuorum(in *jlexer.Lexer, out *quorum.Ballot) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
@@ -546,7 +637,7 @@
 	}
 	out.RawByte('}')
 }
-func easyjson66c1e240DecodeSageleverInternalControlReplica2(in *jlexer.Lexer, out *Pull) {
+func easyjson66c1e240DecodeSageleverInternalControlReplica3(in *jlexer.Lexer, out *Pull) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -587,13 +678,13 @@
 				for !in.IsDelim('}') {
 					key := string(in.String())
 					in.WantColon()
-					var v12 uint64
+					var v14 uint64
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v12 = uint64(in.Uint64())
+						v14 = uint64(in.Uint64())
 					}
-					(out.Vector)[key] = v12
+					(out.Vector)[key] = v14
 					in.WantComma()
 				}
 				in.Delim('}')
@@ -611,13 +702,13 @@
 				for !in.IsDelim('}') {
 					key := string(in.String())
 					in.WantColon()
-					var v13 uint64
+					var v15 uint64
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v13 = uint64(in.Uint64())
+						v15 = uint64(in.Uint64())
 					}
-					(out.Come)[key] = v13
+					(out.Come)[key] = v15
 					in.WantComma()
 				}
 				in.Delim('}')
@@ -698,7 +789,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeSageleverInternalControlReplica2(out *jwriter.Writer, in Pull) {
+func easyjson66c1e240EncodeSageleverInternalControlReplica3(out *jwriter.Writer, in Pull) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -722,16 +813,16 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('{')
-			v14First := true
-			for v14Name, v14Value := range in.Vector {
-				if v14First {
-					v14First = false
+			v16First := true
+			for v16Name, v16Value := range in.Vector {
+				if v16First {
+					v16First = false
 				} else {
 					out.RawByte(',')
 				}
-				out.String(string(v14Name))
+				out.String(string(v16Name))
 				out.RawByte(':')
-				out.Uint64(uint64(v14Value))
+				out.Uint64(uint64(v16Value))
 			}
 			out.RawByte('}')
 		}
@@ -741,16 +832,16 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('{')
-			v15First := true
-			for v15Name, v15Value := range in.Come {
-				if v15First {
-					v15First = false
+			v17First := true
+			for v17Name, v17Value := range in.Come {
+				if v17First {
+					v17First = false
 				} else {
 					out.RawByte(',')
 				}
-				out.String(string(v15Name))
+				out.String(string(v17Name))
 				out.RawByte(':')
-				out.Uint64(uint64(v15Value))
+				out.Uint64(uint64(v17Value))
 			}
 			out.RawByte('}')
 		}
@@ -816,27 +907,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Pull) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeSageleverInternalControlReplica2(&w, v)
+	easyjson66c1e240EncodeSageleverInternalControlReplica3(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Pull) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeSageleverInternalControlReplica2(w, v)
+	easyjson66c1e240EncodeSageleverInternalControlReplica3(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Pull) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeSageleverInternalControlReplica2(&r, v)
+	easyjson66c1e240DecodeSageleverInternalControlReplica3(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Pull) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeSageleverInternalControlReplica2(l, v)
+	easyjson66c1e240DecodeSageleverInternalControlReplica3(l, v)
 }
-func easyjson66c1e240DecodeSageleverInternalControlReplica3(in *jlexer.Lexer, out *News) {
+func easyjson66c1e240DecodeSageleverInternalControlReplica4(in *jlexer.Lexer, out *News) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -884,9 +975,9 @@
 					out.Items = (out.Items)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v16 lore.Item
-					easyjson66c1e240DecodeSageleverLore(in, &v16)
-					out.Items = append(out.Items, v16)
+					var v18 lore.Item
+					easyjson66c1e240DecodeSageleverLore(in, &v18)
+					out.Items = append(out.Items, v18)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -907,13 +998,13 @@
 					out.Origins = (out.Origins)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v17 string
+					var v19 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v17 = string(in.String())
+						v19 = string(in.String())
 					}
-					out.Origins = append(out.Origins, v17)
+					out.Origins = append(out.Origins, v19)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -931,13 +1022,13 @@
 				for !in.IsDelim('}') {
 					key := string(in.String())
 					in.WantColon()
-					var v18 uint64
+					var v20 uint64
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v18 = uint64(in.Uint64())
+						v20 = uint64(in.Uint64())
 					}
-					(out.Come)[key] = v18
+					(out.Come)[key] = v20
 					in.WantComma()
 				}
 				in.Delim('}')
@@ -958,13 +1049,13 @@
 					out.Drop = (out.Drop)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v19 string
+					var v21 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v19 = string(in.String())
+						v21 = string(in.String())
 					}
-					out.Drop = append(out.Drop, v19)
+					out.Drop = append(out.Drop, v21)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1009,9 +1100,9 @@
 					out.Members = (out.Members)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v20 membership.Member
-					easyjson66c1e240DecodeSageleverInternalControlMembership(in, &v20)
-					out.Members = append(out.Members, v20)
+					var v22 membership.Member
+					easyjson66c1e240DecodeSageleverInternalControlMembership(in, &v22)
+					out.Members = append(out.Members, v22)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1070,7 +1161,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeSageleverInternalControlReplica3(out *jwriter.Writer, in News) {
+func easyjson66c1e240EncodeSageleverInternalControlReplica4(out *jwriter.Writer, in News) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1096,11 +1187,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v21, v22 := range in.Items {
-				if v21 > 0 {
+			for v23, v24 := range in.Items {
+				if v23 > 0 {
 					out.RawByte(',')
 				}
-				easyjson66c1e240EncodeSageleverLore(out, v22)
+				easyjson66c1e240EncodeSageleverLore(out, v24)
 			}
 			out.RawByte(']')
 		}
@@ -1110,11 +1201,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v23, v24 := range in.Origins {
-				if v23 > 0 {
+			for v25, v26 := range in.Origins {
+				if v25 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v24))
+				out.String(string(v26))
 			}
 			out.RawByte(']')
 		}
@@ -1124,16 +1215,16 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('{')
-			v25First := true
-			for v25Name, v25Value := range in.Come {
-				if v25First {
-					v25First = false
+			v27First := true
+			for v27Name, v27Value := range in.Come {
+				if v27First {
+					v27First = false
 				} else {
 					out.RawByte(',')
 				}
-				out.String(string(v25Name))
+				out.String(string(v27Name))
 				out.RawByte(':')
-				out.Uint64(uint64(v25Value))
+				out.Uint64(uint64(v27Value))
 			}
 			out.RawByte('}')
 		}
@@ -1143,11 +1234,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v26, v27 := range in.Drop {
-				if v26 > 0 {
+			for v28, v29 := range in.Drop {
+				if v28 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v27))
+				out.String(string(v29))
 			}
 			out.RawByte(']')
 		}
@@ -1177,11 +1268,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v28, v29 := range in.Members {
-				if v28 > 0 {
+			for v30, v31 := range in.Members {
+				if v30 > 0 {
 					out.RawByte(',')
 				}
-				easyjson66c1e240EncodeSageleverInternalControlMembership(out, v29)
+				easyjson66c1e240EncodeSageleverInternalControlMembership(out, v31)
 			}
 			out.RawByte(']')
 		}
@@ -1222,25 +1313,25 @@
 // MarshalJSON supports json.Marshaler interface
 func (v News) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeSageleverInternalControlReplica3(&w, v)
+	easyjson66c1e240EncodeSageleverInternalControlReplica4(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v News) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeSageleverInternalControlReplica3(w, v)
+	easyjson66c1e240EncodeSageleverInternalControlReplica4(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *News) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeSageleverInternalControlReplica3(&r, v)
+	easyjson66c1e240DecodeSageleverInternalControlReplica4(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *News) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeSageleverInternalControlReplica3(l, v)
+	easyjson66c1e240DecodeSageleverInternalControlReplica4(l, v)
 }
 func easyjson66c1e240DecodeSageleverLore(in *jlexer.Lexer, out *lore.Item) {
 	isTopLevel := in.IsStart()
@@ -1327,7 +1418,7 @@
 	}
 	out.RawByte('}')
 }
-func easyjson66c1e240DecodeSageleverInternalControlReplica4(in *jlexer.Lexer, out *Census) {
+func easyjson66c1e240DecodeSageleverInternalControlReplica5(in *jlexer.Lexer, out *Census) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1357,13 +1448,13 @@
 					out.Works = (out.Works)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v30 Work
+					var v32 Work
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v30).UnmarshalEasyJSON(in)
+						(v32).UnmarshalEasyJSON(in)
 					}
-					out.Works = append(out.Works, v30)
+					out.Works = append(out.Works, v32)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1384,13 +1475,13 @@
 					out.Missing = (out.Missing)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v31 string
+					var v33 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v31 = string(in.String())
+						v33 = string(in.String())
 					}
-					out.Missing = append(out.Missing, v31)
+					out.Missing = append(out.Missing, v33)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1405,7 +1496,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeSageleverInternalControlReplica4(out *jwriter.Writer, in Census) {
+func easyjson66c1e240EncodeSageleverInternalControlReplica5(out *jwriter.Writer, in Census) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1415,11 +1506,11 @@
 		out.RawString(prefix[1:])
 		{
 			out.RawByte('[')
-			for v32, v33 := range in.Works {
-				if v32 > 0 {
+			for v34, v35 := range in.Works {
+				if v34 > 0 {
 					out.RawByte(',')
 				}
-				(v33).MarshalEasyJSON(out)
+				(v35).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -1434,11 +1525,11 @@
 		}
 		{
 			out.RawByte('[')
-			for v34, v35 := range in.Missing {
-				if v34 > 0 {
+			for v36, v37 := range in.Missing {
+				if v36 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v35))
+				out.String(string(v37))
 			}
 			out.RawByte(']')
 		}
@@ -1449,27 +1540,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Census) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeSageleverInternalControlReplica4(&w, v)
+	easyjson66c1e240EncodeSageleverInternalControlReplica5(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Census) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeSageleverInternalControlReplica4(w, v)
+	easyjson66c1e240EncodeSageleverInternalControlReplica5(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Census) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeSageleverInternalControlReplica4(&r, v)
+	easyjson66c1e240DecodeSageleverInternalControlReplica5(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Census) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeSageleverInternalControlReplica4(l, v)
+	easyjson66c1e240DecodeSageleverInternalControlReplica5(l, v)
 }
-func easyjson66c1e240DecodeSageleverInternalControlReplica5(in *jlexer.Lexer, out *Ask) {
+func easyjson66c1e240DecodeSageleverInternalControlReplica6(in *jlexer.Lexer, out *Ask) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1507,13 +1598,13 @@
 					out.Keys = (out.Keys)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v36 string
+					var v38 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v36 = string(in.String())
+						v38 = string(in.String())
 					}
-					out.Keys = append(out.Keys, v36)
+					out.Keys = append(out.Keys, v38)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1534,13 +1625,13 @@
 					out.Values = (out.Values)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v37 quorum.Entry
+					var v39 quorum.Entry
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v37).UnmarshalEasyJSON(in)
+						(v39).UnmarshalEasyJSON(in)
 					}
-					out.Values = append(out.Values, v37)
+					out.Values = append(out.Values, v39)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1591,7 +1682,7 @@
 		in.Consumed()
 	}
 }
-func easyjson66c1e240EncodeSageleverInternalControlReplica5(out *jwriter.Writer, in Ask) {
+func easyjson66c1e240EncodeSageleverInternalControlReplica6(out *jwriter.Writer, in Ask) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1616,11 +1707,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v38, v39 := range in.Keys {
-				if v38 > 0 {
+			for v40, v41 := range in.Keys {
+				if v40 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v39))
+				out.String(string(v41))
 			}
 			out.RawByte(']')
 		}
@@ -1630,11 +1721,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v40, v41 := range in.Values {
-				if v40 > 0 {
+			for v42, v43 := range in.Values {
+				if v42 > 0 {
 					out.RawByte(',')
 				}
-				(v41).MarshalEasyJSON(out)
+				(v43).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -1665,23 +1756,23 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Ask) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson66c1e240EncodeSageleverInternalControlReplica5(&w, v)
+	easyjson66c1e240EncodeSageleverInternalControlReplica6(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Ask) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson66c1e240EncodeSageleverInternalControlReplica5(w, v)
+	easyjson66c1e240EncodeSageleverInternalControlReplica6(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Ask) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson66c1e240DecodeSageleverInternalControlReplica5(&r, v)
+	easyjson66c1e240DecodeSageleverInternalControlReplica6(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Ask) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson66c1e240DecodeSageleverInternalControlReplica5(l, v)
+	easyjson66c1e240DecodeSageleverInternalControlReplica6(l, v)
 }
--- a/internal/control/replica/standing.go
+++ b/internal/control/replica/standing.go
@@ -23,8 +23,8 @@
 
 // Generation is what others know of a replica's disk.
 type Generation struct {
-	Disk   string
-	Number uint64
+	Disk   string `json:"d"`
+	Number uint64 `json:"n"`
 }
 
 // generationSpan is how often a running replica counts its generation on. A disk from the past is noticed when it is older
--- a/internal/control/replica/takeover.go
+++ b/internal/control/replica/takeover.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -125,7 +126,7 @@
 		m.save(now, Save{Entries: changed}, func(now time.Time, _ error) { then(now, nil, ErrCatching) })
 		return
 	}
-	r := &Reply{OK: true, Disk: s.me.Disk, Acting: s.identity.Active}
+	r := &Reply{OK: true, Disk: s.me.Disk, Acting: s.identity.Active, Others: maps.Clone(m.generations)}
 	m.compare(a, r)
 	m.save(now, Save{Entries: changed}, func(now time.Time, err error) {
 		if err != nil {
@@ -140,6 +141,10 @@
 	if !r.OK || t.heard[from.Node+from.Disk] || r.Disk != from.Disk {
 		return
 	}
+	// Who comes new into the set is asked for its word on disks like those whose place it takes.
+	for node, g := range r.Others {
+		m.noteGeneration(Member{Node: node, Disk: g.Disk}, g.Number)
+	}
 	m.compared(now, t, from, StatePath, r, func(now time.Time) {
 		if t.kind == learning {
 			m.finishLearn(now, t, r)
