--- a/boot/boot.go
+++ b/boot/boot.go
@@ -180,10 +180,6 @@
 	return membership.Target{PerZone: perZone, Zones: len(s.Zones), Lose: s.Lost(perZone)}
 }
 
-// CoreSize is how many members the core has: as many in each zone as the deploy file says, which is what the program is
-// started with. No one tells more.
-func (s *Settings) CoreSize(perZone int) int { return len(s.Zones) * perZone }
-
 // Lost is how many members of the core may lose their disks at once: the largest of what withstand names.
 func (s *Settings) Lost(perZone int) int {
 	regions := map[string]int{}
--- a/internal/control/replica/page.go
+++ b/internal/control/replica/page.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"slices"
 
 	"sagelever/lore"
@@ -24,7 +25,7 @@
 		if a.From != b.From {
 			return a.From - b.From
 		}
-		return compareNumbers(a.Seq, b.Seq)
+		return cmp.Compare(a.Seq, b.Seq)
 	})
 	size := 0
 	for i, it := range n.Items {
@@ -37,16 +38,6 @@
 	}
 }
 
-func compareNumbers(a, b uint64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // unclaim takes back what an answer claims of the items that are left over.
 func (n *News) unclaim(left []lore.Item, come lore.Vector) {
 	lowest := map[string]uint64{}
--- a/internal/control/replica/round.go
+++ b/internal/control/replica/round.go
@@ -145,7 +145,7 @@
 		if err != nil {
 			r = nil
 		}
-		m.reply(now, t, m.self(), r)
+		m.reply(now, t, Member{Node: m.self()}, r)
 	})
 }
 
@@ -183,15 +183,11 @@
 		m.save(now, Save{Entries: m.learn(now, []quorum.Entry{*r.Set})}, nil)
 	}
 	if t := m.tasks[s.task]; t != nil && t.try == s.try {
-		m.replyFrom(now, t, s.to, r)
+		m.reply(now, t, s.to, r)
 	}
 }
 
-func (m *Replica) reply(now time.Time, t *task, from string, r *Reply) {
-	m.replyFrom(now, t, Member{Node: from}, r)
-}
-
-func (m *Replica) replyFrom(now time.Time, t *task, from Member, r *Reply) {
+func (m *Replica) reply(now time.Time, t *task, from Member, r *Reply) {
 	t.waiting--
 	try := t.try
 	if r != nil {
--- a/steward/drive.go
+++ b/steward/drive.go
@@ -22,7 +22,6 @@
 	entryKey      = "e/"
 	floorKey      = "floor"
 	bornKey       = "born" // the version before sets of members: the disk was whole
-	memberKey     = "m/"   // the same: members, by node
 	identityKey   = "identity"
 	generationKey = "g/" // of other replicas' disks, by node
 	itemKey       = "i/"
