--- a/internal/control/replica/peers.go
+++ b/internal/control/replica/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -170,7 +171,9 @@
 	if !hasQuorum {
 		text = "quorum lost"
 	}
-	r.logEvent(text, LogField{"sinceStartMs", formatMs(now.Sub(r.startedAt))})
+	r.logEvent(text,
+		LogField{"sinceStartMs", formatMs(now.Sub(r.startedAt))},
+		LogField{"undecided", strconv.Itoa(r.UndecidedCount())})
 }
 
 // Leave announces that the process is about to end: pending pulls are answered at once so that their senders turn to
--- a/internal/control/replica/repair.go
+++ b/internal/control/replica/repair.go
@@ -26,6 +26,9 @@
 	r.undecided[entry.Key] = now.Add(delay + r.jitter(delay))
 }
 
+// UndecidedCount returns how many registers hold a value here that was accepted and is not known to be chosen.
+func (r *Replica) UndecidedCount() int { return len(r.undecided) }
+
 // maxRepairKeys bounds the registers of one repair, and so the size of its messages.
 const maxRepairKeys = 256
 
--- a/internal/control/server/counters.go
+++ b/internal/control/server/counters.go
@@ -115,6 +115,7 @@
 	page.Add("batched_proposals_total", func() float64 { return float64(s.contentionStats().Batched) })
 	page.Add("connections", func() float64 { return float64(s.resources.use().connections) })
 	page.Add("memory_bytes", func() float64 { return float64(s.resources.use().memoryBytes) })
+	page.Add("undecided_registers", func() float64 { return float64(s.undecidedCount()) })
 	page.Add("operations_in_progress", func() float64 { return float64(s.operations.size()) })
 	return page
 }
@@ -126,6 +127,13 @@
 	return s.replica.ContentionStats()
 }
 
+// undecidedCount returns how many registers hold a value that is not known to be chosen.
+func (s *Server) undecidedCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.replica.UndecidedCount()
+}
+
 // failureLog logs when writes to the disk begin to fail and when they succeed again, once each.
 type failureLog struct {
 	log *zap.Logger
--- a/internal/control/server/server.go
+++ b/internal/control/server/server.go
@@ -161,6 +161,7 @@
 func (s *Server) logLoadedState(persisted replica.PersistedState) {
 	s.log.Info("state loaded",
 		zap.Int("registers", len(persisted.Entries)),
+		zap.Int("undecided", s.undecidedCount()),
 		zap.Int("items", len(persisted.Items)),
 		zap.String("diskID", persisted.Identity.DiskID),
 		zap.Bool("wasActing", persisted.Identity.EverActive),
--- a/internal/proxy/apply.go
+++ b/internal/proxy/apply.go
@@ -36,6 +36,7 @@
 		s.proxy.synced.Store(true)
 		s.proxy.log.Info("configuration complete",
 			zap.Int("items", s.proxy.routingTable.Load().ItemCount),
+			zap.String("controller", pull.response.Source),
 			zap.Int64("sinceStartMs", time.Since(s.proxy.startedAt).Milliseconds()))
 	}
 	return nil
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -17,6 +17,7 @@
 	received     atomic.Int64 // requests from clients
 	served       atomic.Int64 // responses forwarded that count as a success
 	rejected     atomic.Int64 // answered by the proxy itself, without execution
+	noRoute      atomic.Int64 // answered 404, as no route matched
 	failed       atomic.Int64 // other responses forwarded, and errors after the request may have been executed
 	dials        atomic.Int64 // connections opened to backends
 	retries      atomic.Int64
@@ -42,6 +43,7 @@
 		zap.Int64("received", c.received.Load()),
 		zap.Int64("served", c.served.Load()),
 		zap.Int64("rejected", c.rejected.Load()),
+		zap.Int64("noRoute", c.noRoute.Load()),
 		zap.Int64("failed", c.failed.Load()),
 		zap.Int64("dials", c.dials.Load()),
 		zap.Int64("retries", c.retries.Load()),
@@ -72,6 +74,7 @@
 		"requests_received_total":  &p.counters.received,
 		"requests_served_total":    &p.counters.served,
 		"requests_rejected_total":  &p.counters.rejected,
+		"requests_no_route_total":  &p.counters.noRoute,
 		"requests_failed_total":    &p.counters.failed,
 		"requests_queued_total":    &p.counters.queued,
 		"responses_aborted_total":  &p.counters.aborted,
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -69,6 +69,7 @@
 		p.replyUnavailable(w, "the configuration may be incomplete or outdated", minRetryAfter)
 		return
 	}
+	p.counters.noRoute.Add(1)
 	p.replyRejected(w, http.StatusNotFound, "no route")
 }
 
