--- a/internal/control/message/pull.go
+++ b/internal/control/message/pull.go
@@ -92,6 +92,10 @@
 	return ""
 }
 
+// Authoritative reports whether a proxy that has merged the response knows every register that was acknowledged before
+// it asked, so that what it doesn't know doesn't exist. before is whether it knew them all already.
+func (r *PullResponse) Authoritative(before bool) bool { return before || r.HasQuorum }
+
 // WithdrawProgress lowers the response's progress so that it doesn't cover items which were left out of it. requested
 // is the progress of the request. Within each origin, the left out items must come after those that are sent.
 func (r *PullResponse) WithdrawProgress(leftOut []replication.Item, requested replication.Vector) {
--- a/internal/control/replica/sim_proxy_test.go
+++ b/internal/control/replica/sim_proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"strings"
 	"time"
 
@@ -33,6 +34,7 @@
 	sendLease     lease.SendLease
 	backendPhases map[string]replication.Phase
 	backendSeen   map[string]uint64 // the version of the phase
+	authoritative bool              // it takes what it doesn't know for what doesn't exist
 }
 
 func (proxy *simProxy) name() string { return fmt.Sprint("e", proxy.index) }
@@ -54,6 +56,7 @@
 	proxy.values = map[string]quorum.Value{}
 	proxy.backendPhases = map[string]replication.Phase{}
 	proxy.backendSeen = map[string]uint64{}
+	proxy.authoritative = false
 	proxy.pull(proxy.incarnation)
 }
 
@@ -83,6 +86,10 @@
 	}
 	request := proxy.pullRequest(node.self.Zone)
 	ended, requestedAt := false, sim.now
+	var acknowledged map[string]uint64
+	if !proxy.authoritative {
+		acknowledged = maps.Clone(sim.ackedVersions)
+	}
 	again := func(delay time.Duration) {
 		if !ended {
 			ended = true
@@ -96,6 +103,7 @@
 		sim.log("proxy", proxy.index, "from", node.index, "complete", response.Complete, "quorum", response.HasQuorum,
 			"progress", response.Progress, "items", len(response.Items), "requested", request.Progress)
 		proxy.handleResponse(requestedAt, response)
+		proxy.updateAuthority(response, acknowledged)
 		again(time.Millisecond)
 	}
 	fail := func() { again(100 * time.Millisecond) }
@@ -143,6 +151,23 @@
 	}
 }
 
+// updateAuthority notes whether the proxy takes what it doesn't know for what doesn't exist. When it begins to, it knows
+// everything that was acknowledged before it sent the pull.
+func (proxy *simProxy) updateAuthority(response *message.PullResponse, acknowledged map[string]uint64) {
+	sim, before := proxy.sim, proxy.authoritative
+	proxy.authoritative = response.Authoritative(before)
+	if before || !proxy.authoritative || !sim.checksAuthority {
+		return
+	}
+	sim.coverage["authoritative proxy"]++
+	for key, version := range acknowledged {
+		if found := proxy.values[key].Version; found < version {
+			sim.fail("proxy %d takes what it knows from %s for all, with version %d of %s; %d was acknowledged before it asked",
+				proxy.index, response.Source, found, key, version)
+		}
+	}
+}
+
 func (proxy *simProxy) handleItem(item replication.Item) {
 	if id, ok := strings.CutPrefix(item.Key, replication.BackendKey); ok {
 		backend, ok := replication.ReadBackend(item)
--- a/internal/control/replica/sim_test.go
+++ b/internal/control/replica/sim_test.go
@@ -66,6 +66,7 @@
 
 	// Faults.
 	injectsFaults          bool
+	checksAuthority        bool      // proxies know all that was acknowledged when they say so
 	longRun                bool      // long enough for stale disks
 	lenient                bool      // an undetectably young copy of a disk was restored: only recovery is promised
 	partitionedUntil       time.Time // no partition is healed before
--- a/internal/proxy/apply.go
+++ b/internal/proxy/apply.go
@@ -32,7 +32,7 @@
 	if table != nil && table.Limits != (routing.RequestLimits{}) {
 		s.proxy.listener.applyLimits(table.Limits)
 	}
-	if pull.response.HasQuorum && !s.proxy.synced.Load() {
+	if pull.response.Authoritative(false) && !s.proxy.synced.Load() {
 		s.proxy.synced.Store(true)
 		s.proxy.log.Info("configuration complete",
 			zap.Int("items", s.proxy.routingTable.Load().ItemCount),
