--- a/internal/control/replica/contention.go
+++ b/internal/control/replica/contention.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"sagelever/internal/control/message"
@@ -87,6 +88,27 @@
 	}
 }
 
+// noteCompetitor notes a round of another replica that competes with a change that is being proposed here. Whichever of
+// the two wins: who always wins would interrupt the others' rounds for as long as it has changes.
+func (r *Replica) noteCompetitor(now time.Time, request *message.PeerRequest) {
+	if request.Proposal.Proposer == r.local.proposerID() {
+		return
+	}
+	for _, op := range r.operations {
+		if op.kind == proposeWrite && !op.parked && op.proposal.concerns(request) {
+			r.contendedUntil = now.Add(contentionMemory)
+			return
+		}
+	}
+}
+
+// concerns reports whether a request of a round is about one of the proposal's registers.
+func (p *proposal) concerns(request *message.PeerRequest) bool {
+	isOwn := func(key string) bool { return p.keySet[key] }
+	isOwnEntry := func(entry quorum.Entry) bool { return p.keySet[entry.Key] }
+	return slices.ContainsFunc(request.Keys, isOwn) || slices.ContainsFunc(request.Entries, isOwnEntry)
+}
+
 // coordinator returns the replica that decides changes while there is contention: of the active ones that this replica
 // reaches the one whose name has the highest hash, so that all that reach the same ones choose the same. ok is false if
 // it is this replica.
--- a/internal/control/replica/contention_test.go
+++ b/internal/control/replica/contention_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sagelever/internal/control/config"
+	"sagelever/internal/control/message"
 	"sagelever/internal/control/quorum"
 )
 
@@ -220,3 +221,35 @@
 		}
 	}
 }
+
+// A member that wins against a competing round hands its next changes over like one that loses: who always wins would
+// interrupt the others' rounds again and again.
+func TestWinnerOfACompetitionHandsOver(t *testing.T) {
+	sim := newCalmSimulation(6, 2, 35*time.Millisecond, 5*time.Millisecond)
+	for _, node := range sim.nodes {
+		now := node.clock()
+		if _, isOther := node.replica.coordinator(now); !isOther {
+			continue
+		}
+		competing := &message.PeerRequest{
+			Epoch:    node.replica.Epoch(),
+			Proposal: quorum.ProposalNumber{Epoch: node.replica.Epoch(), Number: 1, Proposer: "other/1"}, // it loses
+			Keys:     []string{routeKey(0)},
+		}
+		node.step(func(now time.Time) {
+			node.replica.HandleRequest(now, 0, message.PreparePath, competing)
+		})
+		if node.replica.Contended(now) != nil {
+			t.Fatalf("%s hands over without a change of its own", node.self.Node)
+		}
+		node.writeItem(routeKey(0), 1)
+		node.step(func(now time.Time) {
+			node.replica.HandleRequest(now, 0, message.PreparePath, competing)
+		})
+		if node.replica.Contended(now) == nil {
+			t.Errorf("%s doesn't hand over", node.self.Node)
+		}
+		sim.runFor(contentionMemory + time.Second)
+	}
+	sim.reportFailure(t)
+}
--- a/internal/control/replica/registers.go
+++ b/internal/control/replica/registers.go
@@ -50,8 +50,10 @@
 	var changed []quorum.Entry
 	switch path {
 	case message.PreparePath:
+		r.noteCompetitor(now, request)
 		response, changed = r.servePrepare(request)
 	case message.AcceptPath:
+		r.noteCompetitor(now, request)
 		response, changed = r.serveAccept(request)
 	case message.ReadPath:
 		response = r.serveRead(request)
