--- a/internal/control/message/doc.go
+++ b/internal/control/message/doc.go
@@ -28,6 +28,7 @@
 	TallyPath          = "/tally"      // release tallies of a proxy
 	PreparePath        = "/prepare"    // PeerRequest: phase 1 of a Paxos round
 	AcceptPath         = "/accept"     // PeerRequest: phase 2 of a Paxos round
+	ConfirmPath        = "/confirm"    // PeerRequest: phase 2 once more, without values
 	ReadPath           = "/read"       // PeerRequest: the registers of an active member, for a quorum read
 	StatePath          = "/state"      // PeerRequest: all registers, for a replica that takes over or catches up
 	GenerationPath     = "/generation" // PeerRequest: the last known generation of the sender's disk
--- a/internal/control/message/peer.go
+++ b/internal/control/message/peer.go
@@ -14,9 +14,9 @@
 type PeerRequest struct {
 	// Epoch is that of the sender's configuration. Whoever knows a newer one refuses.
 	Epoch uint64 `json:"e,omitempty"`
-	// Proposal is the number of the Paxos round (PreparePath, AcceptPath).
+	// Proposal is the number of the Paxos round (PreparePath, AcceptPath, ConfirmPath).
 	Proposal quorum.ProposalNumber `json:"b"`
-	// Keys are the registers of a round (PreparePath), or those that are read by name (ReadPath).
+	// Keys are the registers of a round (PreparePath, ConfirmPath), or those that are read by name (ReadPath).
 	Keys []string `json:"k,omitempty"`
 	// Entries are the values to accept (AcceptPath).
 	Entries []quorum.Entry `json:"v,omitempty"`
@@ -36,6 +36,9 @@
 	OK bool `json:"o"`
 	// Entries are what was accepted on the registers (PreparePath), or what the sender lacks (ReadPath, StatePath).
 	Entries []quorum.Entry `json:"h,omitempty"`
+	// Unconfirmed are the positions of the request's keys that the responder has not accepted under its proposal
+	// (ConfirmPath).
+	Unconfirmed []int `json:"u,omitempty"`
 	// Ranges is the result of the comparison that Entries belong to (ReadPath, StatePath).
 	Ranges *rangesync.Response `json:"s,omitempty"`
 	// PromisedProposal is the higher proposal because of which a prepare or accept was rejected.
--- a/internal/control/message/peer_easyjson.go
+++ b/internal/control/message/peer_easyjson.go
@@ -67,6 +67,33 @@
 				}
 				in.Delim(']')
 			}
+		case "u":
+			if in.IsNull() {
+				in.Skip()
+				out.Unconfirmed = nil
+			} else {
+				in.Delim('[')
+				if out.Unconfirmed == nil {
+					if !in.IsDelim(']') {
+						out.Unconfirmed = make([]int, 0, 8)
+					} else {
+						out.Unconfirmed = []int{}
+					}
+				} else {
+					out.Unconfirmed = (out.Unconfirmed)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v2 int
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v2 = int(in.Int())
+					}
+					out.Unconfirmed = append(out.Unconfirmed, v2)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		case "s":
 			if in.IsNull() {
 				in.Skip()
@@ -122,9 +149,9 @@
 				for !in.IsDelim('}') {
 					key := string(in.String())
 					in.WantColon()
-					var v2 DiskGeneration
-					easyjsonC1b1d248DecodeSageleverInternalControlMessage1(in, &v2)
-					(out.DiskGenerations)[key] = v2
+					var v3 DiskGeneration
+					easyjsonC1b1d248DecodeSageleverInternalControlMessage1(in, &v3)
+					(out.DiskGenerations)[key] = v3
 					in.WantComma()
 				}
 				in.Delim('}')
@@ -159,11 +186,25 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v3, v4 := range in.Entries {
-				if v3 > 0 {
+			for v4, v5 := range in.Entries {
+				if v4 > 0 {
+					out.RawByte(',')
+				}
+				(v5).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.Unconfirmed) != 0 {
+		const prefix string = ",\"u\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v6, v7 := range in.Unconfirmed {
+				if v6 > 0 {
 					out.RawByte(',')
 				}
-				(v4).MarshalEasyJSON(out)
+				out.Int(int(v7))
 			}
 			out.RawByte(']')
 		}
@@ -198,16 +239,16 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('{')
-			v5First := true
-			for v5Name, v5Value := range in.DiskGenerations {
-				if v5First {
-					v5First = false
+			v8First := true
+			for v8Name, v8Value := range in.DiskGenerations {
+				if v8First {
+					v8First = false
 				} else {
 					out.RawByte(',')
 				}
-				out.String(string(v5Name))
+				out.String(string(v8Name))
 				out.RawByte(':')
-				easyjsonC1b1d248EncodeSageleverInternalControlMessage1(out, v5Value)
+				easyjsonC1b1d248EncodeSageleverInternalControlMessage1(out, v8Value)
 			}
 			out.RawByte('}')
 		}
@@ -402,13 +443,13 @@
 					out.Keys = (out.Keys)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v6 string
+					var v9 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v6 = string(in.String())
+						v9 = string(in.String())
 					}
-					out.Keys = append(out.Keys, v6)
+					out.Keys = append(out.Keys, v9)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -429,13 +470,13 @@
 					out.Entries = (out.Entries)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v7 quorum.Entry
+					var v10 quorum.Entry
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v7).UnmarshalEasyJSON(in)
+						(v10).UnmarshalEasyJSON(in)
 					}
-					out.Entries = append(out.Entries, v7)
+					out.Entries = append(out.Entries, v10)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -511,11 +552,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v8, v9 := range in.Keys {
-				if v8 > 0 {
+			for v11, v12 := range in.Keys {
+				if v11 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v9))
+				out.String(string(v12))
 			}
 			out.RawByte(']')
 		}
@@ -525,11 +566,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v10, v11 := range in.Entries {
-				if v10 > 0 {
+			for v13, v14 := range in.Entries {
+				if v13 > 0 {
 					out.RawByte(',')
 				}
-				(v11).MarshalEasyJSON(out)
+				(v14).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
--- a/internal/control/message/pull.go
+++ b/internal/control/message/pull.go
@@ -30,6 +30,10 @@
 	MembersOnly bool   `json:"m,omitempty"` // asks only who the members are
 	SurveyID    uint64 `json:"k,omitempty"` // the receiver's last in-flight survey that the proxy has answered
 
+	// WantAuthority asks a controller to make sure that it knows everything that was acknowledged before the pull, and to
+	// respond once it does (AuthorityConfirmed). A proxy sets it.
+	WantAuthority bool `json:"a,omitempty"`
+
 	// The following are set by controllers only.
 
 	KnownEpoch uint64 `json:"b,omitempty"` // the newest epoch that the sender knows
@@ -62,12 +66,14 @@
 	// its request's.
 	Progress replication.Vector `json:"u,omitempty"`
 	// DroppedOrigins lists entries of a proxy's progress that it can forget, as no item of these origins is left.
-	DroppedOrigins []string `json:"x,omitempty"`
-	Complete       bool     `json:"w,omitempty"` // the items are everything that the source holds
-	HasQuorum      bool     `json:"o"`           // the source is a member and reaches a majority of the members
-	Proxies        int      `json:"n"`           // proxies that may be sending: they hold a lease, or held one lately
-	ZoneProxies    int      `json:"h"`           // those of them in the sender's zone
-	Members        []Member `json:"m,omitempty"`
+	DroppedOrigins []string  `json:"x,omitempty"`
+	Complete       bool      `json:"w,omitempty"` // the items are everything that the source holds
+	Truncated      bool      `json:"v,omitempty"` // items were left out for size, to be pulled next
+	HasQuorum      bool      `json:"o"`           // the source is a member and reaches a majority of the members
+	Authority      Authority `json:"a,omitempty"`
+	Proxies        int       `json:"n"` // proxies that may be sending: they hold a lease, or held one lately
+	ZoneProxies    int       `json:"h"` // those of them in the sender's zone
+	Members        []Member  `json:"m,omitempty"`
 	// KnownIncarnation is set where the proxy's Incarnation is too old to be granted a lease; it has to use a greater
 	// one than this.
 	KnownIncarnation uint64 `json:"l,omitempty"`
@@ -92,9 +98,38 @@
 	return ""
 }
 
+// Authority says whether the source of a response knows every register that was acknowledged.
+type Authority int
+
+const (
+	// AuthorityUnstated is what versions before this field send.
+	AuthorityUnstated Authority = iota
+
+	// AuthorityLacking is sent by a controller that has not made sure since its start that it knows everything that was
+	// acknowledged before.
+	AuthorityLacking
+
+	// AuthorityFollowing is sent by a controller that knew everything once, and learns of changes as they are chosen.
+	AuthorityFollowing
+
+	// AuthorityConfirmed is sent by a controller that has made sure, after it received the pull, that it knows everything
+	// that was acknowledged before the pull. The response and those before it contain all of it.
+	AuthorityConfirmed
+)
+
 // Authoritative reports whether a proxy that has merged the response knows every register that was acknowledged before
-// it asked, so that what it doesn't know doesn't exist. before is whether it knew them all already.
-func (r *PullResponse) Authoritative(before bool) bool { return before || r.HasQuorum }
+// it became authoritative, so that what it doesn't know doesn't exist or is younger. before is whether it was already.
+// Without a quorum the source says nothing.
+func (r *PullResponse) Authoritative(before bool) bool {
+	switch {
+	case !r.HasQuorum || r.Authority == AuthorityFollowing:
+		return before
+	case r.Authority == AuthorityLacking:
+		return false
+	default:
+		return true
+	}
+}
 
 // WithdrawProgress lowers the response's progress so that it doesn't cover items which were left out of it. requested
 // is the progress of the request. Within each origin, the left out items must come after those that are sent.
--- a/internal/control/message/pull_easyjson.go
+++ b/internal/control/message/pull_easyjson.go
@@ -159,12 +159,24 @@
 			} else {
 				out.Complete = bool(in.Bool())
 			}
+		case "v":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Truncated = bool(in.Bool())
+			}
 		case "o":
 			if in.IsNull() {
 				in.Skip()
 			} else {
 				out.HasQuorum = bool(in.Bool())
 			}
+		case "a":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Authority = Authority(in.Int())
+			}
 		case "n":
 			if in.IsNull() {
 				in.Skip()
@@ -341,11 +353,21 @@
 		out.RawString(prefix)
 		out.Bool(bool(in.Complete))
 	}
+	if in.Truncated {
+		const prefix string = ",\"v\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Truncated))
+	}
 	{
 		const prefix string = ",\"o\":"
 		out.RawString(prefix)
 		out.Bool(bool(in.HasQuorum))
 	}
+	if in.Authority != 0 {
+		const prefix string = ",\"a\":"
+		out.RawString(prefix)
+		out.Int(int(in.Authority))
+	}
 	{
 		const prefix string = ",\"n\":"
 		out.RawString(prefix)
@@ -697,6 +719,12 @@
 			} else {
 				out.SurveyID = uint64(in.Uint64())
 			}
+		case "a":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.WantAuthority = bool(in.Bool())
+			}
 		case "b":
 			if in.IsNull() {
 				in.Skip()
@@ -824,6 +852,11 @@
 		out.RawString(prefix)
 		out.Uint64(uint64(in.SurveyID))
 	}
+	if in.WantAuthority {
+		const prefix string = ",\"a\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.WantAuthority))
+	}
 	if in.KnownEpoch != 0 {
 		const prefix string = ",\"b\":"
 		out.RawString(prefix)
--- a/internal/control/quorum/acceptor.go
+++ b/internal/control/quorum/acceptor.go
@@ -117,6 +117,27 @@
 	return changed, ProposalNumber{}
 }
 
+// Confirm handles the request to accept again what was accepted under a proposal number. It holds for the registers
+// whose last accepted proposal this is and that are promised to no higher one: these count as if the accept message had
+// come once more, and their entries must be on disk before the reply is sent. changed are those whose promise has
+// risen. unconfirmed are the positions of the other keys.
+func (a *Acceptor) Confirm(proposal ProposalNumber, keys []string) (changed []Entry, unconfirmed []int) {
+	a.Observe(proposal)
+	for i, key := range keys {
+		register := a.registers[key]
+		if register == nil || register.Accepted != proposal || proposal.Less(a.promisedProposal(key)) {
+			unconfirmed = append(unconfirmed, i)
+			continue
+		}
+		// The value may have come from another member by Learn, without a promise.
+		if register.Promised != proposal {
+			register.Promised = proposal
+			changed = append(changed, *register)
+		}
+	}
+	return changed, unconfirmed
+}
+
 // Learn merges entries of another member: chosen values, or whatever it has accepted while this member catches up. A
 // value that was accepted here under a higher proposal number is kept, and so are all promises. It returns the entries
 // that have changed.
--- a/internal/control/replica/clock.go
+++ b/internal/control/replica/clock.go
@@ -14,8 +14,9 @@
 	for _, op := range r.operations {
 		moveBack(setBack, &op.expiresAt, &op.attempt.deadline, &op.retryAt)
 	}
-	for key, at := range r.undecided {
-		r.undecided[key] = at.Add(-setBack)
+	for key, value := range r.undecided {
+		value.repairAt = value.repairAt.Add(-setBack)
+		r.undecided[key] = value
 	}
 	for _, peer := range r.peers {
 		moveBack(setBack, &peer.lastHeard, &peer.lastPull, &peer.memberSince)
@@ -23,7 +24,7 @@
 	for _, candidate := range r.candidates {
 		moveBack(setBack, &candidate.lastPull)
 	}
-	moveBack(setBack, &r.startedAt, &r.lastCallbackAt, &r.local.adoptedAt)
+	moveBack(setBack, &r.nextRepairAt, &r.startedAt, &r.lastCallbackAt, &r.local.adoptedAt)
 }
 
 // moveBack subtracts a duration from each time that is set.
--- a/internal/control/replica/identity.go
+++ b/internal/control/replica/identity.go
@@ -159,6 +159,7 @@
 	r.finish(op, nil, nil)
 	r.advanceGeneration(now)
 	r.startTakeover(now)
+	r.continueVerification(now)
 	r.noteQuorumChange(now)
 }
 
--- a/internal/control/replica/maintenance.go
+++ b/internal/control/replica/maintenance.go
@@ -20,6 +20,7 @@
 	r.startTakeover(now)
 	r.reconfigure(now)
 	r.noteQuorumChange(now)
+	r.continueVerification(now)
 	r.repairUndecided(now)
 	r.retrySave(now)
 	r.pruneOrigins()
--- a/internal/control/replica/operation.go
+++ b/internal/control/replica/operation.go
@@ -24,6 +24,12 @@
 	// completeRead proposes the values again that a quorum read has found and doesn't know to be chosen.
 	completeRead
 
+	// verifyRegisters collects what enough members hold of all registers; see verification.go.
+	verifyRegisters
+
+	// confirmValues asks all members whether they have accepted some values; see confirm.go.
+	confirmValues
+
 	// repairValues proposes values again that this replica holds and doesn't know to be chosen.
 	repairValues
 
@@ -47,6 +53,10 @@
 		return "quorum read"
 	case completeRead:
 		return "complete read"
+	case verifyRegisters:
+		return "verify registers"
+	case confirmValues:
+		return "confirm values"
 	case repairValues:
 		return "repair values"
 	case confirmDisk:
@@ -65,7 +75,14 @@
 }
 
 // needsActive reports whether operations of the kind require this replica to be active in the current epoch.
-func (k operationKind) needsActive() bool { return k.runsRound() || k == quorumRead }
+func (k operationKind) needsActive() bool { return k.runsRound() || k.reads() || k == confirmValues }
+
+// reads reports whether operations of the kind read registers of other members.
+func (k operationKind) reads() bool { return k == quorumRead || k == verifyRegisters }
+
+// endsWithItsAttempt reports whether operations of the kind consist of one attempt, as they begin anew when they are due
+// again.
+func (k operationKind) endsWithItsAttempt() bool { return k == repairValues || k == confirmValues }
 
 // operation is something that a replica does with the help of others. It consists of attempts: one that fails or times
 // out is followed by the next after a random pause, until the operation ends.
@@ -76,8 +93,9 @@
 	reportCompletion bool      // by a Completion
 	onEnd            func()    // called at its end; may be nil
 
-	proposal proposal
-	read     readState
+	proposal     proposal
+	read         readState
+	confirmation *quorum.Confirmation // of confirmValues
 
 	attempt attempt
 	retryAt time.Time // when the next attempt begins; zero while one is under way or the operation is parked
@@ -163,7 +181,7 @@
 
 // startAttempt begins the first or the next attempt of an operation.
 func (r *Replica) startAttempt(now time.Time, op *operation) {
-	if op.kind.needsActive() && !r.Active() || op.kind == quorumRead && r.epochClosed() {
+	if op.kind.needsActive() && !r.Active() || op.kind.reads() && r.epochClosed() {
 		r.postpone(now, op)
 		return
 	}
@@ -184,8 +202,10 @@
 	switch op.kind {
 	case proposeWrite, completeRead, repairValues:
 		r.startRound(now, op)
-	case quorumRead:
+	case quorumRead, verifyRegisters:
 		r.startRead(now, op)
+	case confirmValues:
+		r.requestConfirmation(now, op)
 	case confirmDisk:
 		r.requestDiskConfirmation(now, op)
 	case takeOverEpoch:
@@ -235,7 +255,11 @@
 		r.acceptor.Observe(rejection)
 		defeated = rejection != quorum.ProposalNumber{}
 	}
-	if op.kind == repairValues {
+	if op.kind == confirmValues {
+		r.endConfirmation(now, op)
+		return
+	}
+	if op.kind.endsWithItsAttempt() {
 		r.finish(op, nil, ErrTooFewResponses)
 		return
 	}
@@ -290,6 +314,9 @@
 			deadline = at
 		}
 	}
+	if len(r.undecided) > 0 && r.Active() {
+		consider(r.nextRepairAt)
+	}
 	for _, op := range r.operations {
 		consider(op.expiresAt)
 		if op.retryAt.IsZero() {
@@ -301,9 +328,10 @@
 	return deadline
 }
 
-// Tick ends the operations and attempts whose time is over, and begins the attempts that are due.
+// Tick ends the operations and attempts whose time is over, and begins the attempts and repairs that are due.
 func (r *Replica) Tick(now time.Time) {
 	r.observeClock(now)
+	r.repairUndecided(now)
 	reached := func(at time.Time) bool { return !at.IsZero() && !now.Before(at) }
 	for _, id := range r.operationIDs() {
 		op := r.operations[id]
--- a/internal/control/replica/pull_answer.go
+++ b/internal/control/replica/pull_answer.go
@@ -15,6 +15,7 @@
 	hadQuorum        bool   // HasQuorum when the pull was received; a change is answered at once
 	knownIncarnation uint64 // see message.PullResponse
 	complete         bool   // the response is to contain all items
+	verification     uint64 // the number of the verification that the sender waits for; 0 for none
 
 	// What this replica held when the pull was received. Items that reach it later from other origins are on their way
 	// to the sender already and are left out.
@@ -34,6 +35,9 @@
 		r.registerController(now, request)
 	} else {
 		pending.knownIncarnation = r.renewLease(now, request)
+		if request.WantAuthority {
+			pending.verification = r.requestVerification(now)
+		}
 	}
 	if request.ProtocolVersion >= message.ProtocolVersion {
 		pending.complete = len(request.Progress) == 0
@@ -69,6 +73,10 @@
 	if r.addItems(pending, response) {
 		ready = true
 	}
+	if request.Role == message.RoleProxy {
+		response.Authority = r.authority(pending, response)
+		ready = ready || response.Authority == message.AuthorityConfirmed
+	}
 	if r.wantsMembers(request, response) {
 		response.Members = r.pullTargets()
 	}
--- a/internal/control/replica/read.go
+++ b/internal/control/replica/read.go
@@ -77,6 +77,10 @@
 		r.scheduleRetry(now, op)
 		return
 	}
+	if op.kind == verifyRegisters {
+		r.finishVerifyingRead(now, op)
+		return
+	}
 	op.read.values = map[string]quorum.Value{}
 	var unknown []string
 	for _, entry := range r.readEntries(op) {
--- a/internal/control/replica/registers.go
+++ b/internal/control/replica/registers.go
@@ -55,12 +55,12 @@
 	case message.AcceptPath:
 		r.noteCompetitor(now, request)
 		response, changed = r.serveAccept(request)
+	case message.ConfirmPath:
+		response, changed = r.serveConfirm(request)
 	case message.ReadPath:
 		response = r.serveRead(request)
 	}
-	for _, entry := range changed { // whether or not the save succeeds
-		r.trackUndecided(now, entry)
-	}
+	r.trackUndecided(now, changed) // whether or not the save succeeds
 	r.save(now, Save{Entries: changed}, respondSaved(response, respond))
 }
 
@@ -129,13 +129,13 @@
 // repair of the others. It returns the entries that have changed, to be saved.
 func (r *Replica) learnEntries(now time.Time, entries []quorum.Entry) (changed []quorum.Entry) {
 	changed = r.acceptor.Learn(entries)
+	r.trackUndecided(now, changed)
 	for _, entry := range changed {
 		if !entry.Chosen {
-			r.trackUndecided(now, entry)
 			continue
 		}
-		delete(r.undecided, entry.Key)
 		r.publishEntry(entry)
+		r.dropUndecided(now, entry.Key)
 		if entry.Key == membership.RegisterKey {
 			r.adoptConfiguration(now, entry)
 		}
--- a/internal/control/replica/repair.go
+++ b/internal/control/replica/repair.go
@@ -9,60 +9,119 @@
 	"sagelever/internal/control/quorum"
 )
 
-// trackUndecided schedules the repair of a register whose value this replica has accepted without knowing that it is
-// chosen.
-func (r *Replica) trackUndecided(now time.Time, entry quorum.Entry) {
-	current := r.acceptor.Get(entry.Key)
-	if current.Chosen || current.Accepted == (quorum.ProposalNumber{}) {
+// A value that this replica has accepted may be chosen, and acknowledged, without this replica's knowledge: the member
+// that has proposed it tells the others, and may be gone before it does. Whoever holds such a value finds out, in two
+// steps. First it asks the others whether they have accepted the value too, which costs one round trip and gets in
+// nobody's way (confirm.go). If too few have, or can be asked, it proposes the value again by a round of its own.
+
+// undecidedValue is the state of a register whose value this replica has accepted without knowing that it is chosen.
+type undecidedValue struct {
+	accepted quorum.ProposalNumber // under which it was accepted
+	repairAt time.Time             // when the next step is due
+	asked    bool                  // the others were asked to confirm it: the next step is a round
+}
+
+// trackUndecided schedules the repair of those of some registers whose values this replica has accepted without knowing
+// that they are chosen. It begins anew with each value: one that was accepted just now is most likely about to be chosen,
+// and a repair would get in its way. What was accepted together is repaired together.
+func (r *Replica) trackUndecided(now time.Time, entries []quorum.Entry) {
+	if len(entries) == 0 {
 		return
 	}
-	if _, scheduled := r.undecided[entry.Key]; scheduled {
-		return
+	confirmAt := now.Add(confirmDelay + r.jitter(confirmDelay/2))
+	for _, entry := range entries {
+		current := r.acceptor.Get(entry.Key)
+		if current.Chosen || current.Accepted == (quorum.ProposalNumber{}) {
+			continue
+		}
+		if scheduled, ok := r.undecided[entry.Key]; ok && scheduled.accepted == current.Accepted {
+			continue
+		}
+		if isConfirmable(entry.Key) {
+			r.scheduleRepair(entry.Key, confirmAt, false)
+		} else {
+			r.scheduleRepair(entry.Key, now.Add(configurationRepairDelay+r.jitter(configurationRepairDelay)), true)
+		}
 	}
-	delay := repairDelay
-	if entry.Key == membership.RegisterKey {
-		delay = configurationRepairDelay
+}
+
+// scheduleRepair sets when the next step for the present value of an undecided register is due. asked says that the step
+// is a round.
+func (r *Replica) scheduleRepair(key string, at time.Time, asked bool) {
+	r.undecided[key] = undecidedValue{accepted: r.acceptor.Get(key).Accepted, repairAt: at, asked: asked}
+	if r.nextRepairAt.IsZero() || at.Before(r.nextRepairAt) {
+		r.nextRepairAt = at
 	}
-	r.undecided[entry.Key] = now.Add(delay + r.jitter(delay))
 }
 
 // UndecidedCount returns how many registers hold a value here that was accepted and is not known to be chosen.
 func (r *Replica) UndecidedCount() int { return len(r.undecided) }
 
-// maxRepairKeys bounds the registers of one repair, and so the size of its messages.
+// maxRepairKeys bounds the registers of one round of a repair, and so the size of its messages. Those of a larger change
+// are repaired by several at the same time.
 const maxRepairKeys = 256
 
-// repairUndecided finishes the rounds of values whose writer may be gone: it proposes the values again, which makes
-// them chosen. Holders of a value wait for a random time, so that normally one of them does it.
+// repairUndecided takes the next step for the undecided registers for which it is due.
 func (r *Replica) repairUndecided(now time.Time) {
-	if !r.Active() {
+	if !r.Active() || now.Before(r.nextRepairAt) || len(r.undecided) == 0 {
+		return
+	}
+	confirm, propose := r.dueRepairs(now)
+	if len(confirm)+len(propose) == 0 {
+		r.updateNextRepair(now)
 		return
 	}
-	due := r.dueRepairs(now)
-	for _, key := range due {
-		r.undecided[key] = now.Add(attemptTimeout + r.jitter(repairDelay))
+	again := attemptTimeout + time.Duration(r.repairTurn(now))*r.RoundTime() + r.jitter(repairDelay)
+	for _, key := range slices.Concat(confirm, propose) {
+		r.scheduleRepair(key, now.Add(again), true)
+	}
+	r.updateNextRepair(now)
+	r.confirmValues(now, confirm)
+	for part := range slices.Chunk(propose, maxRepairKeys) {
+		r.startOperation(now, newProposal(repairValues, part, keepValues))
+	}
+}
+
+// updateNextRepair notes when the next repair is due: not at once, as those that are due have been begun or can't be.
+func (r *Replica) updateNextRepair(now time.Time) {
+	r.nextRepairAt = time.Time{}
+	for _, value := range r.undecided {
+		if r.nextRepairAt.IsZero() || value.repairAt.Before(r.nextRepairAt) {
+			r.nextRepairAt = value.repairAt
+		}
 	}
-	if len(due) > 0 {
-		r.startOperation(now, newProposal(repairValues, due, keepValues))
+	if earliest := now.Add(minRetryDelay); !r.nextRepairAt.IsZero() && r.nextRepairAt.Before(earliest) {
+		r.nextRepairAt = earliest
 	}
 }
 
-// dueRepairs returns the registers to repair now. The configuration is repaired by itself, as whoever has accepted a
-// next one takes part in no other round.
-func (r *Replica) dueRepairs(now time.Time) (due []string) {
+// dueRepairs returns the registers whose values are to be confirmed, and those to be proposed again, now. The
+// configuration is repaired by itself, as whoever has accepted a next one takes part in no other round.
+func (r *Replica) dueRepairs(now time.Time) (confirm, propose []string) {
 	for _, key := range slices.Sorted(maps.Keys(r.undecided)) {
 		entry := r.acceptor.Get(key)
 		if entry.Chosen || entry.Accepted == (quorum.ProposalNumber{}) {
-			delete(r.undecided, key)
+			r.dropUndecided(now, key)
 			continue
 		}
 		repairable := key == membership.RegisterKey || !r.epochClosed()
-		if repairable && !now.Before(r.undecided[key]) && len(due) < maxRepairKeys {
-			due = append(due, key)
+		value := r.undecided[key]
+		switch {
+		case !repairable || now.Before(value.repairAt):
+		case !value.asked:
+			confirm = append(confirm, key)
+		default:
+			propose = append(propose, key)
 		}
 	}
-	if slices.Contains(due, membership.RegisterKey) {
-		return []string{membership.RegisterKey}
+	if slices.Contains(propose, membership.RegisterKey) {
+		return nil, []string{membership.RegisterKey}
 	}
-	return due
+	return confirm, propose
+}
+
+// dropUndecided notes that the value of a register is known to be chosen.
+func (r *Replica) dropUndecided(now time.Time, key string) {
+	delete(r.undecided, key)
+	r.noteVerified(now, key)
 }
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -22,15 +22,18 @@
 	lastID    uint64 // of requests, saves, operations and range sessions
 
 	// Registers.
-	acceptor  *quorum.Acceptor
-	undecided map[string]time.Time // accepted registers not known to be chosen, and when to repair them
+	acceptor     *quorum.Acceptor
+	undecided    map[string]undecidedValue // accepted registers not known to be chosen; see repair.go
+	nextRepairAt time.Time                 // before which no repair is due; zero: unknown
+	verification verification
 
 	// Operations, and what they wait for.
 	operations      map[uint64]*operation
 	pendingRequests map[uint64]pendingRequest
-	pendingSaves    map[uint64]saveCallback
-	saveFailed      bool      // a save has failed, and not everything was saved again since
-	contendedUntil  time.Time // until when changes are handed over; see contention.go
+	pendingSaves    map[uint64]pendingSave
+	unsavedEntries  map[string]uint64 // registers that are not on disk as they are, and the save that is to bring them there
+	saveFailed      bool              // a save has failed, and not everything was saved again since
+	contendedUntil  time.Time         // until when changes are handed over; see contention.go
 	contentionStats ContentionStats
 
 	// The configuration and this replica's part in it.
@@ -66,10 +69,12 @@
 		startedAt:        now,
 		output:           Output{NotifyAfter: -1},
 		acceptor:         quorum.NewAcceptor(persisted.Entries, persisted.MinProposal),
-		undecided:        map[string]time.Time{},
+		undecided:        map[string]undecidedValue{},
+		verification:     verification{requested: 1},
 		operations:       map[uint64]*operation{},
 		pendingRequests:  map[uint64]pendingRequest{},
-		pendingSaves:     map[uint64]saveCallback{},
+		pendingSaves:     map[uint64]pendingSave{},
+		unsavedEntries:   map[string]uint64{},
 		peers:            map[string]*peerState{},
 		candidates:       map[string]*candidate{},
 		pullProgress:     map[string]peerProgress{},
@@ -95,7 +100,7 @@
 		if entry.Chosen {
 			r.publishEntry(entry)
 		} else {
-			r.undecided[entry.Key] = now.Add(repairDelay)
+			r.scheduleRepair(entry.Key, now.Add(confirmDelay), !isConfirmable(entry.Key))
 		}
 	}
 }
--- a/internal/control/replica/request.go
+++ b/internal/control/replica/request.go
@@ -86,8 +86,10 @@
 		switch op.kind {
 		case proposeWrite, completeRead, repairValues:
 			r.handleRoundResponse(now, op, from.Node, response)
-		case quorumRead:
+		case quorumRead, verifyRegisters:
 			r.handleReadResponse(now, op, from, response)
+		case confirmValues:
+			r.handleConfirmed(now, op, from.Node, response)
 		case confirmDisk:
 			r.handleGenerationResponse(now, op, from, response)
 		case takeOverEpoch, catchUp:
--- a/internal/control/replica/response_limit.go
+++ b/internal/control/replica/response_limit.go
@@ -35,6 +35,7 @@
 		if size > maxResponseBytes && i > 0 {
 			response.WithdrawProgress(response.Items[i:], request.Progress)
 			response.Items = response.Items[:i]
+			response.Truncated = true
 			return
 		}
 	}
--- a/internal/control/replica/save.go
+++ b/internal/control/replica/save.go
@@ -2,6 +2,12 @@
 
 import "time"
 
+// pendingSave is a save that was handed to the disk.
+type pendingSave struct {
+	entries []string // the keys of its registers
+	done    saveCallback
+}
+
 // saveCallback continues a step once a save is on disk, or has failed.
 type saveCallback func(now time.Time, err error)
 
@@ -16,23 +22,45 @@
 	}
 	r.lastID++
 	save.ID = r.lastID
-	r.pendingSaves[save.ID] = done
+	r.pendingSaves[save.ID] = r.newPendingSave(save, done)
 	r.output.Saves = append(r.output.Saves, save)
 	return save.ID
 }
 
 // HandleSaved takes the result of the save of an ID: err is nil once all of it is on disk.
 func (r *Replica) HandleSaved(now time.Time, id uint64, err error) {
-	done, known := r.pendingSaves[id]
+	saved, known := r.pendingSaves[id]
 	if !known {
 		return
 	}
 	delete(r.pendingSaves, id)
 	if err != nil {
 		r.saveFailed = true
+	} else {
+		r.noteSaved(id, saved.entries)
+	}
+	if saved.done != nil {
+		saved.done(now, err)
 	}
-	if done != nil {
-		done(now, err)
+}
+
+// newPendingSave notes the registers of a save as not on disk yet.
+func (r *Replica) newPendingSave(save Save, done saveCallback) pendingSave {
+	pending := pendingSave{done: done}
+	for _, entry := range save.Entries {
+		pending.entries = append(pending.entries, entry.Key)
+		r.unsavedEntries[entry.Key] = save.ID
+	}
+	return pending
+}
+
+// noteSaved notes that a save of some registers is on disk. Those that were changed and handed to the disk again since
+// are not.
+func (r *Replica) noteSaved(id uint64, keys []string) {
+	for _, key := range keys {
+		if r.unsavedEntries[key] == id {
+			delete(r.unsavedEntries, key)
+		}
 	}
 }
 
--- a/internal/control/replica/takeover.go
+++ b/internal/control/replica/takeover.go
@@ -181,9 +181,13 @@
 // activate makes this replica active in an epoch.
 func (r *Replica) activate(now time.Time, op *operation, epoch uint64) {
 	local := &r.local
+	remained := r.activeInPreviousEpoch()
 	local.identity.EverActive = true
 	local.identity.ActiveEpoch = epoch
 	r.finish(op, nil, nil)
+	if !remained {
+		r.resetVerification(now)
+	}
 	r.logEvent("active member of the epoch",
 		LogField{"epoch", formatUint(epoch)},
 		LogField{"registers", strconv.Itoa(len(r.acceptor.AcceptedEntries()))},
--- a/internal/control/replica/timing.go
+++ b/internal/control/replica/timing.go
@@ -85,8 +85,13 @@
 	// retryJitter is the random part of the pause before the next attempt.
 	retryJitter = 4 * minRetryDelay
 
-	// repairDelay is how long a replica holds an accepted value that it doesn't know to be chosen before it finishes
-	// the value's round itself; the delay is randomised up to twice as long.
+	// confirmDelay is how long a replica holds an accepted value that it doesn't know to be chosen before it asks the
+	// others whether they have accepted it too; the delay is randomised up to half as much again. Normally the member
+	// that has proposed it tells within a few trips between regions.
+	confirmDelay = 300 * time.Millisecond
+
+	// repairDelay is how long it takes on the whole until the first of the members that can't confirm a value finishes
+	// the value's round itself; half of the delay is randomised up to twice as long.
 	repairDelay = 700 * time.Millisecond
 
 	// configurationRepairDelay is repairDelay for the configuration, until whose decision nothing else is decided.
--- a/internal/proxy/apply.go
+++ b/internal/proxy/apply.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/mailru/easyjson"
-	"go.uber.org/zap"
 
 	"sagelever/internal/control/message"
 	"sagelever/internal/control/quorum"
@@ -26,19 +25,14 @@
 	if now.Sub(pull.sentAt) > maxAge {
 		return errStaleResponse
 	}
+	before := s.proxy.holdsAuthority(now)
 	table, fullSync := s.applyConfiguration(pull)
 	targets := s.updateBalancer(pull, table, fullSync, now)
 	s.proxy.connPool.preconnect(targets)
 	if table != nil && table.Limits != (routing.RequestLimits{}) {
 		s.proxy.listener.applyLimits(table.Limits)
 	}
-	if pull.response.Authoritative(false) && !s.proxy.synced.Load() {
-		s.proxy.synced.Store(true)
-		s.proxy.log.Info("configuration complete",
-			zap.Int("items", s.proxy.routingTable.Load().ItemCount),
-			zap.String("controller", pull.response.Source),
-			zap.Int64("sinceStartMs", time.Since(s.proxy.startedAt).Milliseconds()))
-	}
+	s.proxy.updateAuthority(pull.response, before)
 	return nil
 }
 
--- a/internal/proxy/fake_controller_test.go
+++ b/internal/proxy/fake_controller_test.go
@@ -22,9 +22,10 @@
 	mu             sync.Mutex
 	log            *replication.ItemStore
 	hasQuorum      bool
-	advertisedAddr string        // in the last pull
-	leaseReleased  bool          // a pull has released the lease
-	changed        chan struct{} // closed and replaced by publish
+	authority      message.Authority // unstated, as in the version before, unless a test sets it
+	advertisedAddr string            // in the last pull
+	leaseReleased  bool              // a pull has released the lease
+	changed        chan struct{}     // closed and replaced by publish
 }
 
 func newFakeController() *fakeController {
@@ -63,6 +64,7 @@
 		Items:         c.log.Since(since, nil),
 		Complete:      since == 0,
 		HasQuorum:     c.hasQuorum,
+		Authority:     c.authority,
 		Proxies:       1,
 		ZoneProxies:   1,
 	}
@@ -93,6 +95,13 @@
 	c.hasQuorum = false
 }
 
+// setAuthority makes the controller say from now on how far it knows the whole configuration.
+func (c *fakeController) setAuthority(authority message.Authority) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.authority = authority
+}
+
 // advertised returns the client address in the last pull.
 func (c *fakeController) advertised() string {
 	c.mu.Lock()
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -21,7 +21,7 @@
 	tryID := r.Header.Get(headerTryID)
 	p.setCommonHeaders(w.Header(), tryID)
 	table := p.routingTable.Load()
-	if table == nil {
+	if table == nil || table.ItemCount == 0 || p.awaitsAuthority(arrivedAt) {
 		p.replyUnavailable(w, "no configuration yet", minRetryAfter)
 		return
 	}
@@ -65,7 +65,7 @@
 // replyNoRoute answers a request that matches no route. The answer is final only if the configuration is known to be
 // complete and up to date: otherwise the route may have been added, and another proxy may know it.
 func (p *Proxy) replyNoRoute(w http.ResponseWriter) {
-	if !p.configurationCurrent(time.Now()) {
+	if !p.holdsAuthority(time.Now()) {
 		p.replyUnavailable(w, "the configuration may be incomplete or outdated", minRetryAfter)
 		return
 	}
@@ -73,17 +73,6 @@
 	p.replyRejected(w, http.StatusNotFound, "no route")
 }
 
-// configurationCurrent reports whether a controller with quorum has sent the complete configuration and has answered
-// since within the duration of a send lease.
-func (p *Proxy) configurationCurrent(now time.Time) bool {
-	if !p.synced.Load() {
-		return false
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.balancer.LeaseValid(now)
-}
-
 // requestTimeout is the time that a request may take: the timeout of its route, or less if the client waits less.
 func requestTimeout(r *http.Request, route *routing.Route) time.Duration {
 	ms, err := strconv.ParseInt(r.Header.Get(headerTimeLeft), 10, 64)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -70,7 +70,7 @@
 	startedAt time.Time
 
 	routingTable atomic.Pointer[routing.Table] // nil until a controller has sent a configuration
-	synced       atomic.Bool                   // a controller with quorum has sent the complete configuration
+	authority    authority                     // whether what the proxy doesn't know doesn't exist
 	draining     atomic.Bool                   // the proxy is shutting down
 
 	bufferedBytes atomic.Int64 // request and response bodies in memory
@@ -181,7 +181,7 @@
 // ready reports whether the proxy can serve: it has a configuration and is not shutting down.
 func (p *Proxy) ready() bool {
 	table := p.routingTable.Load()
-	return table != nil && table.ItemCount > 0 && !p.draining.Load()
+	return table != nil && table.ItemCount > 0 && !p.draining.Load() && !p.awaitsAuthority(time.Now())
 }
 
 // readyHandler serves the readiness check and the metrics.
--- a/internal/proxy/pull.go
+++ b/internal/proxy/pull.go
@@ -63,6 +63,7 @@
 	if s.proxy.ready() {
 		clientAddr = s.proxy.settings.ListenAddresses["front"]
 	}
+	wantAuthority := !s.proxy.holdsAuthority(time.Now())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.advertise(clientAddr)
@@ -73,6 +74,7 @@
 		WaitMs:          wait.Milliseconds(),
 		ListenerAddr:    s.advertisedAddr,
 		Incarnation:     s.advertVersion,
+		WantAuthority:   wantAuthority,
 	}
 	if time.Since(s.lastUpdate) < fullSyncAfter {
 		request.Progress = maps.Clone(s.progress)
