--- a/cmd/loadtest/main.go
+++ b/cmd/loadtest/main.go
@@ -3,14 +3,22 @@
 package main
 
 import (
+	"errors"
 	"log/slog"
 	"os"
 
 	"github.com/spf13/cobra"
 )
 
+// exitUsage is the exit status of a command whose flags or files are wrong.
+const exitUsage = 2
+
 func main() {
-	if newRootCommand().Execute() != nil {
+	err := newRootCommand().Execute()
+	if usage := (usageError{}); errors.As(err, &usage) {
+		os.Exit(exitUsage)
+	}
+	if err != nil {
 		os.Exit(1)
 	}
 }
--- a/cmd/loadtest/soak.go
+++ b/cmd/loadtest/soak_agent.go
@@ -38,17 +38,17 @@
 // errUnanswered is the error of a run in which requests had no answer, or none was satisfied.
 var errUnanswered = errors.New("not every request was answered, or none served")
 
-// soakOptions are the flags of the command soak.
+// soakOptions are the flags of the command soak agent.
 type soakOptions struct {
 	duration time.Duration
 	rate     int // requests a second
 	seed     uint64
 }
 
-func newSoakCommand() *cobra.Command {
+func newSoakAgentCommand() *cobra.Command {
 	var options soakOptions
 	command := &cobra.Command{
-		Use:   "soak",
+		Use:   "agent",
 		Short: "memory of a long run over HTTP, by quarters, while builds follow one another",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
@@ -244,7 +244,7 @@
 		return soakReport{}, err
 	}
 	client := newSoakClient(agent.address, options.seed)
-	report, err := soak(options, client, backends)
+	report, err := soakAgent(options, client, backends)
 	client.requests.Wait()
 	report.sent = client.sent
 	report.satisfied = client.satisfied.Load()
@@ -253,9 +253,9 @@
 	return report, errors.Join(err, agent.stop())
 }
 
-// soak sends requests at the rate of the options until their duration has passed. It replaces the backends, and
+// soakAgent sends requests at the rate of the options until their duration has passed. It replaces the backends, and
 // measures memory and goroutines at the end of each quarter.
-func soak(options soakOptions, client *soakClient, backends *httpBackends) (soakReport, error) {
+func soakAgent(options soakOptions, client *soakClient, backends *httpBackends) (soakReport, error) {
 	var report soakReport
 	build := firstBuild
 	start := time.Now()
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -70,6 +70,7 @@
 // Main runs the program with the arguments after its name, and returns its exit code. An unexpected argument ends the
 // process with exitUsage.
 func Main(args []string) int {
+	hangups := notifyHangup()
 	line := newCommandLine()
 	if err := line.parser.ParseArgs(args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -78,9 +79,9 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	if line.drains.used() {
+		signal.Reset(syscall.SIGHUP) // an operator's command ends with its terminal
 		return line.drains.run(ctx, line.settingsPath, os.Stdout, os.Stderr)
 	}
-	hangups := notifyHangup()
 	log, err := newLogger(line.logLevel)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/testbed/cluster/backend.go
+++ b/internal/testbed/cluster/backend.go
@@ -73,7 +73,12 @@
 
 // StartBackend starts an incarnation of a backend: it serves, and sends heartbeats.
 func (c *Cluster) StartBackend(service, zone, build string, warmUp time.Duration) (*Backend, error) {
-	listener, err := net.Listen("tcp4", fmt.Sprint(c.subnet, backendHost, ":0"))
+	return c.StartBackendAt(fmt.Sprint(c.subnet, backendHost, ":0"), service, zone, build, warmUp)
+}
+
+// StartBackendAt starts an incarnation of a backend at an address, where another one may have been before.
+func (c *Cluster) StartBackendAt(address, service, zone, build string, warmUp time.Duration) (*Backend, error) {
+	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
 	}
@@ -258,6 +263,9 @@
 	return fmt.Sprintf("%s of %d bytes", attempt, requestBytes)
 }
 
+// ErrNotAcknowledged is the error of a backend whose drain no controller has acknowledged in time.
+var ErrNotAcknowledged = errors.New("no controller acknowledged that it drains")
+
 // Shutdown ends the backend gracefully: it announces that it drains, goes on serving for a while after a controller has
 // acknowledged that, signs off and stops. method names the way of removal in the ledger.
 func (b *Backend) Shutdown(method string) error {
@@ -267,7 +275,7 @@
 	giveUpAt := time.Now().Add(5 * time.Second)
 	for !b.sendHeartbeat() {
 		if time.Now().After(giveUpAt) {
-			return errors.Errorf("%s: no controller acknowledged that it drains", b.ID)
+			return errors.Wrap(ErrNotAcknowledged, b.ID)
 		}
 	}
 	options := b.cluster.options
--- a/internal/testbed/cluster/cluster.go
+++ b/internal/testbed/cluster/cluster.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,8 +38,11 @@
 	ShutdownGrace     time.Duration // in which a process has to end
 	ArrivalBound      time.Duration // after a removal is acknowledged, within which new requests may still arrive
 	Fault             Fault         // to inject; empty: none
-	Dir               string        // for the controllers' state
+	Dir               string        // for the controllers' state, and the files of processes
 	Logger            *zap.Logger
+	// Binary is the load balancer's program. If it is set, each node is a process of its own, which logs to a file and is
+	// connected to the others without delay; else the nodes run in this process.
+	Binary string
 }
 
 // The zones of a cluster: three regions of two.
@@ -84,6 +88,7 @@
 	backendsStarted int
 	backends        map[string]*Backend
 	nodes           map[string]*node // proxies and controllers by name
+	processes       map[string]*nodeProcess
 }
 
 // Start starts the controllers and the proxies; there are no backends yet. The caller must call Close, also where Start
@@ -94,29 +99,37 @@
 		Ledger:   NewLedger(),
 		backends: map[string]*Backend{},
 		nodes:    map[string]*node{},
-		failures: make(chan error, maxFailures),
-		subnet:   fmt.Sprintf("127.%d.%d.", 1+os.Getpid()%250, 100+clusterCount.Add(1)%150),
+
+		processes: map[string]*nodeProcess{},
+		failures:  make(chan error, maxFailures),
+		subnet:    fmt.Sprintf("127.%d.%d.", 1+os.Getpid()%250, 100+clusterCount.Add(1)%150),
 	}
 	for i, zone := range zoneNames {
-		if err := c.addNode(controllerName(zone), c.controllerStarter(i, zone)); err != nil {
+		if err := c.addNode(ControllerName(zone), c.controllerStarter(i, zone)); err != nil {
 			return c, err
 		}
 	}
 	for i := range options.Proxies {
-		if err := c.addNode(proxyName(i), c.proxyStarter(i)); err != nil {
+		if err := c.addNode(ProxyName(i), c.proxyStarter(i)); err != nil {
 			return c, err
 		}
 	}
 	return c, nil
 }
 
-// controllerName returns the name by which StopNode and its like know a zone's controller.
-func controllerName(zone string) string { return "controller-" + zone }
+// ZoneNames returns the zones of a cluster. Each has a controller.
+func ZoneNames() []string { return slices.Clone(zoneNames) }
+
+// ControllerName returns the name by which StopNode and its like know a zone's controller.
+func ControllerName(zone string) string { return "controller-" + zone }
 
-// proxyName returns the name by which StopNode and its like know a proxy.
-func proxyName(i int) string { return fmt.Sprint("proxy-", i) }
+// ProxyName returns the name by which StopNode and its like know a proxy.
+func ProxyName(i int) string { return fmt.Sprint("proxy-", i) }
 
 func (c *Cluster) controllerStarter(i int, zone string) startFunc {
+	if c.options.Binary != "" {
+		return c.processStarter("controller", c.nodeSettings(fmt.Sprint("core-", zone), i, zone))
+	}
 	return func() (runFunc, error) {
 		controller, err := server.New(server.Options{
 			Settings:       c.nodeSettings(fmt.Sprint("core-", zone), i, zone),
@@ -133,6 +146,9 @@
 
 func (c *Cluster) proxyStarter(i int) startFunc {
 	zone := zoneNames[i%len(zoneNames)]
+	if c.options.Binary != "" {
+		return c.processStarter("proxy", c.nodeSettings(fmt.Sprint("edge-", i), i, zone))
+	}
 	return func() (runFunc, error) {
 		return proxy.New(proxy.Options{
 			Settings: c.nodeSettings(fmt.Sprint("edge-", i), i, zone),
@@ -155,6 +171,20 @@
 	return ""
 }
 
+// ProxyAddress returns the address at which clients reach a proxy.
+func (c *Cluster) ProxyAddress(i int) string { return net.JoinHostPort(c.ip(i), listenerPort) }
+
+// ReadinessAddress returns the address of a proxy's readiness check and figures.
+func (c *Cluster) ReadinessAddress(i int) string { return net.JoinHostPort(c.ip(i), readinessPort) }
+
+// DirectoryAddresses returns the addresses at which the controllers tell clients where to go.
+func (c *Cluster) DirectoryAddresses() (addresses []string) {
+	for i := range zoneNames {
+		addresses = append(addresses, net.JoinHostPort(c.ip(i), directoryPort))
+	}
+	return addresses
+}
+
 // ControllerAddresses returns the addresses of all controllers.
 func (c *Cluster) ControllerAddresses() (addresses []string) {
 	for _, zone := range zoneNames {
--- a/internal/testbed/cluster/configure.go
+++ b/internal/testbed/cluster/configure.go
@@ -62,6 +62,20 @@
 	return items
 }
 
+// SetBodyLimit sets how long the bodies of requests may be.
+func (c *Cluster) SetBodyLimit(ctx context.Context, bytes int) error {
+	limits := object{
+		"type":     "limits",
+		"metadata": object{"version": "00000002"},
+		"body":     object{"headSizeBytes": 16384, "bodySizeBytes": bytes, "headWait": "3s", "quiet": "15s"},
+	}
+	body, err := json.Marshal(object{"putItems": object{"items": []object{limits}}})
+	if err != nil {
+		return err
+	}
+	return c.Operator().Call(ctx, calls.SettingsChange, "", body, nil)
+}
+
 func serviceHost(service string) string { return service + ".example" }
 
 func (c *Cluster) proxyReady(i int) bool {
--- a/internal/testbed/cluster/ledger.go
+++ b/internal/testbed/cluster/ledger.go
@@ -94,6 +94,16 @@
 	}
 }
 
+// Runs returns how often the operation of an attempt was executed, and how often its execution was broken off.
+func (l *Ledger) Runs(attempt string) (completed, aborted int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if op := l.attempts[attempt]; op != nil {
+		return op.completedRuns, op.abortedRuns
+	}
+	return 0, 0
+}
+
 // RunAborted records that the execution of an attempt was broken off before its client's time was over.
 func (l *Ledger) RunAborted(attempt string) {
 	l.mu.Lock()
--- a/internal/testbed/cluster/node.go
+++ b/internal/testbed/cluster/node.go
@@ -29,16 +29,18 @@
 // StartNode starts a node that is not running.
 func (c *Cluster) StartNode(name string) error {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	n := c.nodes[name]
+	c.mu.Unlock()
 	run, err := n.start()
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
+	c.mu.Lock()
 	n.cancel = cancel
 	n.done = done
+	c.mu.Unlock()
 	go func() {
 		defer close(done)
 		if err := run(ctx); err != nil && ctx.Err() == nil {
@@ -48,13 +50,29 @@
 	return nil
 }
 
+// NodeRunning reports whether a node has been started and has not ended.
+func (c *Cluster) NodeRunning(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.nodes[name]
+	if n.done == nil {
+		return false
+	}
+	select {
+	case <-n.done:
+		return false
+	default:
+		return true
+	}
+}
+
 // StopNode stops a node gracefully, as a SIGTERM does, and waits for its end.
 func (c *Cluster) StopNode(name string) {
 	c.mu.Lock()
-	n := c.nodes[name]
+	cancel, done := c.nodes[name].cancel, c.nodes[name].done
 	c.mu.Unlock()
-	n.cancel()
-	<-n.done
+	cancel()
+	<-done
 }
 
 // RestartNode stops a node gracefully and starts it again.
--- a/internal/testbed/cluster/stress.go
+++ b/internal/testbed/cluster/stress.go
@@ -38,7 +38,7 @@
 
 func (c *Cluster) restartProxies() error {
 	for i := range c.options.Proxies {
-		if err := c.RestartNode(proxyName(i)); err != nil {
+		if err := c.RestartNode(ProxyName(i)); err != nil {
 			return err
 		}
 	}
@@ -53,7 +53,7 @@
 				return err
 			}
 		case restartBefore:
-			if err := c.RestartNode(controllerName(zoneNames[0])); err != nil {
+			if err := c.RestartNode(ControllerName(zoneNames[0])); err != nil {
 				return err
 			}
 		}
