--- a/internal/control/replica/pull_request.go
+++ b/internal/control/replica/pull_request.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"maps"
 	"time"
 
 	"sagelever/internal/control/message"
@@ -44,7 +45,10 @@
 
 // addProgress completes a pull of a member with what this replica holds and how long the response may wait.
 func (r *Replica) addProgress(now time.Time, to message.Member, request *message.PullRequest) {
-	if r.progressCurrent(now) {
+	switch pull := r.continuedPull(now, to.Node); {
+	case pull != nil:
+		request.Progress = maps.Clone(pull.progress)
+	case r.progressCurrent(now) || r.fullPull != nil:
 		request.Progress = r.items.Vector()
 	}
 	peer := r.peers[to.Node]
--- a/internal/control/replica/pull_response.go
+++ b/internal/control/replica/pull_response.go
@@ -24,8 +24,9 @@
 		changed = append(changed, r.learnEntries(now, []quorum.Entry{*response.Configuration})...)
 	}
 	if !request.MembersOnly {
-		if response.ProtocolVersion >= message.ProtocolVersion {
-			r.applyProgress(now, response, received, coversProgress)
+		if response.ProtocolVersion >= message.ProtocolVersion &&
+			!r.applyFullPull(now, from, request, response, received) && coversProgress {
+			r.items.Advance(response.Progress)
 		}
 		r.lastPullAt = now
 	}
@@ -51,28 +52,8 @@
 	return changed, received
 }
 
-// applyProgress advances the version vector by a response. Where the vector could not be trusted and the response is
-// complete, the items that it doesn't contain are dropped: they were forgotten while this replica was away.
-func (r *Replica) applyProgress(
-	now time.Time, response *message.PullResponse, received map[string]bool, coversProgress bool,
-) {
-	switch {
-	case response.Complete && !r.progressCurrent(now):
-		isRegister := func(item replication.Item) bool { return strings.HasPrefix(item.Key, replication.RegisterKey) }
-		for _, key := range r.items.ReplaceReceived(received, response.Progress, isRegister) {
-			r.forget(key)
-			if id, ok := strings.CutPrefix(key, replication.BackendKey); ok {
-				delete(r.backends, id)
-			}
-		}
-		r.progressValid = true
-		r.resetCount++
-	case coversProgress:
-		r.items.Advance(response.Progress)
-	}
-}
-
-// notePeerResponse notes that a member has responded. The disk is compared because a candidate may have taken over a
+// notePeerResponse notes that a member has responded. One that was not heard before counts as heard only once it has sent
+// all that this replica lacks: until then this replica is not up to date with it. The disk is compared because a candidate may have taken over a
 // member's address; protocol version 1 doesn't tell it.
 func (r *Replica) notePeerResponse(now time.Time, from message.Member, response *message.PullResponse) {
 	peer := r.peers[from.Node]
@@ -82,6 +63,9 @@
 	if response.DiskID != peer.DiskID && response.ProtocolVersion >= message.ProtocolVersion {
 		return
 	}
+	if response.Truncated && !r.reachable(peer.Node, now) {
+		return
+	}
 	peer.heard(now, response)
 	r.heardFromPeer = true
 }
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -49,6 +49,7 @@
 	items         *replication.ItemStore
 	progressValid bool      // the items are as complete as the store's vector says
 	lastPullAt    time.Time // of the last response to a pull, from whichever member
+	fullPull      *fullPull // under way; nil for none
 	resetCount    int       // how often the items were replaced by a complete response
 	heardFromPeer bool      // since the start
 	pullProgress  map[string]peerProgress
--- a/internal/control/replica/sim_network_test.go
+++ b/internal/control/replica/sim_network_test.go
@@ -154,9 +154,11 @@
 		node.pullLoop(to, incarnation, 0)
 	}
 	reply := func(response *message.PullResponse) {
-		if !sim.deliver(to, node.index, func() { handleResponse(response) }) {
-			lose()
-		}
+		sim.schedule(sim.transferTime(response), func() {
+			if !sim.deliver(to, node.index, func() { handleResponse(response) }) {
+				lose()
+			}
+		})
 	}
 	onItsWay := sim.deliver(node.index, to, func() {
 		if !other.up {
@@ -238,6 +240,14 @@
 	return len(encoded)
 }
 
+// transferTime returns how long a message takes on a link, besides the latency.
+func (sim *simulation) transferTime(in easyjson.Marshaler) time.Duration {
+	if sim.bandwidth == 0 {
+		return 0
+	}
+	return time.Duration(encodedSize(in)) * time.Second / time.Duration(sim.bandwidth)
+}
+
 // measureMessage notes the size of a message, where a test wants to know it.
 func (sim *simulation) measureMessage(in easyjson.Marshaler) {
 	if sim.measuresMessages {
--- a/internal/control/replica/sim_test.go
+++ b/internal/control/replica/sim_test.go
@@ -28,6 +28,7 @@
 	mutation       string                           // see sim_mutations_test.go; empty for none
 	failure        string                           // the first violation found; empty for none
 	trace          bool                             // print all messages and events
+	bandwidth      int                              // of the links on which members pull, in bytes a second; 0: no limit
 	unknownPath    string                           // that the members don't serve, as in a version before it
 	latency        func(from, to int) time.Duration // of messages; nil: random
 	syncTime       time.Duration                    // of disks; 0: random
--- a/internal/testbed/cluster/process.go
+++ b/internal/testbed/cluster/process.go
@@ -157,8 +157,7 @@
 		return nil
 	case <-time.After(grace):
 		p.kill()
-		<-ended
-		return errors.Errorf("did not end within %v after SIGTERM", grace)
+		return errors.Errorf("did not end within %v after SIGTERM: %v", grace, <-ended)
 	}
 }
 
--- a/internal/testbed/soak/clients.go
+++ b/internal/testbed/soak/clients.go
@@ -187,12 +187,14 @@
 // exchange writes a request and reads its response. It reports whether the connection goes on, and how long the response
 // asks to wait.
 func (c *soakClient) exchange(outgoing *http.Request, record *request) (keep bool, retryAfter time.Duration) {
-	written, conn := make(chan error, 1), c.conn
-	go func() { written <- outgoing.Write(conn) }() // a response may come before all of a long body is sent
+	conn := c.conn
+	var writeErr error
+	var writing sync.WaitGroup
+	writing.Go(func() { writeErr = outgoing.Write(conn) }) // a response may come before all of a long body is sent
 	defer func() {
 		if !keep {
 			c.disconnect()
-			<-written
+			writing.Wait()
 		}
 	}()
 	_, err := c.input.Peek(1)
@@ -222,7 +224,8 @@
 	if response.Close || err != nil {
 		return false, retryAfter
 	}
-	return <-written == nil, retryAfter
+	writing.Wait()
+	return writeErr == nil, retryAfter
 }
 
 // lookUp returns where clients of a zone may go, as one of the controllers says.
