--- a/internal/control/replica/config.go
+++ b/internal/control/replica/config.go
@@ -17,8 +17,10 @@
 	InitialPeers   []string          // peer addresses of the replicas that decide on the first configuration
 	Bootstrap      bool              // an empty disk takes part in the first start of the whole system
 	RegionByZone   map[string]string
-	BackendTimeout time.Duration  // after its last heartbeat a backend counts as timed out
-	Random         func() float64 // uniform in [0, 1); spreads what several replicas would do at the same time
+	BackendTimeout time.Duration // after its last heartbeat a backend counts as timed out
+	// MaxResponseBytes bounds the items of one response to a pull, of which a single one may be longer; 0: the default.
+	MaxResponseBytes int
+	Random           func() float64 // uniform in [0, 1); spreads what several replicas would do at the same time
 }
 
 // PersistedState is what a replica finds on its disk at its start.
--- a/internal/control/replica/pull_answer.go
+++ b/internal/control/replica/pull_answer.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"strings"
 	"time"
 
@@ -164,7 +165,7 @@
 	if !pending.complete {
 		response.Progress = progressBeyond(reached, request.Progress)
 	}
-	limitResponse(response, request)
+	limitResponse(response, request, cmp.Or(r.config.MaxResponseBytes, defaultMaxResponseBytes))
 }
 
 // droppedOrigins returns the origins of a vector that another no longer contains.
--- a/internal/control/replica/pull_request.go
+++ b/internal/control/replica/pull_request.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"maps"
 	"time"
 
 	"sagelever/internal/control/message"
@@ -16,7 +15,7 @@
 		From:            local.self,
 		Role:            message.RoleController,
 		ProtocolVersion: message.ProtocolVersion,
-		MembersOnly:     to.Node == "",
+		MembersOnly:     to.Node == "" || r.awaitsEverything(now, to.Node),
 		ResetCount:      r.resetCount,
 		KnownEpoch:      local.configuration.Epoch,
 		Leaving:         r.leaving,
@@ -45,10 +44,7 @@
 
 // addProgress completes a pull of a member with what this replica holds and how long the response may wait.
 func (r *Replica) addProgress(now time.Time, to message.Member, request *message.PullRequest) {
-	switch pull := r.continuedPull(now, to.Node); {
-	case pull != nil:
-		request.Progress = maps.Clone(pull.progress)
-	case r.progressCurrent(now) || r.fullPull != nil:
+	if !r.continueTransfer(now, to.Node, request) && r.progressCurrent(now) {
 		request.Progress = r.items.Vector()
 	}
 	peer := r.peers[to.Node]
--- a/internal/control/replica/response_limit.go
+++ b/internal/control/replica/response_limit.go
@@ -9,17 +9,17 @@
 )
 
 const (
-	// maxResponseBytes bounds the items of one response. A single item may be longer.
-	maxResponseBytes = 192 << 10
+	// defaultMaxResponseBytes is Config.MaxResponseBytes where that is not set.
+	defaultMaxResponseBytes = 192 << 10
 
 	// itemOverheadBytes bounds the encoded size of an item beside its key and body.
 	itemOverheadBytes = 48
 )
 
-// limitResponse leaves out the items beyond maxResponseBytes; the sender pulls the rest at once. Within each origin
+// limitResponse leaves out the items beyond maxBytes; the sender pulls the rest at once. Within each origin
 // the items are sent in the order of their sequence numbers, so that the response's progress can end before the first
 // that is left out. A complete response to a proxy is not limited, because the proxy takes it for all there is.
-func limitResponse(response *message.PullResponse, request *message.PullRequest) {
+func limitResponse(response *message.PullResponse, request *message.PullRequest, maxBytes int) {
 	if response.Complete && request.Role != message.RoleController {
 		return
 	}
@@ -32,7 +32,7 @@
 	size := 0
 	for i, item := range response.Items {
 		size += itemOverheadBytes + len(item.Key) + len(item.Body)
-		if size > maxResponseBytes && i > 0 {
+		if size > maxBytes && i > 0 {
 			response.WithdrawProgress(response.Items[i:], request.Progress)
 			response.Items = response.Items[:i]
 			response.Truncated = true
--- a/internal/control/replica/sim_member_faults_test.go
+++ b/internal/control/replica/sim_member_faults_test.go
@@ -17,6 +17,9 @@
 // randomizeStartup varies the first start of the system: normally all nodes start within a fraction of a second, but
 // one of the initial peers may come late or never, or all come in any order over some seconds.
 func (sim *simulation) randomizeStartup() {
+	if sim.oneIn(3) { // a few items in a response
+		sim.maxResponseBytes = sim.randomBytes()
+	}
 	node := sim.nodes[sim.rng.IntN(min(3, sim.memberCount))]
 	switch sim.rng.IntN(8) {
 	case 0:
@@ -32,6 +35,9 @@
 	}
 }
 
+// randomBytes draws a limit of responses.
+func (sim *simulation) randomBytes() int { return 300 + sim.rng.IntN(3000) }
+
 // addNode adds a node for a zone, which starts after a delay.
 func (sim *simulation) addNode(zone int, delay time.Duration) *simNode {
 	sim.coverage["newcomer"]++
--- a/internal/control/replica/sim_node_test.go
+++ b/internal/control/replica/sim_node_test.go
@@ -148,6 +148,8 @@
 		RegionByZone:   regionByZone,
 		BackendTimeout: 3 * time.Second,
 		Random:         sim.rng.Float64,
+
+		MaxResponseBytes: sim.maxResponseBytes,
 	}
 }
 
--- a/internal/control/replica/sim_test.go
+++ b/internal/control/replica/sim_test.go
@@ -18,20 +18,21 @@
 // partitioned in one or both directions; a crash loses what was not synced, or part of it; disks are slow or fail;
 // clocks differ and step. Safety is checked throughout, and recovery once the faults have ended.
 type simulation struct {
-	rng            *rand.Rand
-	now            time.Time
-	events         eventQueue
-	memberCount    int // members of a complete configuration
-	faultTolerance int // disks that may be lost at once
-	nodes          []*simNode
-	proxies        []*simProxy
-	mutation       string                           // see sim_mutations_test.go; empty for none
-	failure        string                           // the first violation found; empty for none
-	trace          bool                             // print all messages and events
-	bandwidth      int                              // of the links on which members pull, in bytes a second; 0: no limit
-	unknownPath    string                           // that the members don't serve, as in a version before it
-	latency        func(from, to int) time.Duration // of messages; nil: random
-	syncTime       time.Duration                    // of disks; 0: random
+	rng              *rand.Rand
+	now              time.Time
+	events           eventQueue
+	memberCount      int // members of a complete configuration
+	faultTolerance   int // disks that may be lost at once
+	nodes            []*simNode
+	proxies          []*simProxy
+	mutation         string                           // see sim_mutations_test.go; empty for none
+	failure          string                           // the first violation found; empty for none
+	trace            bool                             // print all messages and events
+	bandwidth        int                              // of the links on which members pull, in bytes a second; 0: no limit
+	maxResponseBytes int                              // of the members; 0: the default
+	unknownPath      string                           // that the members don't serve, as in a version before it
+	latency          func(from, to int) time.Duration // of messages; nil: random
+	syncTime         time.Duration                    // of disks; 0: random
 
 	// What was measured.
 	messagesSent     int // requests of operations, and their responses
--- a/internal/control/replica/sim_workload_test.go
+++ b/internal/control/replica/sim_workload_test.go
@@ -161,6 +161,7 @@
 	case err == nil:
 		sim.recordConfirmed(w.key, w.sent)
 		sim.endOperation(w.operation, linear.Acknowledged)
+		sim.crashAfterAcknowledgement(w.origin)
 	case errors.As(err, &conflict) && chosen.Version == w.sent.Version:
 		// A write with an older version that is rejected fits no point in the history of a plain register: it stays
 		// without an outcome.
@@ -169,6 +170,28 @@
 	sim.checkDurability()
 }
 
+// crashAfterAcknowledgement may have the member that has acknowledged something, or all of them, crash within 10 ms.
+func (sim *simulation) crashAfterAcknowledgement(node *simNode) {
+	const oneInAcknowledgements = 40
+	if !sim.injectsFaults || !sim.oneIn(oneInAcknowledgements) {
+		return
+	}
+	crash := (*simulation).crash
+	if sim.oneIn(2) {
+		crash = func(sim *simulation, _ *simNode) {
+			for _, other := range sim.nodes {
+				sim.crash(other)
+			}
+		}
+	}
+	sim.coverage["crash after acknowledgement"]++
+	sim.schedule(sim.randomDuration(0, 10), func() {
+		if sim.injectsFaults {
+			crash(sim, node)
+		}
+	})
+}
+
 // writeConcurrently sends several writes of one item at once, with the same version and different contents.
 func (sim *simulation) writeConcurrently(*simNode) {
 	key := routeKey(sim.rng.IntN(routeCount))
--- a/internal/proxy/apply.go
+++ b/internal/proxy/apply.go
@@ -170,18 +170,19 @@
 	case response.Complete && stale:
 		s.progress = maps.Clone(response.Progress)
 		return true
+	case s.recordPart(pull):
 	case response.Complete || s.progress.Covers(pull.request.Progress):
-		s.advanceProgress(response)
+		s.advanceProgress(response.Progress, response.DroppedOrigins)
 	}
 	return false
 }
 
-// advanceProgress adds the progress in a response. The caller holds s.mu.
-func (s *subscription) advanceProgress(response *message.PullResponse) {
-	for origin, seq := range response.Progress {
+// advanceProgress adds progress, and forgets origins of which no item is left. The caller holds s.mu.
+func (s *subscription) advanceProgress(progress replication.Vector, droppedOrigins []string) {
+	for origin, seq := range progress {
 		s.progress[origin] = max(s.progress[origin], seq)
 	}
-	for _, origin := range response.DroppedOrigins {
+	for _, origin := range droppedOrigins {
 		delete(s.progress, origin)
 	}
 }
--- a/internal/proxy/pull.go
+++ b/internal/proxy/pull.go
@@ -27,6 +27,7 @@
 	request  *message.PullRequest
 	response *message.PullResponse
 	sentAt   time.Time
+	transfer *transfer // which the pull continues; nil for none
 }
 
 // pull asks the controller at addr for updates and applies them. The controller may hold the pull for the time wait
@@ -38,7 +39,7 @@
 	if released {
 		return nil, errLeaseReleased
 	}
-	request := s.newPullRequest(addr, wait)
+	request, continued := s.newPullRequest(addr, wait)
 	body, err := easyjson.Marshal(request)
 	if err != nil {
 		return nil, err
@@ -50,15 +51,18 @@
 	if err := rpc.Post(ctx, s.client, addr, message.PullPath, body, response); err != nil {
 		return nil, err
 	}
-	pull := answeredPull{addr: addr, request: request, response: response, sentAt: sentAt}
+	pull := answeredPull{addr: addr, request: request, response: response, sentAt: sentAt, transfer: continued}
 	if err := s.apply(pull, time.Now()); err != nil {
 		return nil, err
 	}
 	return response, nil
 }
 
-// newPullRequest makes a pull: who the proxy is, where clients reach it and which updates it has.
-func (s *subscription) newPullRequest(addr string, wait time.Duration) *message.PullRequest {
+// newPullRequest makes a pull: who the proxy is, where clients reach it and which updates it has. It returns the transfer
+// that the pull continues as well.
+func (s *subscription) newPullRequest(
+	addr string, wait time.Duration,
+) (request *message.PullRequest, continued *transfer) {
 	clientAddr := ""
 	if s.proxy.ready() {
 		clientAddr = s.proxy.settings.ListenAddresses["front"]
@@ -67,7 +71,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.advertise(clientAddr)
-	request := &message.PullRequest{
+	request = &message.PullRequest{
 		From:            s.member(),
 		Role:            message.RoleProxy,
 		ProtocolVersion: message.ProtocolVersion,
@@ -78,6 +82,10 @@
 	}
 	if time.Since(s.lastUpdate) < fullSyncAfter {
 		request.Progress = maps.Clone(s.progress)
+		if s.transfer != nil && s.transfer.addr == addr {
+			continued = s.transfer
+			request.Progress = maps.Clone(continued.cursor)
+		}
 	}
 	if addr == s.sourceAddr {
 		request.SurveyID = s.lastSurvey
@@ -85,7 +93,7 @@
 	if source := s.legacySources[addr]; source != "" {
 		request.LegacyVector = map[string]uint64{source: s.legacyProgress[source]}
 	}
-	return request
+	return request, continued
 }
 
 // member names this proxy to controllers.
--- a/internal/proxy/pull_test.go
+++ b/internal/proxy/pull_test.go
@@ -170,3 +170,36 @@
 		t.Errorf("pulled after the release: %v", err)
 	}
 }
+
+// The progress of a part of a response only says where the next part begins: it proves nothing to another controller,
+// which may hold what was left out under another origin. With the last part the progress of all counts.
+func TestPartOfAResponseProvesNothingToOthers(t *testing.T) {
+	s := newTestSubscription(t)
+	deliver := func(addr string, truncated bool, progress replication.Vector) {
+		t.Helper()
+		request, continued := s.newPullRequest(addr, 0)
+		response := pullResponse(progress)
+		response.Truncated = truncated
+		pull := answeredPull{addr: addr, request: request, response: response, sentAt: time.Now(), transfer: continued}
+		if err := s.apply(pull, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	progressFor := func(addr string) replication.Vector {
+		request, _ := s.newPullRequest(addr, 0)
+		return request.Progress
+	}
+	deliver("first", false, replication.Vector{"a": 3})
+	deliver("first", true, replication.Vector{"a": 5, "b": 7})
+	if got := progressFor("second"); got["a"] != 3 || got["b"] != 0 {
+		t.Errorf("a pull from another controller claims %v", got)
+	}
+	if got := progressFor("first"); got["a"] != 5 || got["b"] != 7 {
+		t.Errorf("the next part begins at %v", got)
+	}
+	deliver("first", true, replication.Vector{"a": 8})
+	deliver("first", false, replication.Vector{"c": 1})
+	if got := progressFor("second"); got["a"] != 8 || got["b"] != 7 || got["c"] != 1 {
+		t.Errorf("after the last part a pull claims %v", got)
+	}
+}
--- a/internal/proxy/report.go
+++ b/internal/proxy/report.go
@@ -33,7 +33,7 @@
 	if addr == "" {
 		return
 	}
-	request := s.newPullRequest(addr, 0)
+	request, _ := s.newPullRequest(addr, 0)
 	request.Ended = true
 	body, err := easyjson.Marshal(request)
 	if err != nil {
--- a/internal/proxy/subscription.go
+++ b/internal/proxy/subscription.go
@@ -53,6 +53,7 @@
 
 	lastUpdate time.Time          // when the last pull that was answered was sent
 	progress   replication.Vector // the position in the log of every origin
+	transfer   *transfer          // a response of which parts are still to come; nil for none
 	values     map[string]quorum.Value
 
 	// Positions at controllers of the previous protocol version, which number their updates themselves.
