--- a/internal/control/message/pull.go
+++ b/internal/control/message/pull.go
@@ -47,8 +47,6 @@
 
 	// ResetCount is not sent: it ties the response to the sender's progress at the time of the request.
 	ResetCount int `json:"-"`
-	// Transfer is not sent: the earlier parts of the response that the request continues; nil for none.
-	Transfer *PullResponse `json:"-"`
 }
 
 // ConfigurationEntry is the register that holds the configuration of members, as it was chosen.
@@ -100,31 +98,6 @@
 	return ""
 }
 
-// Append adds the next part of a response that was truncated. The progress of the parts adds up.
-func (r *PullResponse) Append(part *PullResponse) {
-	indexes := map[string]int{}
-	for i, origin := range r.Origins {
-		indexes[origin] = i
-	}
-	for _, item := range part.Items {
-		origin := part.OriginOf(item)
-		index, known := indexes[origin]
-		if !known {
-			index = len(r.Origins)
-			indexes[origin] = index
-			r.Origins = append(r.Origins, origin)
-		}
-		item.OriginIndex = index
-		r.Items = append(r.Items, item)
-	}
-	for origin, sequence := range part.Progress {
-		r.Progress[origin] = max(r.Progress[origin], sequence)
-	}
-	items, origins, progress, complete := r.Items, r.Origins, r.Progress, r.Complete
-	*r = *part
-	r.Items, r.Origins, r.Progress, r.Complete = items, origins, progress, complete
-}
-
 // Authority says whether the source of a response knows every register that was acknowledged.
 type Authority int
 
--- a/internal/control/replica/clock.go
+++ b/internal/control/replica/clock.go
@@ -15,7 +15,7 @@
 		moveBack(setBack, &op.expiresAt, &op.attempt.deadline, &op.retryAt)
 	}
 	for key, value := range r.undecided {
-		value.repairAt = value.repairAt.Add(-setBack)
+		moveBack(setBack, &value.repairAt, &value.since)
 		r.undecided[key] = value
 	}
 	for _, peer := range r.peers {
--- a/internal/control/replica/confirm.go
+++ b/internal/control/replica/confirm.go
@@ -92,30 +92,35 @@
 	}
 }
 
-// endConfirmation ends a confirmation. The values that it could not show to be chosen are proposed again: at once where a
-// verification waits for them, otherwise later, as their own round may still be going on. The members do so one after
-// the other, so that the first one's round can end before the next one's begins.
+// endConfirmation ends a confirmation. The values that it could not show to be chosen are proposed again by rounds: not
+// before their own round has had its time, later where nobody waits for them, and by one member after the other, so that
+// the rounds of the first can end before the next one's begin.
 func (r *Replica) endConfirmation(now time.Time, op *operation) {
 	r.finish(op, nil, nil)
-	turn := time.Duration(r.repairTurn(now)) * r.RoundTime()
+	turn := r.repairTurn(now)
 	later := repairDelay/2 + r.jitter(repairDelay/2)
 	for _, key := range op.confirmation.Keys {
-		if value, undecided := r.undecided[key]; !undecided || value.accepted != op.confirmation.Proposal {
+		value, undecided := r.undecided[key]
+		if !undecided || value.accepted != op.confirmation.Proposal {
 			continue
 		}
-		delay := turn
-		if !r.verification.waitsFor(key) {
-			delay += later
+		at := now
+		switch {
+		case !r.isAwaited(key):
+			at = now.Add(later)
+		case value.since.Add(repairDelay / 2).After(now):
+			at = value.since.Add(repairDelay / 2)
 		}
-		r.scheduleRepair(key, now.Add(delay), true)
+		r.scheduleRepair(key, at.Add(turn), true)
 	}
 }
 
-// repairTurn returns how many of the members that this replica reaches precede it, by name.
-func (r *Replica) repairTurn(now time.Time) (turn int) {
+// repairTurn returns how long this replica leaves rounds of repairs to the members that precede it, by name, among those
+// that it reaches: a round of a large change may take as long as an attempt.
+func (r *Replica) repairTurn(now time.Time) (turn time.Duration) {
 	for node := range r.peers {
 		if node < r.config.Self.Node && r.reachable(node, now) {
-			turn++
+			turn += attemptTimeout
 		}
 	}
 	return turn
--- a/internal/control/replica/operation.go
+++ b/internal/control/replica/operation.go
@@ -18,12 +18,9 @@
 	// proposeWrite changes registers by a Paxos round.
 	proposeWrite operationKind = iota
 
-	// quorumRead collects what enough members hold of some registers. It goes on as completeRead.
+	// quorumRead collects what enough members hold of some registers, and waits until what it has found is decided.
 	quorumRead
 
-	// completeRead proposes the values again that a quorum read has found and doesn't know to be chosen.
-	completeRead
-
 	// verifyRegisters collects what enough members hold of all registers; see verification.go.
 	verifyRegisters
 
@@ -51,8 +48,6 @@
 		return "propose write"
 	case quorumRead:
 		return "quorum read"
-	case completeRead:
-		return "complete read"
 	case verifyRegisters:
 		return "verify registers"
 	case confirmValues:
@@ -70,9 +65,7 @@
 }
 
 // runsRound reports whether operations of the kind run a Paxos round.
-func (k operationKind) runsRound() bool {
-	return k == proposeWrite || k == completeRead || k == repairValues
-}
+func (k operationKind) runsRound() bool { return k == proposeWrite || k == repairValues }
 
 // needsActive reports whether operations of the kind require this replica to be active in the current epoch.
 func (k operationKind) needsActive() bool { return k.runsRound() || k.reads() || k == confirmValues }
@@ -200,7 +193,7 @@
 		answered: map[string]bool{},
 	}
 	switch op.kind {
-	case proposeWrite, completeRead, repairValues:
+	case proposeWrite, repairValues:
 		r.startRound(now, op)
 	case quorumRead, verifyRegisters:
 		r.startRead(now, op)
@@ -344,10 +337,6 @@
 		case op.retryAt.IsZero() && reached(op.attempt.deadline):
 			r.scheduleRetry(now, op)
 		case reached(op.retryAt):
-			if op.kind == completeRead && op.proposal.round == nil && !op.parked {
-				op.kind = quorumRead // no round was begun: members may hold newer values by now
-				r.unpark()
-			}
 			r.startAttempt(now, op)
 		}
 	}
--- a/internal/control/replica/peers.go
+++ b/internal/control/replica/peers.go
@@ -132,7 +132,7 @@
 // HasQuorum reports whether this replica's items can be relied on: it is a member and reaches a majority of the
 // members. Without, it may lack what others have acknowledged.
 func (r *Replica) HasQuorum(now time.Time) bool {
-	if r.leaving || !r.activeOrTakingOver(now) {
+	if r.leaving || r.fullPull != nil || !r.activeOrTakingOver(now) {
 		return false
 	}
 	reachable := 1
--- a/internal/control/replica/pull_request.go
+++ b/internal/control/replica/pull_request.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"maps"
 	"time"
 
 	"sagelever/internal/control/message"
@@ -15,7 +16,7 @@
 		From:            local.self,
 		Role:            message.RoleController,
 		ProtocolVersion: message.ProtocolVersion,
-		MembersOnly:     to.Node == "" || r.awaitsEverything(now, to.Node),
+		MembersOnly:     to.Node == "",
 		ResetCount:      r.resetCount,
 		KnownEpoch:      local.configuration.Epoch,
 		Leaving:         r.leaving,
@@ -44,7 +45,10 @@
 
 // addProgress completes a pull of a member with what this replica holds and how long the response may wait.
 func (r *Replica) addProgress(now time.Time, to message.Member, request *message.PullRequest) {
-	if !r.continueTransfer(now, to.Node, request) && r.progressCurrent(now) {
+	switch pull := r.continuedPull(now, to.Node); {
+	case pull != nil:
+		request.Progress = maps.Clone(pull.progress)
+	case r.progressCurrent(now) || r.fullPull != nil:
 		request.Progress = r.items.Vector()
 	}
 	peer := r.peers[to.Node]
--- a/internal/control/replica/pull_response.go
+++ b/internal/control/replica/pull_response.go
@@ -16,12 +16,6 @@
 func (r *Replica) HandlePullResponse(
 	now time.Time, from message.Member, request *message.PullRequest, response *message.PullResponse,
 ) {
-	truncated := response.Truncated
-	request, response = r.assemble(now, from, request, response)
-	if truncated {
-		r.notePart(now, from)
-		return
-	}
 	// A response to a request from before a reset builds on items that were given up since. It proves no progress, and
 	// its items are published anew as this replica's own.
 	coversProgress := response.Complete || request.ResetCount == r.resetCount
@@ -30,14 +24,13 @@
 		changed = append(changed, r.learnEntries(now, []quorum.Entry{*response.Configuration})...)
 	}
 	if !request.MembersOnly {
-		if response.ProtocolVersion >= message.ProtocolVersion {
-			r.applyProgress(now, response, received, coversProgress)
+		if response.ProtocolVersion >= message.ProtocolVersion &&
+			!r.applyFullPull(now, from, request, response, received) && coversProgress {
+			r.items.Advance(response.Progress)
 		}
 		r.lastPullAt = now
 	}
-	if !request.MembersOnly {
-		r.notePeerResponse(now, from, response)
-	}
+	r.notePeerResponse(now, from, response)
 	r.save(now, Save{Entries: changed}, nil)
 	r.noteQuorumChange(now)
 }
@@ -59,36 +52,8 @@
 	return changed, received
 }
 
-// applyProgress advances the version vector by a response. Where the vector could not be trusted and the response is
-// complete, the items that it doesn't contain are dropped: they were forgotten while this replica was away.
-func (r *Replica) applyProgress(
-	now time.Time, response *message.PullResponse, received map[string]bool, coversProgress bool,
-) {
-	switch {
-	case response.Complete && !r.progressCurrent(now):
-		isRegister := func(item replication.Item) bool { return strings.HasPrefix(item.Key, replication.RegisterKey) }
-		for _, key := range r.items.ReplaceReceived(received, response.Progress, isRegister) {
-			r.forget(key)
-			if id, ok := strings.CutPrefix(key, replication.BackendKey); ok {
-				delete(r.backends, id)
-			}
-		}
-		r.progressValid = true
-		r.resetCount++
-	case coversProgress:
-		r.items.Advance(response.Progress)
-	}
-}
-
-// notePart notes that a member has sent a part of its response. One that was not heard before counts as heard only with
-// the last part: until then this replica lacks something that the member holds.
-func (r *Replica) notePart(now time.Time, from message.Member) {
-	if r.reachable(from.Node, now) && r.peers[from.Node] != nil {
-		r.peers[from.Node].lastHeard = now
-	}
-}
-
-// notePeerResponse notes that a member has responded. The disk is compared because a candidate may have taken over a
+// notePeerResponse notes that a member has responded. One that was not heard before counts as heard only once it has sent
+// all that this replica lacks: until then this replica is not up to date with it. The disk is compared because a candidate may have taken over a
 // member's address; protocol version 1 doesn't tell it.
 func (r *Replica) notePeerResponse(now time.Time, from message.Member, response *message.PullResponse) {
 	peer := r.peers[from.Node]
@@ -98,6 +63,9 @@
 	if response.DiskID != peer.DiskID && response.ProtocolVersion >= message.ProtocolVersion {
 		return
 	}
+	if response.Truncated && !r.reachable(peer.Node, now) {
+		return
+	}
 	peer.heard(now, response)
 	r.heardFromPeer = true
 }
--- a/internal/control/replica/read.go
+++ b/internal/control/replica/read.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"slices"
 	"time"
 
 	"sagelever/internal/control/message"
@@ -14,11 +13,14 @@
 	keys   []string                // the registers to read; where there are none, those with the prefix
 	prefix string                  // of the keys of the registers to read
 	values map[string]quorum.Value // the values found that are known to be chosen
+
+	// undecided are the registers whose values are not known to be chosen yet; nil while the members are asked.
+	undecided map[string]bool
 }
 
 // Read reads the registers whose keys have a prefix. It brings this replica up to date with as many members as hold,
-// among them, everything that was ever acknowledged. Values that are then not known to be chosen are proposed again,
-// so that a later read finds them too. It returns the operation's ID.
+// among them, everything that was ever acknowledged, and waits until what is found is known to be chosen, so that a later
+// read finds it too. It returns the operation's ID.
 func (r *Replica) Read(now, expiresAt time.Time, prefix string) uint64 {
 	return r.startReadOperation(now, expiresAt, readState{prefix: prefix})
 }
@@ -35,6 +37,7 @@
 
 // startRead asks the other members for what they hold.
 func (r *Replica) startRead(now time.Time, op *operation) {
+	op.read.undecided = nil
 	configuration := r.local.configuration
 	if configuration.MaxFailures == 0 {
 		r.finishRead(now, op)
@@ -71,7 +74,9 @@
 	r.handleRanges(now, op, from, message.ReadPath, response, memberDone)
 }
 
-// finishRead ends a read whose values are all known to be chosen; otherwise it proposes the others again first.
+// finishRead ends a read whose values are all known to be chosen; otherwise it waits until the others are decided. It
+// doesn't propose them itself: a value that was just accepted is most likely about to be chosen, and rounds of reads would
+// compete with the one that decides it and with each other.
 func (r *Replica) finishRead(now time.Time, op *operation) {
 	if r.epochClosed() { // what this replica holds counts no longer
 		r.scheduleRetry(now, op)
@@ -82,22 +87,36 @@
 		return
 	}
 	op.read.values = map[string]quorum.Value{}
-	var unknown []string
+	op.read.undecided = map[string]bool{}
 	for _, entry := range r.readEntries(op) {
-		if entry.Chosen {
+		switch {
+		case entry.Chosen:
 			op.read.values[entry.Key] = entry.Value
-		} else {
-			unknown = append(unknown, entry.Key)
+		case isConfirmable(entry.Key) || len(op.read.keys) > 0:
+			op.read.undecided[entry.Key] = true
 		}
 	}
-	slices.Sort(unknown)
-	if len(unknown) == 0 {
+	if len(op.read.undecided) == 0 {
 		r.finish(op, op.read.values, nil)
 		return
 	}
-	op.kind = completeRead
-	op.proposal = proposal{keys: unknown, decide: keepValues}
-	r.startAttempt(now, op)
+	op.attempt = attempt{number: op.attempt.number + 1} // the other members' responses are not needed any more
+	r.expediteRepair(now, op.read.undecided)
+}
+
+// noteRead tells the reads that wait for a register that its value is known to be chosen.
+func (r *Replica) noteRead(entry quorum.Entry) {
+	for _, id := range r.operationIDs() {
+		op := r.operations[id]
+		if op == nil || op.kind != quorumRead || !op.read.undecided[entry.Key] {
+			continue
+		}
+		delete(op.read.undecided, entry.Key)
+		op.read.values[entry.Key] = entry.Value
+		if len(op.read.undecided) == 0 {
+			r.finish(op, op.read.values, nil)
+		}
+	}
 }
 
 // readEntries returns what this replica holds of the registers of a read.
--- a/internal/control/replica/registers.go
+++ b/internal/control/replica/registers.go
@@ -135,7 +135,7 @@
 			continue
 		}
 		r.publishEntry(entry)
-		r.dropUndecided(now, entry.Key)
+		r.dropUndecided(now, entry)
 		if entry.Key == membership.RegisterKey {
 			r.adoptConfiguration(now, entry)
 		}
--- a/internal/control/replica/repair.go
+++ b/internal/control/replica/repair.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"sagelever/internal/backoff"
 	"sagelever/internal/control/membership"
 	"sagelever/internal/control/quorum"
 )
@@ -17,8 +18,10 @@
 // undecidedValue is the state of a register whose value this replica has accepted without knowing that it is chosen.
 type undecidedValue struct {
 	accepted quorum.ProposalNumber // under which it was accepted
+	since    time.Time             // when that was noticed; zero: before this replica's start
 	repairAt time.Time             // when the next step is due
 	asked    bool                  // the others were asked to confirm it: the next step is a round
+	rounds   int                   // that were begun for it here
 }
 
 // trackUndecided schedules the repair of those of some registers whose values this replica has accepted without knowing
@@ -37,6 +40,7 @@
 		if scheduled, ok := r.undecided[entry.Key]; ok && scheduled.accepted == current.Accepted {
 			continue
 		}
+		r.undecided[entry.Key] = undecidedValue{accepted: current.Accepted, since: now}
 		if isConfirmable(entry.Key) {
 			r.scheduleRepair(entry.Key, confirmAt, false)
 		} else {
@@ -45,10 +49,39 @@
 	}
 }
 
+// expediteRepair begins the repair of registers that somebody waits for.
+func (r *Replica) expediteRepair(now time.Time, keys map[string]bool) {
+	for key := range keys {
+		if value, known := r.undecided[key]; known && !value.asked {
+			r.scheduleRepair(key, now, false)
+		}
+	}
+	r.repairUndecided(now)
+}
+
+// isAwaited reports whether a verification or a read waits for a register.
+func (r *Replica) isAwaited(key string) bool {
+	if r.verification.undecided[key] {
+		return true
+	}
+	for _, op := range r.operations {
+		if op.read.undecided[key] {
+			return true
+		}
+	}
+	return false
+}
+
 // scheduleRepair sets when the next step for the present value of an undecided register is due. asked says that the step
 // is a round.
 func (r *Replica) scheduleRepair(key string, at time.Time, asked bool) {
-	r.undecided[key] = undecidedValue{accepted: r.acceptor.Get(key).Accepted, repairAt: at, asked: asked}
+	r.undecided[key] = undecidedValue{
+		accepted: r.acceptor.Get(key).Accepted,
+		since:    r.undecided[key].since,
+		repairAt: at,
+		asked:    asked,
+		rounds:   r.undecided[key].rounds,
+	}
 	if r.nextRepairAt.IsZero() || at.Before(r.nextRepairAt) {
 		r.nextRepairAt = at
 	}
@@ -57,9 +90,17 @@
 // UndecidedCount returns how many registers hold a value here that was accepted and is not known to be chosen.
 func (r *Replica) UndecidedCount() int { return len(r.undecided) }
 
-// maxRepairKeys bounds the registers of one round of a repair, and so the size of its messages. Those of a larger change
-// are repaired by several at the same time.
-const maxRepairKeys = 256
+const (
+	// maxRepairKeys bounds the registers of one round of a repair, and so the size of its messages.
+	maxRepairKeys = 256
+
+	// maxRepairRounds bounds the rounds that repair a larger change at the same time. The rest follows.
+	maxRepairRounds = 4
+)
+
+// repairBackoff is the time between two rounds for a value. It grows, so that where rounds take long, as they do for a large
+// change on busy machines, those of several members come to an end between each other's.
+var repairBackoff = backoff.Policy{Initial: attemptTimeout + repairDelay, Max: 8 * attemptTimeout}
 
 // repairUndecided takes the next step for the undecided registers for which it is due.
 func (r *Replica) repairUndecided(now time.Time) {
@@ -71,9 +112,15 @@
 		r.updateNextRepair(now)
 		return
 	}
-	again := attemptTimeout + time.Duration(r.repairTurn(now))*r.RoundTime() + r.jitter(repairDelay)
-	for _, key := range slices.Concat(confirm, propose) {
-		r.scheduleRepair(key, now.Add(again), true)
+	turn, random := r.repairTurn(now), r.config.Random()
+	for _, key := range confirm {
+		r.scheduleRepair(key, now.Add(attemptTimeout+turn), true)
+	}
+	for _, key := range propose {
+		value := r.undecided[key]
+		value.rounds++
+		r.undecided[key] = value
+		r.scheduleRepair(key, now.Add(turn+repairBackoff.Delay(value.rounds, random)), true)
 	}
 	r.updateNextRepair(now)
 	r.confirmValues(now, confirm)
@@ -101,7 +148,7 @@
 	for _, key := range slices.Sorted(maps.Keys(r.undecided)) {
 		entry := r.acceptor.Get(key)
 		if entry.Chosen || entry.Accepted == (quorum.ProposalNumber{}) {
-			r.dropUndecided(now, key)
+			r.dropUndecided(now, entry)
 			continue
 		}
 		repairable := key == membership.RegisterKey || !r.epochClosed()
@@ -110,7 +157,7 @@
 		case !repairable || now.Before(value.repairAt):
 		case !value.asked:
 			confirm = append(confirm, key)
-		default:
+		case len(propose) < maxRepairRounds*maxRepairKeys:
 			propose = append(propose, key)
 		}
 	}
@@ -121,7 +168,8 @@
 }
 
 // dropUndecided notes that the value of a register is known to be chosen.
-func (r *Replica) dropUndecided(now time.Time, key string) {
-	delete(r.undecided, key)
-	r.noteVerified(now, key)
+func (r *Replica) dropUndecided(now time.Time, entry quorum.Entry) {
+	delete(r.undecided, entry.Key)
+	r.noteRead(entry)
+	r.noteVerified(now, entry.Key)
 }
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -47,11 +47,11 @@
 
 	// Replicated items.
 	items         *replication.ItemStore
-	progressValid bool                 // the items are as complete as the store's vector says
-	lastPullAt    time.Time            // of the last response to a pull, from whichever member
-	transfers     map[string]*transfer // responses of which parts are still to come, by node
-	resetCount    int                  // how often the items were replaced by a complete response
-	heardFromPeer bool                 // since the start
+	progressValid bool      // the items are as complete as the store's vector says
+	lastPullAt    time.Time // of the last response to a pull, from whichever member
+	fullPull      *fullPull // under way; nil for none
+	resetCount    int       // how often the items were replaced by a complete response
+	heardFromPeer bool      // since the start
 	pullProgress  map[string]peerProgress
 	tombstones    map[string]time.Time // items to be dropped, and when
 
@@ -79,7 +79,6 @@
 		peers:            map[string]*peerState{},
 		candidates:       map[string]*candidate{},
 		pullProgress:     map[string]peerProgress{},
-		transfers:        map[string]*transfer{},
 		tombstones:       map[string]time.Time{},
 		backends:         map[string]*replication.Backend{},
 		lostOwners:       map[string]time.Time{},
--- a/internal/control/replica/request.go
+++ b/internal/control/replica/request.go
@@ -84,7 +84,7 @@
 	if response != nil {
 		r.recordResponseTime(op, from, now)
 		switch op.kind {
-		case proposeWrite, completeRead, repairValues:
+		case proposeWrite, repairValues:
 			r.handleRoundResponse(now, op, from.Node, response)
 		case quorumRead, verifyRegisters:
 			r.handleReadResponse(now, op, from, response)
