--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -21,7 +21,7 @@
 	tryID := r.Header.Get(headerTryID)
 	p.setCommonHeaders(w.Header(), tryID)
 	table := p.routingTable.Load()
-	if table == nil || table.ItemCount == 0 || p.awaitsAuthority(arrivedAt) {
+	if table == nil || table.ItemCount == 0 {
 		p.replyUnavailable(w, "no configuration yet", minRetryAfter)
 		return
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -181,7 +181,7 @@
 // ready reports whether the proxy can serve: it has a configuration and is not shutting down.
 func (p *Proxy) ready() bool {
 	table := p.routingTable.Load()
-	return table != nil && table.ItemCount > 0 && !p.draining.Load() && !p.awaitsAuthority(time.Now())
+	return table != nil && table.ItemCount > 0 && !p.draining.Load()
 }
 
 // readyHandler serves the readiness check and the metrics.
