--- a/internal/control/replica/operation.go
+++ b/internal/control/replica/operation.go
@@ -73,10 +73,6 @@
 // reads reports whether operations of the kind read registers of other members.
 func (k operationKind) reads() bool { return k == quorumRead || k == verifyRegisters }
 
-// endsWithItsAttempt reports whether operations of the kind consist of one attempt, as they begin anew when they are due
-// again.
-func (k operationKind) endsWithItsAttempt() bool { return k == repairValues || k == confirmValues }
-
 // operation is something that a replica does with the help of others. It consists of attempts: one that fails or times
 // out is followed by the next after a random pause, until the operation ends.
 type operation struct {
@@ -252,7 +248,7 @@
 		r.endConfirmation(now, op)
 		return
 	}
-	if op.kind.endsWithItsAttempt() {
+	if op.kind == repairValues {
 		r.finish(op, nil, ErrTooFewResponses)
 		return
 	}
--- a/internal/testbed/soak/clients.go
+++ b/internal/testbed/soak/clients.go
@@ -42,7 +42,7 @@
 	habits                // number of habits
 )
 
-// clientName is the header's values by which the protocol's parties know a request.
+// The headers of the protocol that clients send and read.
 const (
 	headerAttemptID = "X-Sagelever-Try-Id"
 	headerTimeLeft  = "X-Sagelever-Time-Left-Ms"
--- a/internal/testbed/soak/fleet.go
+++ b/internal/testbed/soak/fleet.go
@@ -37,14 +37,13 @@
 	bigOrder func(ctx context.Context)
 	rng      *rand.Rand // of the order in which things that come at one time are done; guarded by mu
 
-	mu          sync.Mutex
-	nodeLocks   map[string]*sync.Mutex
-	disturbed   disturbances
-	calmSince   map[string]time.Time // by node: the end of the last thing that happened to it
-	killOnAck   []Trouble
-	wipedZone   string // the last controller that has lost its disk, and since when it is up again
-	wipedUpAt   time.Time
-	lastTrouble time.Time
+	mu        sync.Mutex
+	nodeLocks map[string]*sync.Mutex
+	disturbed disturbances
+	calmSince map[string]time.Time // by node: the end of the last thing that happened to it
+	killOnAck []Trouble
+	wipedZone string // the last controller that has lost its disk, and since when it is up again
+	wipedUpAt time.Time
 
 	inProgress sync.WaitGroup
 }
@@ -110,9 +109,6 @@
 	case BigOrder:
 		f.bigOrder(ctx)
 	}
-	f.mu.Lock()
-	f.lastTrouble = time.Now()
-	f.mu.Unlock()
 }
 
 // eachNode does something to some nodes at the same time and waits for its end.
@@ -142,10 +138,9 @@
 
 // restart ends a node gracefully and starts it again. Its requests are not excused.
 func (f *fleet) restart(name string) {
-	from := time.Now()
 	f.cluster.StopNode(name)
 	f.ensureStarted(name)
-	f.noteEvent(name, from, time.Now())
+	f.noteEvent(name, time.Now())
 }
 
 // kill ends a process at once and starts it again after a while.
@@ -158,7 +153,7 @@
 	f.excuseProxy(name, from, time.Now().Add(killMargin))
 	wait(ctx, downFor)
 	f.ensureStarted(name)
-	f.noteEvent(name, from, time.Now())
+	f.noteEvent(name, time.Now())
 }
 
 // freeze stops a process for a while.
@@ -168,7 +163,7 @@
 	wait(ctx, frozenFor)
 	_ = f.cluster.Signal(name, syscall.SIGCONT)
 	f.excuseProxy(name, from, time.Now().Add(thawMargin))
-	f.noteEvent(name, from, time.Now())
+	f.noteEvent(name, time.Now())
 }
 
 // wipe has a controller lose its disk, unless the one that lost its disk last may not be back yet.
@@ -188,7 +183,6 @@
 	if tooSoon {
 		return
 	}
-	from := time.Now()
 	lock := f.nodeLocks[name]
 	lock.Lock()
 	f.cluster.KillNode(name)
@@ -198,7 +192,7 @@
 	lock.Unlock()
 	wait(ctx, downFor)
 	f.ensureStarted(name)
-	f.noteEvent(name, from, time.Now())
+	f.noteEvent(name, time.Now())
 	f.mu.Lock()
 	f.wipedUpAt = time.Now()
 	f.mu.Unlock()
@@ -225,7 +219,7 @@
 }
 
 // noteEvent notes until when something has happened to a node.
-func (f *fleet) noteEvent(name string, _, to time.Time) {
+func (f *fleet) noteEvent(name string, to time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calmSince[name] = later(f.calmSince[name], to)
