--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -18,7 +18,8 @@
 type attempt struct {
 	exchange   upstream.Exchange
 	method     string
-	tryID      string                      // the client's id of the request, which the response must repeat
+	tryID      string // the client's id of the request, which the response must repeat
+	backendID  string
 	withheldBy atomic.Pointer[retry.Event] // the event that forbade writing; nil if writing was permitted
 
 	// State of the current connection and of the request on it.
@@ -33,10 +34,11 @@
 	complete   atomic.Bool
 }
 
-// newAttempt returns an attempt. checkWrite is called before the first byte is written and returns the event that
-// forbids the write, if any. Later bytes are not checked, as the backend may already be processing the request.
-func newAttempt(r *http.Request, checkWrite func() (event retry.Event, forbidden bool)) *attempt {
-	a := &attempt{method: r.Method, tryID: r.Header.Get(headerTryID)}
+// newAttempt returns an attempt to send a request to a backend. checkWrite is called before the first byte is written
+// and returns the event that forbids the write, if any. Later bytes are not checked, as the backend may already be
+// processing the request.
+func newAttempt(r *http.Request, backendID string, checkWrite func() (event retry.Event, forbidden bool)) *attempt {
+	a := &attempt{method: r.Method, tryID: r.Header.Get(headerTryID), backendID: backendID}
 	a.exchange.MatchesResponse = func(header http.Header) bool {
 		id := header.Get(headerTryID)
 		return id == a.tryID || id == "" // validateResponse rejects a response without an id
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -24,6 +24,7 @@
 	retries      atomic.Int64
 	queued       atomic.Int64 // requests that waited for a backend
 	aborted      atomic.Int64 // responses aborted before their end
+	unanswered   atomic.Int64 // requests still in flight when the process exits
 	healthChecks atomic.Int64 // health checks sent to backends
 	withheld     atomic.Int64 // attempts withheld because the backend began to drain during the dial
 
@@ -50,6 +51,7 @@
 		zap.Int64("retries", c.retries.Load()),
 		zap.Int64("queued", c.queued.Load()),
 		zap.Int64("aborted", c.aborted.Load()),
+		zap.Int64("unanswered", c.unanswered.Load()),
 		zap.Int64("healthChecks", c.healthChecks.Load()),
 		zap.Int64("withheld", c.withheld.Load()),
 		zap.Int64s("sendsByDistance", loadAll(&c.sendsByDistance)),
@@ -87,6 +89,7 @@
 		"controller_changes_total": &p.counters.sourceChanges,
 		"request_buffer_bytes":     &p.bufferedBytes,
 	})
+	page.Add("requests_in_flight", func() float64 { return float64(p.inFlight.count()) })
 	page.Add("configuration_age_seconds", func() float64 { return p.subscription.updateAge(time.Now()).Seconds() })
 	return page
 }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -19,6 +19,8 @@
 	arrivedAt := time.Now()
 	p.counters.received.Add(1)
 	tryID := r.Header.Get(headerTryID)
+	tracked := p.inFlight.add(tryID, arrivedAt)
+	defer p.inFlight.remove(tracked)
 	p.setCommonHeaders(w.Header(), tryID)
 	table := p.routingTable.Load()
 	if table == nil || table.ItemCount == 0 {
@@ -48,7 +50,7 @@
 	p.mu.Lock()
 	p.balancer.StartRequest(request, arrivedAt)
 	p.mu.Unlock()
-	p.forward(w, r, request, body)
+	p.forward(w, r, request, body, tracked)
 }
 
 // setCommonHeaders sets the headers of every response, whether forwarded or written by the proxy itself.
@@ -87,7 +89,8 @@
 //
 // All attempts are bounded by the request's deadline. If the client disconnects, an idempotent request is cancelled. A
 // non-idempotent request continues once it has been written, as it may already have had effects.
-func (p *Proxy) forward(w http.ResponseWriter, r *http.Request, request *balancer.Request, body requestBody) {
+func (p *Proxy) forward(w http.ResponseWriter, r *http.Request, request *balancer.Request, body requestBody,
+	tracked *inFlightRequest) {
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), request.Deadline)
 	defer cancel()
 	stopWatching := context.AfterFunc(r.Context(), func() {
@@ -103,7 +106,9 @@
 			p.respond(w, request, &attemptResult{rule: retry.Decide(retry.Queued, event)})
 			return
 		}
-		result := p.send(ctx, r, request, backend, body)
+		attempt := p.newAttempt(r, backend)
+		tracked.attempt.Store(attempt)
+		result := p.send(ctx, attempt, r, request, body)
 		if p.reportOutcome(request, backend, result, body.replayable()) {
 			result.close()
 			continue
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -90,6 +90,7 @@
 	subscription  *subscription
 	listener      *listener
 	requestQueued chan struct{} // wakes the ticker when a request is queued; capacity 1
+	inFlight      inFlightRequests
 	counters      counters
 
 	onAttempt func(*http.Request, *attempt) // called when an attempt starts; only set by tests
@@ -155,6 +156,7 @@
 	p.subscription.announceLease(workCtx)
 	p.log.Info("leaving", zap.Duration("grace", p.settings.RuleLimits.ShutdownGrace))
 	p.listener.close(workCtx)
+	p.reportUnanswered(time.Now())
 	p.subscription.releaseLease(workCtx)
 	cancel()
 	loops.Wait()
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -45,15 +45,20 @@
 	}
 }
 
+// newAttempt returns an attempt to send a request to a backend.
+func (p *Proxy) newAttempt(r *http.Request, backend *balancer.Backend) *attempt {
+	attempt := newAttempt(r, backend.ID, func() (retry.Event, bool) { return p.checkWrite(r, backend) })
+	if p.onAttempt != nil {
+		p.onAttempt(r, attempt)
+	}
+	return attempt
+}
+
 // send makes one attempt: it sends a request to a backend and reads the response, up to maxBufferedBody bytes of its
 // body. It never retries; the caller decides on retries by the rule in the result.
-func (p *Proxy) send(ctx context.Context, r *http.Request, request *balancer.Request, backend *balancer.Backend,
+func (p *Proxy) send(ctx context.Context, attempt *attempt, r *http.Request, request *balancer.Request,
 	body requestBody) *attemptResult {
 	startedAt := time.Now()
-	attempt := newAttempt(r, func() (retry.Event, bool) { return p.checkWrite(r, backend) })
-	if p.onAttempt != nil {
-		p.onAttempt(r, attempt)
-	}
 	result := &attemptResult{attempt: attempt, length: -1}
 	defer func() { result.Latency = time.Since(startedAt) }()
 	resp, err := p.roundTrip(ctx, attempt, newBackendRequest(r, request, body), body)
