--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -134,10 +134,8 @@
 		return *event
 	}
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return retry.Timeout
 	case ctx.Err() != nil:
-		return retry.ClientDisconnected
+		return cancellationEvent(ctx)
 	case errors.Is(err, errUnidentifiedResponse):
 		return retry.UnidentifiedResponse
 	case errors.Is(err, errMissingSeal):
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -22,6 +22,10 @@
 	tracked := p.inFlight.add(tryID, arrivedAt)
 	defer p.inFlight.remove(tracked)
 	p.setCommonHeaders(w.Header(), tryID)
+	if p.deadline.passed() {
+		p.replyShuttingDown(w)
+		return
+	}
 	table := p.routingTable.Load()
 	if table == nil || table.ItemCount == 0 {
 		p.replyUnavailable(w, "no configuration yet", minRetryAfter)
@@ -87,18 +91,26 @@
 // forward sends a request to a backend, retries it on other backends while the retry rules allow it, and responds to
 // the client.
 //
-// All attempts are bounded by the request's deadline. If the client disconnects, an idempotent request is cancelled. A
-// non-idempotent request continues once it has been written, as it may already have had effects.
+// All attempts are bounded by the request's deadline and by the shutdown deadline. If the client disconnects, an
+// idempotent request is cancelled. A non-idempotent request continues once it has been written, as it may already have
+// had effects.
 func (p *Proxy) forward(w http.ResponseWriter, r *http.Request, request *balancer.Request, body requestBody,
 	tracked *inFlightRequest) {
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), request.Deadline)
+	ctx, cancelCause := context.WithCancelCause(context.WithoutCancel(r.Context()))
+	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
+	stopDeadline := p.deadline.whenPassed(func() { cancelCause(errShutdownDeadline) })
+	defer stopDeadline()
 	stopWatching := context.AfterFunc(r.Context(), func() {
 		if request.Route.Idempotent {
 			cancel()
 		}
 	})
 	defer stopWatching()
+	if !body.replayable() { // RoundTrip returns only after its last read of the body
+		stopInterrupt := context.AfterFunc(ctx, func() { interruptBodyRead(w) })
+		defer stopInterrupt()
+	}
 	queueUntil := queueDeadline(request)
 	for {
 		backend, event := p.acquireBackend(ctx, r, request, queueUntil)
@@ -113,6 +125,7 @@
 			result.close()
 			continue
 		}
+		stopDeadline() // a response that is being forwarded continues until the process exits
 		result.cancelOnDisconnect = func() (stop func() bool) { return context.AfterFunc(r.Context(), cancel) }
 		p.respond(w, request, result)
 		return
@@ -155,6 +168,7 @@
 		return backend, event
 	case <-timer.C:
 	case <-ctx.Done():
+		event = cancellationEvent(ctx)
 	case <-r.Context().Done():
 		event = retry.ClientDisconnected
 	}
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -14,10 +14,6 @@
 )
 
 const (
-	// maxDrainNotice bounds the time for which a draining proxy still accepts connections, as clients learn with a
-	// delay that they should use another proxy.
-	maxDrainNotice = 2 * time.Second
-
 	// acceptRetryDelay is the pause after a failed accept. Accept fails while the process has no file descriptor left.
 	acceptRetryDelay = 20 * time.Millisecond
 
@@ -36,15 +32,15 @@
 // listener accepts connections from clients and hands them to the current http.Server. The limits of an http.Server are
 // fixed when it starts, so changed limits start a new server; the previous one keeps its existing connections.
 type listener struct {
-	handler       http.Handler
-	shutdownGrace time.Duration
-	tcpListener   net.Listener
-	acceptDone    chan struct{} // closed when the accept loop has ended
+	handler     http.Handler
+	tcpListener net.Listener
+	acceptDone  chan struct{} // closed when the accept loop has ended
 
 	mu      sync.Mutex
 	current *serverListener // listener of the newest server
 	servers []*http.Server
 	limits  routing.RequestLimits // limits of the newest server
+	closing bool                  // no further server is started
 }
 
 // serverListener is the net.Listener of one http.Server. Accept returns the connections passed to offer until the
@@ -82,8 +78,8 @@
 	return nil
 }
 
-func newListener(handler http.Handler, shutdownGrace time.Duration) *listener {
-	return &listener{handler: handler, shutdownGrace: shutdownGrace, acceptDone: make(chan struct{})}
+func newListener(handler http.Handler) *listener {
+	return &listener{handler: handler, acceptDone: make(chan struct{})}
 }
 
 // open starts to accept connections with the default limits.
@@ -138,7 +134,7 @@
 func (l *listener) applyLimits(limits routing.RequestLimits) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if limits == l.limits || l.tcpListener == nil {
+	if limits == l.limits || l.tcpListener == nil || l.closing {
 		return
 	}
 	l.limits = limits
@@ -159,21 +155,28 @@
 	}
 }
 
-// close shuts the listener down within the shutdown grace period. It accepts connections for a third of that period, at
-// most for maxDrainNotice, as clients still have the address. Then it stops listening and waits for requests in flight,
-// for up to 60% of the period.
-func (l *listener) close(ctx context.Context) {
-	time.Sleep(min(l.shutdownGrace/3, maxDrainNotice))
-	ctx, cancel := context.WithTimeout(ctx, l.shutdownGrace*6/10)
+// close shuts the listener down. For the time that the schedule calls notice it accepts connections, as clients still
+// have the address. Then it stops listening and waits for requests in flight. At the shutdown deadline it calls
+// passDeadline, and waits until the remaining requests are answered too, but not longer than the schedule allows.
+func (l *listener) close(ctx context.Context, schedule shutdownSchedule, passDeadline func()) {
+	time.Sleep(schedule.notice)
+	ctx, cancel := context.WithTimeout(ctx, schedule.drain+schedule.answers)
 	defer cancel()
-	l.mu.Lock()
-	servers := append([]*http.Server(nil), l.servers...)
-	l.mu.Unlock()
+	deadline := time.AfterFunc(schedule.drain, passDeadline)
+	defer deadline.Stop()
+	l.tcpListener.Close()
+	<-l.acceptDone // each accepted connection now has a server
 	var shutdowns sync.WaitGroup
-	for _, server := range servers {
-		shutdowns.Go(func() { _ = server.Shutdown(ctx) }) // unfinished requests end with the process
+	for _, server := range l.finalServers() {
+		shutdowns.Go(func() { _ = server.Shutdown(ctx) }) // reports only that requests are left, which end with the process
 	}
-	l.tcpListener.Close()
 	shutdowns.Wait()
-	<-l.acceptDone
+}
+
+// finalServers returns all servers, and prevents that another one is started.
+func (l *listener) finalServers() []*http.Server {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closing = true
+	return l.servers
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -78,6 +78,7 @@
 	routingTable atomic.Pointer[routing.Table] // nil until a controller has sent a configuration
 	authority    authority                     // whether the configuration is complete
 	draining     atomic.Bool                   // the proxy is shutting down
+	deadline     *shutdownDeadline
 
 	bufferedBytes atomic.Int64 // size of the request and response bodies in memory
 	bufferLimit   int64        // requests with a body are rejected while bufferedBytes is above this limit
@@ -110,12 +111,13 @@
 		balancer:      balancer.New(options.Settings, rand.Float64),
 		bufferLimit:   memoryLimit / bufferLimitDivisor,
 		requestQueued: make(chan struct{}, 1),
+		deadline:      newShutdownDeadline(),
 	}
 	connOptions := upstream.Options{MaxResponseBytes: memoryLimit / maxResponseBytesDivisor}
 	p.connPool = newConnPool(connOptions, func() { p.counters.dials.Add(1) })
 	p.transport = newTransport(p.connPool)
 	p.subscription = newSubscription(p)
-	p.listener = newListener(http.HandlerFunc(p.serveClient), options.Settings.RuleLimits.ShutdownGrace)
+	p.listener = newListener(http.HandlerFunc(p.serveClient))
 	return p
 }
 
@@ -133,8 +135,8 @@
 }
 
 // Run serves until ctx ends. It then drains: it withdraws the client address from the membership lease, lets requests
-// in flight finish within the shutdown grace period, and releases the membership lease. Run returns an error only if it
-// cannot listen on an address.
+// in flight finish within the shutdown grace period, answers those that do not, and releases the membership lease. Run
+// returns an error only if it cannot listen on an address.
 func (p *Proxy) Run(ctx context.Context) error {
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -155,7 +157,7 @@
 	p.draining.Store(true)
 	p.subscription.announceLease(workCtx)
 	p.log.Info("leaving", zap.Duration("grace", p.settings.RuleLimits.ShutdownGrace))
-	p.listener.close(workCtx)
+	p.listener.close(workCtx, newShutdownSchedule(p.settings.RuleLimits.ShutdownGrace), p.deadline.pass)
 	p.reportUnanswered(time.Now())
 	p.subscription.releaseLease(workCtx)
 	cancel()
--- a/internal/proxy/requestbody.go
+++ b/internal/proxy/requestbody.go
@@ -54,6 +54,8 @@
 		_ = control.SetReadDeadline(time.Now().Add(limits.IdleTimeout)) // if the connection is closed, the read fails
 		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	}
+	stopDeadline := p.deadline.whenPassed(func() { interruptBodyRead(w) })
+	defer stopDeadline()
 	reader := http.MaxBytesReader(w, r.Body, maxBytes)
 	body, err := bufferBody(reader, r.ContentLength)
 	if err != nil {
@@ -64,6 +66,11 @@
 	return body, true
 }
 
+// interruptBodyRead makes the current and all later reads of a request's body fail. It does not wait for them.
+func interruptBodyRead(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now()) // if the connection is closed, the read fails
+}
+
 // bufferBody reads a body into memory, and stops once more than maxBufferedBody bytes are read. contentLength is the
 // announced length, negative if unknown.
 func bufferBody(reader io.Reader, contentLength int64) (requestBody, error) {
@@ -93,6 +100,10 @@
 		p.replyRejected(w, http.StatusRequestEntityTooLarge, "the body is too long")
 		return
 	}
+	if p.deadline.passed() {
+		p.replyShuttingDown(w)
+		return
+	}
 	w.Header().Set("Connection", "close")
 	p.replyRejected(w, http.StatusBadRequest, "the body can't be read")
 }
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -23,6 +23,12 @@
 	http.Error(w, reason, http.StatusServiceUnavailable)
 }
 
+// replyShuttingDown responds to a request that was not sent to a backend by the shutdown deadline.
+func (p *Proxy) replyShuttingDown(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	p.replyUnavailable(w, "shutting down", minRetryAfter)
+}
+
 // replyRejected responds to an invalid request that was not executed.
 func (p *Proxy) replyRejected(w http.ResponseWriter, status int, reason string) {
 	p.counters.rejected.Add(1)
--- a/internal/proxy/retry/event.go
+++ b/internal/proxy/retry/event.go
@@ -21,6 +21,7 @@
 	Timeout                           // the time limit of the request or of the dial has passed
 	ClientDisconnected                // the client closes its connection
 	Shutdown                          // the proxy begins to shut down
+	ShutdownDeadline                  // the time for requests in flight ends: the process is about to exit
 	PermissionRevoked                 // sending is no longer allowed: the lease has expired, or the backend drains
 	eventCount
 )
@@ -45,6 +46,7 @@
 		Timeout:              "timeout",
 		ClientDisconnected:   "client disconnected",
 		Shutdown:             "shutdown",
+		ShutdownDeadline:     "shutdown deadline",
 		PermissionRevoked:    "permission revoked",
 	}[e]
 }
--- a/internal/proxy/retry/table.go
+++ b/internal/proxy/retry/table.go
@@ -34,11 +34,12 @@
 func Decide(phase Phase, event Event) Rule { return rules[phase][event] }
 
 // queuedRules returns the rules of Queued. A request whose client has disconnected is not sent. A shutdown does not
-// affect a queued request.
+// affect a queued request until its deadline.
 func queuedRules() (row [eventCount]Rule) {
 	rejected := unavailableRule.withConnection(NoConnection)
 	row[Timeout] = rejected
 	row[ClientDisconnected] = rejected
+	row[ShutdownDeadline] = rejected
 
 	unaffected := continuesRule.withExecution(NotExecuted).withConnection(NoConnection)
 	row[Shutdown] = unaffected
@@ -65,6 +66,7 @@
 	row[Timeout] = unavailableRule
 	row[ClientDisconnected] = unavailableRule
 	row[Shutdown] = continuesRule.withExecution(NotExecuted)
+	row[ShutdownDeadline] = unavailableRule
 	return row
 }
 
@@ -99,6 +101,7 @@
 	row[Timeout] = timeoutRule
 	row[ClientDisconnected] = abandonedRule
 	row[Shutdown] = continuesRule
+	row[ShutdownDeadline] = timeoutRule
 	row[PermissionRevoked] = continuesRule
 	return row
 }
@@ -114,7 +117,7 @@
 }
 
 // streamingRules returns the rules of Streaming. The client has received part of the response, so no other response can
-// replace it.
+// replace it, and it continues until the process exits.
 func streamingRules() (row [eventCount]Rule) {
 	row[ResponseReceived] = responseRule
 	row[ServerError] = responseRule
@@ -123,6 +126,7 @@
 		row[event] = abortedRule
 	}
 	row[Shutdown] = continuesRule.withExecution(Executed)
+	row[ShutdownDeadline] = continuesRule.withExecution(Executed)
 	row[PermissionRevoked] = continuesRule.withExecution(Executed)
 	return row
 }
@@ -133,7 +137,7 @@
 	for _, event := range AllEvents() {
 		row[event] = responseRule.withConnection(Discard)
 	}
-	for _, event := range []Event{Timeout, ClientDisconnected, Shutdown, PermissionRevoked} {
+	for _, event := range []Event{Timeout, ClientDisconnected, Shutdown, ShutdownDeadline, PermissionRevoked} {
 		row[event] = responseRule
 	}
 	return row
--- a/internal/proxy/retry/table_test.go
+++ b/internal/proxy/retry/table_test.go
@@ -120,6 +120,23 @@
 	})
 }
 
+// Every request that is not being streamed gets a response at the shutdown deadline, and is not sent again.
+func TestShutdownDeadlineEndsRequests(t *testing.T) {
+	for _, phase := range AllPhases() {
+		rule := Decide(phase, ShutdownDeadline)
+		if phase == Streaming {
+			if rule.Continuation != Continues {
+				t.Errorf("%v: %v", phase, rule.Continuation)
+			}
+			continue
+		}
+		answered := rule.Response == Forwarded || rule.Response == ServiceUnavailable || rule.Response == GatewayTimeout
+		if rule.Continuation != Ended || !answered || rule.Retry != Never {
+			t.Errorf("%v: %+v", phase, rule)
+		}
+	}
+}
+
 // A reset and a close have the same rule, because the operating system may report either of them.
 func TestConnectionResetEqualsClose(t *testing.T) {
 	for _, phase := range AllPhases() {
--- a/internal/proxy/scenario_test.go
+++ b/internal/proxy/scenario_test.go
@@ -278,6 +278,8 @@
 		s.disconnectClient()
 	case retry.Shutdown:
 		s.shutDown()
+	case retry.ShutdownDeadline:
+		s.proxy.deadline.pass()
 	case retry.PermissionRevoked:
 		s.drainBackend()
 	default:
