--- a/httpagent/clientconns.go
+++ b/httpagent/clientconns.go
@@ -5,8 +5,9 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
+
+	"sagelever/internal/tcp"
 )
 
 // clientConns tracks and limits client connections, so that idle and silent clients cannot exhaust the descriptors. At
@@ -113,39 +114,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	state := c.conns[conn]
-	tracked, ok := conn.(*closeTrackingConn)
-	if state == nil || ok && tracked.closed.Load() {
+	tracked, ok := conn.(*tcp.CloseTrackingConn)
+	if state == nil || ok && tracked.Closed() {
 		return false
 	}
 	state.inUse = true
 	return true
 }
 
-// closeTrackingConn is a client connection that records whether it has been closed. On shutdown, net/http closes idle
-// connections itself, including one from which a request has just been read.
-type closeTrackingConn struct {
-	net.Conn
-	closed atomic.Bool
-}
-
-// Close records the close and closes the connection.
-func (c *closeTrackingConn) Close() error {
-	c.closed.Store(true)
-	return c.Conn.Close()
-}
-
-// closeTrackingListener wraps accepted connections in closeTrackingConn.
-type closeTrackingListener struct{ net.Listener }
-
-// Accept waits for the next connection.
-func (l closeTrackingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &closeTrackingConn{Conn: conn}, nil
-}
-
 // closeUnused closes connections that have never carried a request. http.Server closes the idle ones on shutdown.
 func (c *clientConns) closeUnused() {
 	c.mu.Lock()
--- a/httpagent/server.go
+++ b/httpagent/server.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"sagelever/internal/tcp"
 )
 
 const (
@@ -31,7 +33,7 @@
 func (a *Agent) serve(ctx context.Context, listener net.Listener) error {
 	server := a.newServer()
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(closeTrackingListener{listener}) }()
+	go func() { failed <- server.Serve(tcp.CloseTrackingListener{Listener: listener}) }()
 	select {
 	case err := <-failed:
 		return err
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -19,6 +19,10 @@
 	arrivedAt := time.Now()
 	p.counters.received.Add(1)
 	tryID := r.Header.Get(headerTryID)
+	if clientConnClosed(r.Context()) {
+		p.counters.aborted.Add(1)
+		panic(http.ErrAbortHandler)
+	}
 	tracked := p.inFlight.add(tryID, arrivedAt)
 	defer p.inFlight.remove(tracked)
 	p.setCommonHeaders(w.Header(), tryID)
@@ -60,14 +64,19 @@
 // setCommonHeaders sets the headers of every response, whether forwarded or written by the proxy itself.
 func (p *Proxy) setCommonHeaders(header http.Header, tryID string) {
 	header["Date"] = nil // prevents the server from adding one
-	if p.draining.Load() {
-		header.Set("Connection", "close")
-	}
+	p.announceShutdown(header)
 	if tryID != "" {
 		header.Set(headerTryID, tryID)
 	}
 }
 
+// announceShutdown tells the client of a response that the proxy closes the connection, if it is shutting down.
+func (p *Proxy) announceShutdown(header http.Header) {
+	if p.draining.Load() {
+		header.Set("Connection", "close")
+	}
+}
+
 // replyNoRoute answers a request that matches no route. The response is a final 404 only if the configuration is known
 // to be complete and up to date; otherwise the route may exist and another proxy may serve it.
 func (p *Proxy) replyNoRoute(w http.ResponseWriter) {
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"sagelever/internal/control/routing"
+	"sagelever/internal/tcp"
 )
 
 const (
@@ -89,7 +90,7 @@
 		return err
 	}
 	l.mu.Lock()
-	l.tcpListener = tcpListener
+	l.tcpListener = tcp.CloseTrackingListener{Listener: tcpListener}
 	l.mu.Unlock()
 	l.applyLimits(defaultLimits)
 	go l.acceptLoop()
@@ -141,18 +142,39 @@
 	previous := l.current
 	current := &serverListener{Listener: l.tcpListener, conns: make(chan net.Conn), done: make(chan struct{})}
 	l.current = current
-	server := &http.Server{
+	server := l.newServer(limits)
+	l.servers = append(l.servers, server)
+	go func() { _ = server.Serve(current) }() // always returns an error once current is closed
+	if previous != nil {
+		_ = previous.Close() // always returns nil
+	}
+}
+
+// newServer returns a server with the given limits.
+func (l *listener) newServer(limits routing.RequestLimits) *http.Server {
+	return &http.Server{
 		Handler:           l.handler,
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    int(min(limits.MaxHeaderBytes, maxHeaderLimit)),
+		ConnContext:       withClientConn,
 		ErrorLog:          zap.NewStdLog(zap.NewNop()), // malformed client requests are not logged
 	}
-	l.servers = append(l.servers, server)
-	go func() { _ = server.Serve(current) }() // always returns an error once current is closed
-	if previous != nil {
-		_ = previous.Close() // always returns nil
-	}
+}
+
+// clientConnKey is the context key under which requests carry their client's connection.
+type clientConnKey struct{}
+
+// withClientConn adds a connection to the context of its requests. It implements http.Server.ConnContext.
+func withClientConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, clientConnKey{}, conn)
+}
+
+// clientConnClosed reports whether this side has closed the connection of a request, so that its client can get no
+// response.
+func clientConnClosed(ctx context.Context) bool {
+	conn, ok := ctx.Value(clientConnKey{}).(*tcp.CloseTrackingConn)
+	return ok && conn.Closed()
 }
 
 // close shuts the listener down. For the time that the schedule calls notice it accepts connections, as clients still
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -45,6 +45,7 @@
 // request was not executed is only sent if that holds for all attempts.
 func (p *Proxy) respond(w http.ResponseWriter, request *balancer.Request, result *attemptResult) {
 	defer result.close()
+	p.announceShutdown(w.Header()) // the shutdown may have begun since the request arrived
 	rule := result.rule
 	neverExecuted := request.Execution == retry.NotExecuted
 	switch {
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +15,7 @@
 	"sagelever/internal/control/config"
 	"sagelever/internal/proxy/draining"
 	"sagelever/internal/settings"
+	"sagelever/internal/tcp"
 )
 
 const (
@@ -146,3 +149,57 @@
 		t.Errorf("no response %v after the request", time.Since(startedAt))
 	}
 }
+
+// Guards against a request that is sent to a backend although its client's connection was closed as an idle one: the
+// response would be lost.
+func TestRequestOfClosedConnectionIsNotSent(t *testing.T) {
+	t.Parallel()
+	address, requests := startBackend(t, serveSealed)
+	proxy := startProxy(t, backendItem("i1", address))
+	waitFor(t, "the backend is known", func() bool { return proxy.backendInState("i1", draining.Serving) })
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tracking := tcp.CloseTrackingListener{Listener: listener}
+	server := &httptest.Server{Listener: tracking, Config: proxy.listener.newServer(defaultLimits)}
+	handler := server.Config.Handler
+	aborted := make(chan bool, 1)
+	server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			aborted <- recover() == http.ErrAbortHandler
+			panic(http.ErrAbortHandler)
+		}()
+		closeClientConn(r.Context())
+		handler.ServeHTTP(w, r)
+	})
+	server.Start()
+	t.Cleanup(server.Close)
+	request := proxy.newClientRequest("GET", "/s/1", "t1", nil)
+	request.URL.Host = listener.Addr().String()
+	if response := roundTripAsClient(request); response.err == nil {
+		t.Errorf("the client got %v on a closed connection", response)
+	}
+	if ended := <-aborted; !ended || requests.Load() != 0 {
+		t.Errorf("the request was aborted: %v, and sent %d times", ended, requests.Load())
+	}
+}
+
+// closeClientConn closes the connection of a request as http.Server closes an idle connection on shutdown.
+func closeClientConn(ctx context.Context) { ctx.Value(clientConnKey{}).(net.Conn).Close() }
+
+// Guards against a connection that a client keeps open, and loses with its next request, because its last response did
+// not say that the proxy shuts down.
+func TestResponseAnnouncesShutdown(t *testing.T) {
+	t.Parallel()
+	backend := startBlockingBackend(t, serveSealed)
+	proxy := startProxy(t, backendItem("i1", backend.address))
+	_, response := proxy.beginRequest(t, rawRequest("/o/1", 1, 1))
+	<-backend.started
+	proxy.stop()
+	waitFor(t, "the proxy drains", proxy.draining.Load)
+	backend.release()
+	if got := <-response; !got.completedWith(200) || !got.closes {
+		t.Errorf("the client got %v, announces the close: %v", got, got.closes)
+	}
+}
