--- a/internal/control/server/peer_handler.go
+++ b/internal/control/server/peer_handler.go
@@ -66,8 +66,9 @@
 	var pending *replica.PendingPull
 	s.step(func(now time.Time) { pending = s.replica.HandlePull(now, request) })
 	response := s.awaitUpdates(r.Context(), pending, deadline.C)
-	if response == nil {
-		return // the caller has closed the connection
+	if response == nil { // the caller has closed the connection, or this controller is about to exit
+		http.Error(w, "shutting down", http.StatusServiceUnavailable)
+		return
 	}
 	s.counters.pulls.Add(1)
 	s.countSent(request.From.Zone, rpc.WriteResponse(w, response))
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"sagelever/internal/control/routing"
+	"sagelever/internal/graceful"
 	"sagelever/internal/tcp"
 )
 
@@ -178,21 +179,13 @@
 }
 
 // close shuts the listener down. For the time that the schedule calls notice it accepts connections, as clients still
-// have the address. Then it stops listening and waits for requests in flight. At the shutdown deadline it calls
-// passDeadline, and waits until the remaining requests are answered too, but not longer than the schedule allows.
-func (l *listener) close(ctx context.Context, schedule shutdownSchedule, passDeadline func()) {
+// have the address. Then it stops listening and waits until the requests in flight are answered. It calls passDeadline
+// at the shutdown deadline.
+func (l *listener) close(schedule shutdownSchedule, passDeadline func()) {
 	time.Sleep(schedule.notice)
-	ctx, cancel := context.WithTimeout(ctx, schedule.drain+schedule.answers)
-	defer cancel()
-	deadline := time.AfterFunc(schedule.drain, passDeadline)
-	defer deadline.Stop()
 	l.tcpListener.Close()
 	<-l.acceptDone // each accepted connection now has a server
-	var shutdowns sync.WaitGroup
-	for _, server := range l.finalServers() {
-		shutdowns.Go(func() { _ = server.Shutdown(ctx) }) // reports only that requests are left, which end with the process
-	}
-	shutdowns.Wait()
+	graceful.Shutdown(l.finalServers(), schedule.requests, passDeadline)
 }
 
 // finalServers returns all servers, and prevents that another one is started.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -157,7 +157,7 @@
 	p.draining.Store(true)
 	p.subscription.announceLease(workCtx)
 	p.log.Info("leaving", zap.Duration("grace", p.settings.RuleLimits.ShutdownGrace))
-	p.listener.close(workCtx, newShutdownSchedule(p.settings.RuleLimits.ShutdownGrace), p.deadline.pass)
+	p.listener.close(newShutdownSchedule(p.settings.RuleLimits.ShutdownGrace), p.deadline.pass)
 	p.reportUnanswered(time.Now())
 	p.subscription.releaseLease(workCtx)
 	cancel()
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"sagelever/internal/graceful"
 	"sagelever/internal/proxy/retry"
 )
 
@@ -16,19 +17,17 @@
 // errShutdownDeadline is the cause with which a request's context ends at the shutdown deadline.
 var errShutdownDeadline = errors.New("the time for requests in flight is over")
 
-// shutdownSchedule divides the shutdown grace period of a proxy. The three times follow one another, and leave the rest
-// of the grace period for the release of the lease and the exit.
+// shutdownSchedule divides the shutdown grace period of a proxy. Its parts follow one another, and leave the rest of the
+// grace period for the release of the lease and the exit.
 type shutdownSchedule struct {
-	notice  time.Duration // connections are still accepted
-	drain   time.Duration // requests in flight may finish
-	answers time.Duration // those that have not finished by then, the shutdown deadline, are answered by the proxy itself
+	notice   time.Duration     // connections are still accepted
+	requests graceful.Schedule // for requests in flight; the shutdown deadline is at the end of its first part
 }
 
 func newShutdownSchedule(grace time.Duration) shutdownSchedule {
 	return shutdownSchedule{
-		notice:  min(grace/3, maxDrainNotice),
-		drain:   grace * 11 / 20,
-		answers: grace / 20,
+		notice:   min(grace/3, maxDrainNotice),
+		requests: graceful.Schedule{Drain: grace * 11 / 20, Answers: grace / 20},
 	}
 }
 
