--- a/internal/agent/ws/clientconn.go
+++ b/internal/agent/ws/clientconn.go
@@ -24,8 +24,9 @@
 	inFlight  sync.WaitGroup  // open transactions and subscriptions
 	drainOnce sync.Once
 
-	mu      sync.Mutex                    // guards cancels
-	cancels map[string]context.CancelFunc // of open transactions and subscriptions, by id
+	mu       sync.Mutex                    // guards the following
+	cancels  map[string]context.CancelFunc // of open transactions and subscriptions, by id
+	draining bool                          // no transaction or subscription is started any more
 
 	queueMu sync.Mutex // guards queue and writing
 	queue   [][]byte   // messages not yet written
@@ -155,6 +156,9 @@
 func (c *clientConn) drain() { c.drainOnce.Do(c.goAway) }
 
 func (c *clientConn) goAway() {
+	c.mu.Lock()
+	c.draining = true // before inFlight.Wait, which must not miss a transaction
+	c.mu.Unlock()
 	c.enqueue(ClientMessage{Type: typeGoingAway, RetryMS: goingAwayRetryMS})
 	idle := make(chan struct{})
 	go func() {
--- a/internal/agent/ws/transactions.go
+++ b/internal/agent/ws/transactions.go
@@ -19,14 +19,13 @@
 		c.reject(request, err.Error())
 		return
 	}
-	stopping := server.stopping()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.cancels[request.ID] != nil {
 		c.reject(request, "the id is open")
 		return
 	}
-	if stopping || len(c.cancels) >= server.limits.PerConnection || server.openTransactions.Load() >= server.limits.Total {
+	if c.draining || len(c.cancels) >= server.limits.PerConnection || server.openTransactions.Load() >= server.limits.Total {
 		// The request has not been accepted, so it is safe to retry.
 		c.enqueue(ClientMessage{Type: typeDeferred, ID: request.ID, RetryMS: limitRetryMS})
 		return
