--- a/httpagent/server.go
+++ b/httpagent/server.go
@@ -16,6 +16,9 @@
 	// some tenths of a second to notice the shutdown.
 	drainDelay = 700 * time.Millisecond
 
+	// answerWriteTime is how long an agent that shuts down waits for its last answers to be written.
+	answerWriteTime = 200 * time.Millisecond
+
 	// headerReadTimeout disconnects clients that send nothing or never complete their headers. Regular clients are much
 	// faster.
 	headerReadTimeout = 2 * time.Second
@@ -51,9 +54,9 @@
 }
 
 // waitUntilDrained shuts the server down and waits for its requests and for connections taken over by other protocols,
-// at most as long as the longest transaction may take.
+// for at most maxDrainTime.
 func (a *Agent) waitUntilDrained(server *http.Server) error {
-	ctx, cancel := context.WithTimeout(context.Background(), a.longestTimeout())
+	ctx, cancel := context.WithTimeout(context.Background(), a.maxDrainTime())
 	defer cancel()
 	err := server.Shutdown(ctx)
 	upgradedDone := make(chan struct{})
@@ -69,6 +72,12 @@
 	}
 }
 
+// maxDrainTime returns how long after the agent has stopped listening a transaction may still be answered: it begins
+// when its body has been read, lasts for the longest timeout and its grace, and its answer has to be written.
+func (a *Agent) maxDrainTime() time.Duration {
+	return bodyReadTimeout + a.longestTimeout() + a.AnswerGrace() + answerWriteTime
+}
+
 // newServer returns the HTTP server with limits against misbehaving clients. It sets no ReadTimeout: this timeout
 // starts at the last response or the start of the connection, and if it expired during a transaction the client would
 // appear to have disconnected. The general OPTIONS handler is disabled, as net/http's response to OPTIONS * would look
