--- a/internal/testbed/cluster/backend.go
+++ b/internal/testbed/cluster/backend.go
@@ -67,6 +67,7 @@
 	rng          *rand.Rand
 	draining     bool
 	warmingUntil time.Time
+	silentUntil  time.Time // until then it drops all requests that it receives
 	heartbeats   int64
 	controller   string        // address of the controller that responded last
 	fixedWork    time.Duration // execution time of each request; 0: drawn at random
@@ -158,6 +159,11 @@
 	if err != nil {
 		return
 	}
+	if b.silent() {
+		b.cluster.Ledger.RequestDropped(r.Header.Get(headerAttemptID))
+		<-r.Context().Done()
+		return
+	}
 	select {
 	case b.queue <- struct{}{}:
 		defer func() { <-b.queue }()
@@ -311,6 +317,20 @@
 // RunStarted returns a channel that receives a value when an execution begins.
 func (b *Backend) RunStarted() <-chan struct{} { return b.runStarted }
 
+// SetSilent makes the backend drop all requests that it receives within a duration: it reads them and answers nothing
+// on their connections until the proxy closes these. Health checks are answered.
+func (b *Backend) SetSilent(duration time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.silentUntil = time.Now().Add(duration)
+}
+
+func (b *Backend) silent() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Now().Before(b.silentUntil)
+}
+
 // SetWarmUp makes the backend warm up for a duration, as after a restart.
 func (b *Backend) SetWarmUp(duration time.Duration) {
 	b.mu.Lock()
--- a/internal/testbed/cluster/cluster.go
+++ b/internal/testbed/cluster/cluster.go
@@ -35,6 +35,7 @@
 	DrainTime         time.Duration // for which a backend still serves after its drain was acknowledged
 	HeartbeatInterval time.Duration
 	WarmUp            time.Duration // warm-up time of a backend that starts
+	RequestTimeout    time.Duration // of the routes; 0: that of the cluster's own clients
 	ShutdownGrace     time.Duration // within which a process must exit after SIGTERM
 	ArrivalBound      time.Duration // how long new requests may still arrive after a removal is acknowledged
 	Fault             Fault         // to inject; empty: none
--- a/internal/testbed/cluster/configure.go
+++ b/internal/testbed/cluster/configure.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
@@ -51,7 +52,7 @@
 				"host":        serviceHost(service),
 				"pathStart":   kind.path,
 				"kind":        kind.routeKind,
-				"giveUp":      clientTimeout.String(),
+				"giveUp":      cmp.Or(c.options.RequestTimeout, clientTimeout).String(),
 				"target_time": "1s",
 				"service":     service,
 				"tries":       3,
--- a/internal/testbed/cluster/ledger.go
+++ b/internal/testbed/cluster/ledger.go
@@ -23,6 +23,7 @@
 	startedAt           time.Time
 	endedAt             time.Time
 	completedRuns       int
+	drops               int           // requests that a backend received and never answered, without executing them
 	abortedRuns         int           // aborted by a closed connection before the client's deadline
 	work                time.Duration // execution time of the last completed run
 	outcome             outcome       // of the last attempt
@@ -104,6 +105,25 @@
 	return 0, 0
 }
 
+// RequestDropped records that a backend has received an attempt, and neither executes nor answers it.
+func (l *Ledger) RequestDropped(attempt string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if op := l.attempts[attempt]; op != nil {
+		op.drops++
+	}
+}
+
+// Drops returns how often backends have dropped the operation of an attempt.
+func (l *Ledger) Drops(attempt string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if op := l.attempts[attempt]; op != nil {
+		return op.drops
+	}
+	return 0
+}
+
 // RunAborted records that the execution of an attempt was aborted before the client's deadline.
 func (l *Ledger) RunAborted(attempt string) {
 	l.mu.Lock()
--- a/internal/testbed/soak/checks.go
+++ b/internal/testbed/soak/checks.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -22,6 +23,7 @@
 
 	// How often the backends completed and aborted its execution, set at the end of the run.
 	completedRuns, abortedRuns int
+	drops                      int // how often a backend received it and answered nothing; set at the end of the run
 }
 
 // interval is a range of time that includes both ends.
@@ -36,20 +38,14 @@
 	backends []interval
 }
 
-// overlaps reports whether a request overlaps with a disturbance of its proxy or of any backend, which may have caused
-// its loss.
-func (d *disturbances) overlaps(r *request) bool {
-	for _, disturbed := range d.proxies[r.proxy] {
-		if disturbed.overlaps(r.sentAt, r.endedAt) {
-			return true
-		}
-	}
-	for _, disturbed := range d.backends {
-		if disturbed.overlaps(r.sentAt, r.endedAt) {
-			return true
-		}
-	}
-	return false
+// ofProxy reports whether a request overlaps with a disturbance of its proxy, which may have caused its loss.
+func (d *disturbances) ofProxy(r *request) bool { return anyOverlaps(d.proxies[r.proxy], r) }
+
+// ofBackends reports whether a request overlaps with a disturbance of any backend, which may have cut off its response.
+func (d *disturbances) ofBackends(r *request) bool { return anyOverlaps(d.backends, r) }
+
+func anyOverlaps(disturbed []interval, r *request) bool {
+	return slices.ContainsFunc(disturbed, func(i interval) bool { return i.overlaps(r.sentAt, r.endedAt) })
 }
 
 // guaranteesNotExecuted reports whether a status guarantees that the request was not executed.
@@ -70,10 +66,14 @@
 	if r.complete {
 		return checkResponse(r)
 	}
-	if r.aborted || r.timedOut || disturbed.overlaps(r) {
+	if r.aborted || r.timedOut || disturbed.ofProxy(r) {
 		return ""
 	}
 	switch {
+	case r.drops > 0 && !r.responseStarted:
+		return "sent to a silent backend, and the connection closed without a response"
+	case disturbed.ofBackends(r):
+		return ""
 	case r.responseStarted:
 		return "the response was cut off"
 	case r.completedRuns+r.abortedRuns > 0:
--- a/internal/testbed/soak/checks_test.go
+++ b/internal/testbed/soak/checks_test.go
@@ -35,6 +35,14 @@
 		"not found":         {change(func(r *request) { r.status = 404; r.completedRuns = 0 }), "got 404"},
 		"redirected":        {change(func(r *request) { r.status = 307; r.completedRuns = 0 }), "got 307"},
 		"lost":              {change(func(r *request) { *r = request{completedRuns: 1} }), "without a response"},
+		"lost, dropped":     {change(func(r *request) { *r = request{drops: 1} }), "silent backend"},
+		"dropped, backend killed": {change(func(r *request) {
+			*r = request{drops: 1, sentAt: start.Add(time.Hour), endedAt: start.Add(time.Hour)}
+		}), "silent backend"},
+		"dropped, proxy killed": {change(func(r *request) {
+			*r = request{drops: 1, proxy: "killed", sentAt: start, endedAt: start}
+		}), ""},
+		"dropped, answered": {change(func(r *request) { r.status = 504; r.completedRuns = 0; r.drops = 1 }), ""},
 		"never forwarded":   {change(func(r *request) { *r = request{} }), ""},
 		"incomplete":        {change(func(r *request) { *r = request{responseStarted: true, abortedRuns: 1} }), "cut off"},
 		"client aborted":    {change(func(r *request) { *r = request{aborted: true, abortedRuns: 1} }), ""},
--- a/internal/testbed/soak/clients.go
+++ b/internal/testbed/soak/clients.go
@@ -20,6 +20,7 @@
 
 const (
 	requestTimeout = 2500 * time.Millisecond
+	patientTimeout = 9 * time.Second // of a patient client; longer than shutdownGrace
 	deadlineMargin = 150 * time.Millisecond
 	dialTimeout    = time.Second
 	streamedBytes  = 1300 << 10 // more than a proxy buffers for a retry
@@ -42,6 +43,7 @@
 	idlingClient                          // pauses between requests, so that connections are idle when a proxy stops
 	streamingClient                       // sends long bodies slowly and reads slowly
 	abortingClient                        // aborts requests
+	patientClient                         // waits longer for responses than a proxy takes to shut down
 	clientBehaviors                       // number of behaviors
 )
 
@@ -137,8 +139,9 @@
 	outgoing, _ := http.NewRequest(http.MethodPost, "http://"+service+".example"+pathOf(record)+record.id, body)
 	outgoing.ContentLength = length
 	outgoing.Header.Set(headerAttemptID, record.id)
-	outgoing.Header.Set(headerTimeLeft, strconv.FormatInt(requestTimeout.Milliseconds(), 10))
-	deadline := record.sentAt.Add(requestTimeout + deadlineMargin)
+	timeout := c.timeout()
+	outgoing.Header.Set(headerTimeLeft, strconv.FormatInt(timeout.Milliseconds(), 10))
+	deadline := record.sentAt.Add(timeout + deadlineMargin)
 	if c.behavior == abortingClient && c.rng.IntN(abortOneIn) == 0 {
 		deadline = record.sentAt.Add(time.Duration(c.rng.Int64N(int64(maxAbortDelay))))
 		record.aborted = true
@@ -146,7 +149,7 @@
 	_ = c.conn.SetDeadline(deadline)
 	keep, retryAfter := c.exchange(outgoing, record)
 	record.endedAt = time.Now()
-	record.timedOut = record.endedAt.Sub(record.sentAt) > requestTimeout-deadlineMargin
+	record.timedOut = record.endedAt.Sub(record.sentAt) > timeout-deadlineMargin
 	record.aborted = record.aborted && !record.complete
 	c.run.requests.add(record)
 	if !keep {
@@ -155,6 +158,14 @@
 	return retryAfter
 }
 
+// timeout returns how long the client waits for a response.
+func (c *soakClient) timeout() time.Duration {
+	if c.behavior == patientClient {
+		return patientTimeout
+	}
+	return requestTimeout
+}
+
 // pathOf returns the path prefix of a request's route.
 func pathOf(r *request) string {
 	if r.nonIdempotent {
--- a/internal/testbed/soak/injector.go
+++ b/internal/testbed/soak/injector.go
@@ -110,7 +110,7 @@
 		f.mu.Lock()
 		f.killOnAck = append(f.killOnAck, trouble)
 		f.mu.Unlock()
-	case BackendKill, BackendDrain, BackendWarmUp, BackendSwap:
+	case BackendKill, BackendDrain, BackendWarmUp, BackendSwap, BackendSilent:
 		f.disturbBackend(ctx, trouble)
 	case BigOrder:
 		f.bigOrder(ctx)
@@ -256,6 +256,9 @@
 	case BackendWarmUp:
 		backend.SetWarmUp(trouble.Duration)
 		return
+	case BackendSilent:
+		backend.SetSilent(trouble.Duration)
+		return
 	case BackendDrain:
 		if err = backend.Shutdown(string(BackendDrain)); err == nil {
 			_, err = f.cluster.StartBackend(backend.Service, backend.Zone, backend.Build, newWarmUp)
--- a/internal/testbed/soak/plan.go
+++ b/internal/testbed/soak/plan.go
@@ -30,6 +30,7 @@
 	BackendDrain  Kind = "backend-drain"  // a backend shuts down gracefully, and another one starts
 	BackendWarmUp Kind = "backend-cold"   // a backend warms up again
 	BackendSwap   Kind = "backend-swap"   // a backend is killed, and one of the other service starts at its address
+	BackendSilent Kind = "backend-silent" // a backend drops the requests that it receives and answers nothing
 	BigOrder      Kind = "big-order"      // thousands of routes in one call
 )
 
@@ -128,6 +129,7 @@
 	BackendDrain:  nil,
 	BackendWarmUp: nil,
 	BackendSwap:   nil,
+	BackendSilent: nil,
 	BigOrder:      nil,
 }
 
@@ -181,6 +183,7 @@
 	{kinds: []Kind{Wipe}, targets: anyTarget,
 		minPause: wipePause, meanPause: 10 * time.Second, maxDuration: time.Second},
 	{kinds: []Kind{BigOrder}, targets: anyTarget, minPause: 5 * time.Second, meanPause: 20 * time.Second},
+	{kinds: []Kind{BackendSilent}, targets: anyTarget, meanPause: 3 * time.Second, maxDuration: 3 * time.Second},
 }
 
 // GeneratePlan returns the plan that a seed determines.
--- a/internal/testbed/soak/report.go
+++ b/internal/testbed/soak/report.go
@@ -124,6 +124,7 @@
 	report := &Report{Plan: r.plan, Requests: map[int]int{}, counts: r.counts}
 	for _, record := range r.requests.all() {
 		record.completedRuns, record.abortedRuns = r.cluster.Ledger.Runs(record.id)
+		record.drops = r.cluster.Ledger.Drops(record.id)
 		status := record.status
 		if !record.complete {
 			status = 0
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -84,6 +84,7 @@
 		MeanWork:          meanWork,
 		DrainTime:         drainTime,
 		WarmUp:            newWarmUp,
+		RequestTimeout:    patientTimeout,
 		ShutdownGrace:     shutdownGrace,
 		HeartbeatInterval: heartbeatInterval,
 		ArrivalBound:      drainTime + arrivalMargin,
