--- a/internal/control/message/doc.go
+++ b/internal/control/message/doc.go
@@ -20,18 +20,3 @@
 	RoleController = "core" // a controller, either a member of the configuration or a candidate
 	RoleProxy      = "edge"
 )
-
-// HTTP paths at which a controller receives messages.
-const (
-	PullPath           = "/pull"       // PullRequest, PullResponse
-	TallyPath          = "/tally"      // release tallies of a proxy
-	PreparePath        = "/prepare"    // PeerRequest: phase 1 of a Paxos round
-	AcceptPath         = "/accept"     // PeerRequest: phase 2 of a Paxos round
-	ConfirmPath        = "/confirm"    // PeerRequest: phase 2 repeated without the values
-	ReadPath           = "/read"       // PeerRequest: the registers of an active member, for a quorum read
-	StatePath          = "/state"      // PeerRequest: all registers, for a replica that takes over or catches up
-	GenerationPath     = "/generation" // PeerRequest: queries the last known generation of the sender's disk
-	ChangePath         = "/change"     // ChangeRequest, ChangeResponse
-	InFlightReportPath = "/work"       // InFlightReport of a proxy
-	InFlightSurveyPath = "/census"     // InFlightSurvey of a controller
-)
--- a/internal/control/server/counters.go
+++ b/internal/control/server/counters.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"sagelever/internal/control/message"
 	"sagelever/internal/control/replica"
 	"sagelever/internal/telemetry"
 )
@@ -95,6 +96,7 @@
 			zap.Int64("receivedBytes", counters.receivedBytes.Load()),
 			zap.Int64("sentBytes", counters.sentBytes.Load()))
 	}
+	s.peerCalls.logConfirmations()
 }
 
 // metricsPage returns the page with the counters of this controller.
@@ -115,6 +117,13 @@
 	page.Add("batched_proposals_total", func() float64 { return float64(s.contentionStats().Batched) })
 	page.Add("connections", func() float64 { return float64(s.resources.usage().connections) })
 	page.Add("memory_bytes", func() float64 { return float64(s.resources.usage().memoryBytes) })
+	for name, count := range map[string]func(*peerCallCounts) int64{
+		"confirmations_sent_total":     func(c *peerCallCounts) int64 { return c.sent },
+		"confirmations_answered_total": func(c *peerCallCounts) int64 { return c.answered },
+		"confirmations_refused_total":  func(c *peerCallCounts) int64 { return c.refused },
+	} {
+		page.Add(name, func() float64 { return float64(s.peerCalls.total(message.ConfirmPath, count)) })
+	}
 	page.Add("undecided_registers", func() float64 { return float64(s.undecidedCount()) })
 	page.Add("operations_in_progress", func() float64 { return float64(s.operations.size()) })
 	return page
--- a/internal/control/server/driver.go
+++ b/internal/control/server/driver.go
@@ -75,7 +75,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
 	defer cancel()
 	response := &message.PeerResponse{}
-	if rpc.Post(ctx, s.peerClient, outgoing.To.Addr, outgoing.Path, body, response) != nil {
+	err := rpc.Post(ctx, s.peerClient, outgoing.To.Addr, outgoing.Path, body, response)
+	s.peerCalls.record(outgoing.To, outgoing.Path, err)
+	if err != nil {
 		response = nil
 	}
 	s.step(func(now time.Time) { s.replica.HandleResponse(now, outgoing.ID, response) })
--- a/internal/control/server/peer_handler.go
+++ b/internal/control/server/peer_handler.go
@@ -24,13 +24,7 @@
 	handle(message.ChangePath, s.handleHandedOverChange)
 	handle(message.InFlightReportPath, s.handleInFlightReport)
 	handle(message.InFlightSurveyPath, s.handleInFlightSurvey)
-	for _, path := range []string{
-		message.PreparePath,
-		message.AcceptPath,
-		message.ReadPath,
-		message.StatePath,
-		message.GenerationPath,
-	} {
+	for _, path := range message.ReplicaPaths() {
 		handle(path, s.replicaHandler(path))
 	}
 	return mux
--- a/internal/control/server/server.go
+++ b/internal/control/server/server.go
@@ -67,6 +67,7 @@
 	diskFailures failureLog
 	counters     counters
 	resources    resourceMonitor
+	peerCalls    peerCallLog
 	pathCounters map[string]*pathCounters // by path of the peer port; filled before the server listens
 	operations   operationGroup
 	configIndex  sharedIndex
@@ -127,6 +128,7 @@
 		saved:         newSavedState(),
 		seedAddresses: cfg.SeedAddresses,
 		diskFailures:  failureLog{log: options.Log},
+		peerCalls:     peerCallLog{log: options.Log},
 		pathCounters:  map[string]*pathCounters{},
 	}
 }
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -37,6 +37,7 @@
 // StatusError is the error for a response with a status other than 200.
 type StatusError struct {
 	Path   string
+	Code   int
 	Status string // status code and text
 }
 
@@ -79,7 +80,7 @@
 		return err
 	}
 	if resp.StatusCode != http.StatusOK {
-		return &StatusError{Path: path, Status: resp.Status}
+		return &StatusError{Path: path, Code: resp.StatusCode, Status: resp.Status}
 	}
 	if out == nil {
 		return nil
