--- a/internal/proxy/scenario_test.go
+++ b/internal/proxy/scenario_test.go
@@ -257,6 +257,7 @@
 	switch {
 	case s.phase < retry.AwaitingResponse:
 		s.readRequest()
+		waitFor(s.t, "the proxy has noticed that the request is complete", s.attempt.Load().requestWritten.Load)
 		s.write(successResponse(shortBody))
 	case s.event == retry.ForeignResponse:
 		s.write(successResponse(shortBody))
@@ -285,11 +286,21 @@
 	default:
 		s.writeResponse()
 		if s.attemptEnds() && s.phase < retry.AwaitingResponse {
+			s.waitForHeader()
 			s.readRestOfRequest()
 		}
 	}
 }
 
+// waitForHeader waits until the proxy has read the header of the response, or has ended the attempt without one. What is
+// read of the request earlier would make it possible that the proxy completes the request first, which is another phase.
+func (s *scenario) waitForHeader() {
+	s.t.Helper()
+	waitFor(s.t, "the proxy has read the header", func() bool {
+		return s.attempt.Load().headerRead.Load() || len(s.client.response) > 0
+	})
+}
+
 // readRestOfRequest reads the rest of a request that was answered early, so that the connection could carry another
 // request.
 func (s *scenario) readRestOfRequest() {
