--- a/internal/control/quorum/acceptor.go
+++ b/internal/control/quorum/acceptor.go
@@ -1,6 +1,11 @@
 package quorum
 
-import "sagelever/internal/control/rangesync"
+import (
+	"slices"
+	"strings"
+
+	"sagelever/internal/control/rangesync"
+)
 
 // Acceptor holds the registers of one member and handles the messages of proposers. It is not safe for concurrent use.
 //
@@ -21,7 +26,8 @@
 		minProposal:   minProposal,
 		highestNumber: minProposal.Number,
 	}
-	for _, e := range entries {
+	// In a fixed order, because the index keeps the order of its changes.
+	for _, e := range slices.SortedFunc(slices.Values(entries), compareKeys) {
 		a.registers[e.Key] = &e
 		a.updateIndex(e)
 		a.highestNumber = max(a.highestNumber, e.Promised.Number, e.Accepted.Number)
@@ -29,6 +35,8 @@
 	return a
 }
 
+func compareKeys(a, b Entry) int { return strings.Compare(a.Key, b.Key) }
+
 // Index returns the index by which other members compare their registers with those of this member (package
 // rangesync). The acceptor keeps it up to date.
 func (a *Acceptor) Index() *rangesync.Index { return a.index }
@@ -51,16 +59,8 @@
 	return entries
 }
 
-// AcceptedEntries returns the entries of all registers in which a value has been accepted, in no particular order.
-func (a *Acceptor) AcceptedEntries() []Entry {
-	entries := make([]Entry, 0, len(a.registers))
-	for _, e := range a.registers {
-		if e.Accepted != (ProposalNumber{}) {
-			entries = append(entries, *e)
-		}
-	}
-	return entries
-}
+// AcceptedEntries returns the entries of all registers in which a value has been accepted, ordered by key.
+func (a *Acceptor) AcceptedEntries() []Entry { return a.EntriesWithPrefix("") }
 
 // MinProposal returns the proposal number below which the acceptor rejects every proposal.
 func (a *Acceptor) MinProposal() ProposalNumber { return a.minProposal }
--- a/internal/control/replica/backends.go
+++ b/internal/control/replica/backends.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -128,6 +129,7 @@
 			timedOut = append(timedOut, backend.TimedOut(id, item.Version))
 		}
 	})
+	slices.SortFunc(timedOut, func(a, b replication.Item) int { return strings.Compare(a.Key, b.Key) })
 	for _, item := range timedOut {
 		r.mergeLocal(item)
 		r.addTombstone(item.Key, now)
--- a/internal/control/replica/pull_answer.go
+++ b/internal/control/replica/pull_answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"strings"
 	"time"
 
@@ -170,13 +171,14 @@
 	limitResponse(response, request, cmp.Or(r.config.MaxResponseBytes, defaultMaxResponseBytes))
 }
 
-// droppedOrigins returns the origins of a vector that the current vector no longer contains.
+// droppedOrigins returns the origins of a vector that the current vector no longer contains, sorted.
 func droppedOrigins(vector, current replication.Vector) (dropped []string) {
 	for origin := range vector {
 		if _, kept := current[origin]; !kept {
 			dropped = append(dropped, origin)
 		}
 	}
+	slices.Sort(dropped)
 	return dropped
 }
 
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -2,9 +2,7 @@
 
 import (
 	"hash/fnv"
-	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"sagelever/internal/control/message"
@@ -95,9 +93,7 @@
 
 // restoreRegisters publishes the registers whose values are known to be chosen and schedules the repair of the others.
 func (r *Replica) restoreRegisters(now time.Time) {
-	entries := r.acceptor.AcceptedEntries()
-	slices.SortFunc(entries, func(a, b quorum.Entry) int { return strings.Compare(a.Key, b.Key) })
-	for _, entry := range entries {
+	for _, entry := range r.acceptor.AcceptedEntries() {
 		if entry.Chosen {
 			r.publishEntry(entry)
 		} else {
--- a/internal/control/replica/sim_network_test.go
+++ b/internal/control/replica/sim_network_test.go
@@ -208,6 +208,7 @@
 	if response, ready := node.replica.AnswerPull(node.clock(), pull.pending); ready || waited {
 		reply := pull.reply
 		pull.reply = nil
+		node.sim.log(node.index, "answers a pull", traced{response})
 		reply(node.sim.checkPullResponse(response))
 	}
 }
--- a/internal/control/replica/takeover.go
+++ b/internal/control/replica/takeover.go
@@ -191,7 +191,7 @@
 	}
 	r.logEvent("active member of the epoch",
 		LogField{"epoch", formatUint(epoch)},
-		LogField{"registers", strconv.Itoa(len(r.acceptor.AcceptedEntries()))},
+		LogField{"registers", strconv.Itoa(r.acceptor.Index().Len())},
 		LogField{"afterMs", formatMs(now.Sub(local.adoptedAt))})
 	r.reportQuorumChange(now)
 	r.notifyAfter(0)
@@ -205,6 +205,6 @@
 	}
 	r.local.caughtUp = true
 	r.finish(op, nil, nil)
-	r.logEvent("candidate caught up", LogField{"registers", strconv.Itoa(len(r.acceptor.AcceptedEntries()))})
+	r.logEvent("candidate caught up", LogField{"registers", strconv.Itoa(r.acceptor.Index().Len())})
 	r.notifyAfter(0)
 }
