--- a/internal/control/message/peer.go
+++ b/internal/control/message/peer.go
@@ -35,8 +35,8 @@
 //easyjson:json
 type PeerResponse struct {
 	OK bool `json:"o"`
-	// Entries are the accepted values of the registers (PreparePath), or the entries that the sender lacks (ReadPath,
-	// StatePath).
+	// Entries are the accepted values of the registers (PreparePath), the entries that the sender lacks (ReadPath,
+	// StatePath), or the chosen values of registers that the responder does not confirm (ConfirmPath).
 	Entries []quorum.Entry `json:"h,omitempty"`
 	// Unconfirmed are the indexes of those keys of the request for which the responder has not accepted the request's
 	// proposal (ConfirmPath).
--- a/internal/control/quorum/confirmation.go
+++ b/internal/control/quorum/confirmation.go
@@ -1,5 +1,7 @@
 package quorum
 
+import "slices"
+
 // Confirmation determines which of the values accepted under one proposal number are chosen. The caller asks all
 // members to confirm that they have accepted the values (Acceptor.Confirm) and passes the replies to HandleReply.
 //
@@ -12,7 +14,7 @@
 
 	acceptQuorum int
 	replied      map[string]bool // names of the members that have replied
-	confirmedBy  []int           // for each key: the number of members that have confirmed it
+	confirmedBy  [][]string      // for each key: names of the members that have confirmed it
 	remaining    int             // number of keys whose values are not yet known to be chosen
 }
 
@@ -24,7 +26,7 @@
 		Keys:         keys,
 		acceptQuorum: members - maxFailures,
 		replied:      map[string]bool{},
-		confirmedBy:  make([]int, len(keys)),
+		confirmedBy:  make([][]string, len(keys)),
 		remaining:    len(keys),
 	}
 }
@@ -44,8 +46,8 @@
 		if isUnconfirmed[i] {
 			continue
 		}
-		c.confirmedBy[i]++
-		if c.confirmedBy[i] == c.acceptQuorum {
+		c.confirmedBy[i] = append(c.confirmedBy[i], member)
+		if len(c.confirmedBy[i]) == c.acceptQuorum {
 			chosen = append(chosen, key)
 			c.remaining--
 		}
@@ -53,5 +55,11 @@
 	return chosen
 }
 
+// MayHold reports whether a member may have accepted the value of the key at a position: it has confirmed the key, or
+// has not replied.
+func (c *Confirmation) MayHold(member string, position int) bool {
+	return !c.replied[member] || slices.Contains(c.confirmedBy[position], member)
+}
+
 // Done reports whether all values are known to be chosen.
 func (c *Confirmation) Done() bool { return c.remaining == 0 }
--- a/internal/control/replica/clock.go
+++ b/internal/control/replica/clock.go
@@ -15,7 +15,7 @@
 		moveBack(setBack, &op.expiresAt, &op.attempt.deadline, &op.retryAt)
 	}
 	for key, value := range r.undecided {
-		moveBack(setBack, &value.repairAt, &value.noticedAt)
+		moveBack(setBack, &value.repairAt, &value.noticedAt, &value.roundAt)
 		r.undecided[key] = value
 	}
 	for _, peer := range r.peers {
--- a/internal/control/replica/confirm.go
+++ b/internal/control/replica/confirm.go
@@ -8,6 +8,7 @@
 	"sagelever/internal/control/membership"
 	"sagelever/internal/control/message"
 	"sagelever/internal/control/quorum"
+	"sagelever/internal/control/rangesync"
 )
 
 // maxConfirmKeys limits the registers of one confirmation, and thus the size of its messages. A larger change is
@@ -70,7 +71,30 @@
 			changed = append(changed, r.acceptor.Get(key))
 		}
 	}
-	return &message.PeerResponse{OK: true, Unconfirmed: unconfirmed}, changed
+	return &message.PeerResponse{
+		OK:          true,
+		Unconfirmed: unconfirmed,
+		Entries:     r.chosenAfter(request, unconfirmed),
+	}, changed
+}
+
+// chosenAfter returns the chosen values with higher proposal numbers than that of a confirmation, for the registers at
+// the given positions in its keys, up to the size limit of a message. The sender's values of these registers can't be
+// chosen any more, and no other message would tell it: if the chosen value has the same version as the last one that
+// the sender has published, pulls don't contain it.
+func (r *Replica) chosenAfter(request *message.PeerRequest, positions []int) (chosen []quorum.Entry) {
+	size := 0
+	for _, position := range positions {
+		entry := r.acceptor.Get(request.Keys[position])
+		if !entry.Chosen || !request.Proposal.Less(entry.Accepted) {
+			continue
+		}
+		if size += r.entrySize(entry.Key); size > rangesync.DefaultLimits.MaxMessageBytes {
+			break
+		}
+		chosen = append(chosen, entry)
+	}
+	return chosen
 }
 
 // handleConfirmed handles a member's response to a confirmation and publishes the values that are now known to be
@@ -87,24 +111,32 @@
 			chosen = append(chosen, entry)
 		}
 	}
+	chosen = append(chosen, response.Entries...)
 	r.save(now, Save{Entries: r.learnEntries(now, chosen)}, nil)
-	if confirmation.Done() {
+	if confirmation.Done() || !r.anyUndecided(confirmation) {
 		r.endConfirmation(now, op)
 	}
 }
 
+// anyUndecided reports whether any value of a confirmation is still undecided.
+func (r *Replica) anyUndecided(confirmation *quorum.Confirmation) bool {
+	isUndecided := func(key string) bool { return r.undecided[key].accepted == confirmation.Proposal }
+	return slices.ContainsFunc(confirmation.Keys, isUndecided)
+}
+
 // endConfirmation ends a confirmation and schedules rounds for the values that are still undecided. The rounds start
-// once the original round has had time to end, or later if no operation waits for the value. The members take turns, so
-// that the rounds of one member can end before those of the next one begin.
+// once the original round has had time to end, or later if no operation waits for the value. The members that may hold
+// a value take turns, so that the rounds of one member can end before those of the next one begin.
 func (r *Replica) endConfirmation(now time.Time, op *operation) {
 	r.finish(op, nil, nil)
-	turn := r.repairTurnDelay(now)
 	later := repairDelay/2 + r.jitter(repairDelay/2)
-	for _, key := range op.confirmation.Keys {
+	for position, key := range op.confirmation.Keys {
 		value, undecided := r.undecided[key]
 		if !undecided || value.accepted != op.confirmation.Proposal {
 			continue
 		}
+		mayHold := func(node string) bool { return op.confirmation.MayHold(node, position) }
+		turn := r.repairTurnDelay(now, mayHold)
 		at := now
 		switch {
 		case !r.isAwaited(key):
@@ -112,15 +144,31 @@
 		case value.noticedAt.Add(repairDelay / 2).After(now):
 			at = value.noticedAt.Add(repairDelay / 2)
 		}
-		r.scheduleRepair(key, at.Add(turn), true)
+		r.scheduleRound(now, key, at.Add(turn))
+	}
+}
+
+// scheduleRound schedules a repair round for an undecided value, and until then another confirmation at intervals. A
+// round that is already scheduled is not postponed.
+func (r *Replica) scheduleRound(now time.Time, key string, at time.Time) {
+	value := r.undecided[key]
+	if value.roundAt.IsZero() || at.Before(value.roundAt) {
+		value.roundAt = at
+		r.undecided[key] = value
+	}
+	if confirmAt := now.Add(attemptTimeout); confirmAt.Before(value.roundAt) {
+		r.scheduleRepair(key, confirmAt, false)
+		return
 	}
+	r.scheduleRepair(key, value.roundAt, true)
 }
 
-// repairTurnDelay returns how long this replica waits for the repair rounds of the reachable members that precede it by
-// name. It is one attemptTimeout for each, because a round of a large change can take that long.
-func (r *Replica) repairTurnDelay(now time.Time) (turn time.Duration) {
+// repairTurnDelay returns how long this replica waits for the repair rounds of those reachable members that precede it
+// by name and may hold the value. It is one attemptTimeout for each, because a round of a large change can take that
+// long.
+func (r *Replica) repairTurnDelay(now time.Time, mayHold func(node string) bool) (turn time.Duration) {
 	for node := range r.peers {
-		if node < r.config.Self.Node && r.reachable(node, now) {
+		if node < r.config.Self.Node && r.reachable(node, now) && mayHold(node) {
 			turn += attemptTimeout
 		}
 	}
--- a/internal/control/replica/repair.go
+++ b/internal/control/replica/repair.go
@@ -14,7 +14,8 @@
 // replica: the member that proposed the value announces the decision to the others, but may fail before it does. A
 // replica repairs undecided values in two steps. First it asks the others whether they have accepted the value too,
 // which takes one round trip and doesn't interrupt other rounds (confirm.go). If too few have, or too few can be asked,
-// the replica proposes the value again in a round of its own.
+// the replica proposes the value again in a round of its own, when it is its turn. Until then it repeats the first step,
+// because the round of another member may have decided the register.
 
 // undecidedValue is the state of a register whose accepted value is not known to be chosen.
 type undecidedValue struct {
@@ -22,6 +23,7 @@
 	noticedAt  time.Time             // when the value was found to be undecided; zero if before this replica's start
 	repairAt   time.Time             // when the next repair step is due
 	needsRound bool                  // the next repair step is a round; otherwise a confirmation
+	roundAt    time.Time             // when this replica's turn for a round is; zero before the first confirmation has ended
 	rounds     int                   // repair rounds that this replica has started for the value
 }
 
@@ -76,13 +78,11 @@
 // scheduleRepair sets when the next repair step for the current value of an undecided register is due, and whether that
 // step is a round.
 func (r *Replica) scheduleRepair(key string, at time.Time, needsRound bool) {
-	r.undecided[key] = undecidedValue{
-		accepted:   r.acceptor.Get(key).Accepted,
-		noticedAt:  r.undecided[key].noticedAt,
-		repairAt:   at,
-		needsRound: needsRound,
-		rounds:     r.undecided[key].rounds,
-	}
+	value := r.undecided[key]
+	value.accepted = r.acceptor.Get(key).Accepted
+	value.repairAt = at
+	value.needsRound = needsRound
+	r.undecided[key] = value
 	if r.nextRepairAt.IsZero() || at.Before(r.nextRepairAt) {
 		r.nextRepairAt = at
 	}
@@ -116,15 +116,16 @@
 		r.updateNextRepair(now)
 		return
 	}
-	turn, random := r.repairTurnDelay(now), r.config.Random()
+	random := r.config.Random()
 	for _, key := range confirm {
-		r.scheduleRepair(key, now.Add(attemptTimeout+turn), true)
+		r.scheduleRepair(key, now.Add(attemptTimeout+repairDelay), false) // unless the confirmation schedules a round
 	}
 	for _, key := range propose {
 		value := r.undecided[key]
 		value.rounds++
+		value.roundAt = time.Time{}
 		r.undecided[key] = value
-		r.scheduleRepair(key, now.Add(turn+repairBackoff.Delay(value.rounds, random)), true)
+		r.scheduleRepair(key, now.Add(repairBackoff.Delay(value.rounds, random)), !isConfirmable(key))
 	}
 	r.updateNextRepair(now)
 	r.confirmValues(now, confirm)
