--- a/internal/control/replica/clock.go
+++ b/internal/control/replica/clock.go
@@ -24,6 +24,9 @@
 	for _, candidate := range r.candidates {
 		moveBack(setBack, &candidate.lastPullAt)
 	}
+	for _, pull := range r.partialPulls {
+		moveBack(setBack, &pull.lastPartAt)
+	}
 	moveBack(setBack, &r.nextRepairAt, &r.startedAt, &r.lastEpochPullAt, &r.local.adoptedAt)
 }
 
--- a/internal/control/replica/maintenance.go
+++ b/internal/control/replica/maintenance.go
@@ -23,6 +23,7 @@
 	r.continueVerification(now)
 	r.repairUndecided(now)
 	r.retrySave(now)
+	r.endStuckPulls(now)
 	r.pruneOrigins()
 	r.expireLeases(now)
 	r.expireBackends(now)
--- a/internal/control/replica/peers.go
+++ b/internal/control/replica/peers.go
@@ -132,7 +132,7 @@
 // HasQuorum reports whether this replica's items are up to date: it is a member and reaches a majority of the members.
 // Otherwise it may lack changes that other members have acknowledged.
 func (r *Replica) HasQuorum(now time.Time) bool {
-	if r.leaving || r.fullPull != nil || !r.activeOrTakingOver(now) {
+	if r.leaving || r.pullingAllItems() || !r.activeOrTakingOver(now) {
 		return false
 	}
 	reachable := 1
--- a/internal/control/replica/persistence.go
+++ b/internal/control/replica/persistence.go
@@ -40,6 +40,7 @@
 		case expired && !isRegister && saved.Origin != "":
 			r.deleteFromDisk(saved.Item.Key)
 		case isRegister && !r.restoreRegisterBody(&saved.Item):
+			r.unrestoredVersions[saved.Item.Key] = saved.Item.Version
 			if lowest, known := unrestored[saved.Origin]; !known || saved.Sequence < lowest {
 				unrestored[saved.Origin] = saved.Sequence
 			}
@@ -55,6 +56,18 @@
 	r.items.Retract(unrestored)
 }
 
+// isRestoring reports whether this replica lacks an item that it held before its start, or a newer version of it. Its
+// progress may cover the item under several origins, because several replicas may have published it, and must not be
+// claimed until then. The item is a register whose next value is undecided; it follows from the repair of that value.
+func (r *Replica) isRestoring() bool {
+	for key, version := range r.unrestoredVersions {
+		if item, held := r.items.Get(key); held && item.Version >= version {
+			delete(r.unrestoredVersions, key)
+		}
+	}
+	return len(r.unrestoredVersions) > 0
+}
+
 // restoreRegisterBody restores the body of a register's item, which is saved without it. It returns false if the
 // register now holds another value, or one that is not known to be chosen.
 func (r *Replica) restoreRegisterBody(item *replication.Item) bool {
--- a/internal/control/replica/pull_answer.go
+++ b/internal/control/replica/pull_answer.go
@@ -30,7 +30,7 @@
 func (r *Replica) HandlePull(now time.Time, request *message.PullRequest) *PendingPull {
 	pending := &PendingPull{
 		request:   request,
-		hadQuorum: r.HasQuorum(now),
+		hadQuorum: r.answersWithQuorum(now),
 		sequence:  r.items.LocalSequence(),
 		progress:  r.items.Vector(),
 	}
@@ -93,7 +93,7 @@
 		Source:           r.items.LegacySource,
 		ProtocolVersion:  message.ProtocolVersion,
 		LocalSequence:    r.items.LocalSequence(),
-		HasQuorum:        r.HasQuorum(now),
+		HasQuorum:        r.answersWithQuorum(now),
 		KnownIncarnation: pending.knownIncarnation,
 		NowMs:            now.UnixMilli(),
 		SurveyID:         r.activeSurvey(now),
@@ -109,6 +109,9 @@
 	return response
 }
 
+// answersWithQuorum reports whether the items in the answers to pulls are up to date.
+func (r *Replica) answersWithQuorum(now time.Time) bool { return r.HasQuorum(now) && !r.isRestoring() }
+
 // addItems adds the items that the sender of a pull lacks. It reports whether the response must be sent even without
 // items: because the sender requested only the members or all items, or doesn't know this replica's current
 // incarnation.
@@ -117,6 +120,9 @@
 	switch {
 	case request.MembersOnly:
 		return true
+	case r.isRestoring():
+		response.Truncated = true
+		return false
 	case request.ProtocolVersion < message.ProtocolVersion:
 		since, known := request.LegacyVector[r.items.LegacySource]
 		response.Items = r.items.Since(since, itemFilter(request.Role))
--- a/internal/control/replica/pull_request.go
+++ b/internal/control/replica/pull_request.go
@@ -45,10 +45,10 @@
 
 // addProgress adds to a pull from a member the progress of this replica and the time that the response may wait.
 func (r *Replica) addProgress(now time.Time, to message.Member, request *message.PullRequest) {
-	switch pull := r.continuedPull(now, to.Node); {
+	switch pull := r.partialPulls[to.Node]; {
 	case pull != nil:
 		request.Progress = maps.Clone(pull.progress)
-	case r.progressCurrent(now) || r.fullPull != nil:
+	case r.progressCurrent(now) || r.pullingAllItems():
 		request.Progress = r.items.Vector()
 	}
 	peer := r.peers[to.Node]
--- a/internal/control/replica/pull_response.go
+++ b/internal/control/replica/pull_response.go
@@ -16,31 +16,23 @@
 func (r *Replica) HandlePullResponse(
 	now time.Time, from message.Member, request *message.PullRequest, response *message.PullResponse,
 ) {
-	// A response to a request from before a reset builds on items that were dropped since. It doesn't advance the
-	// progress, and its items are published again with this replica as their origin.
-	coversProgress := response.Complete || request.ResetCount == r.resetCount
-	changed, received := r.mergeItems(now, response, coversProgress)
+	pull, changed := r.collectParts(now, from, request, response)
+	if pull != nil {
+		changed = append(changed, r.applyPull(now, pull)...)
+	}
 	if response.Configuration != nil {
 		changed = append(changed, r.learnEntries(now, []quorum.Entry{*response.Configuration})...)
 	}
-	if !request.MembersOnly {
-		if response.ProtocolVersion >= message.ProtocolVersion &&
-			!r.applyFullPull(now, from, request, response, received) && coversProgress {
-			r.items.Advance(response.Progress)
-		}
-		r.lastPullAt = now
-	}
 	r.recordPeerResponse(now, from, response)
 	r.save(now, Save{Entries: changed}, nil)
 	r.reportQuorumChange(now)
 }
 
-// mergeItems merges the items of a response. It returns the changed register entries, which the caller must save, and
-// the keys of all items.
+// mergeItems merges the items of a response and adds their keys to received. It returns the changed register entries,
+// which the caller must save.
 func (r *Replica) mergeItems(
-	now time.Time, response *message.PullResponse, coversProgress bool,
-) (changed []quorum.Entry, received map[string]bool) {
-	received = make(map[string]bool, len(response.Items))
+	now time.Time, response *message.PullResponse, coversProgress bool, received map[string]bool,
+) (changed []quorum.Entry) {
 	for _, item := range response.Items {
 		received[item.Key] = true
 		origin, sequence := "", item.Sequence
@@ -49,7 +41,7 @@
 		}
 		changed = append(changed, r.mergeItem(now, item, origin, sequence)...)
 	}
-	return changed, received
+	return changed
 }
 
 // recordPeerResponse records that a member has responded. A member that was unreachable counts as reachable only once
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -45,11 +45,14 @@
 
 	// Replicated items.
 	items         *replication.ItemStore
-	progressValid bool      // the store holds all items that its version vector covers
-	lastPullAt    time.Time // when the last response to a pull arrived, from any member
-	fullPull      *fullPull // the full pull in progress, if any
-	resetCount    int       // the number of times that a full pull replaced the items
-	peerResponded bool      // since the start
+	progressValid bool                    // the store holds all items that its version vector covers
+	lastPullAt    time.Time               // when the last response to a pull arrived, from any member
+	partialPulls  map[string]*partialPull // answers of which some parts have arrived, by the node of the source
+	// unrestoredVersions are the versions of the items that were on disk and could not be restored, by key.
+	unrestoredVersions map[string]uint64
+
+	resetCount    int  // the number of times that the items were replaced by those of a complete answer
+	peerResponded bool // since the start
 	pullProgress  map[string]peerProgress
 	tombstones    map[string]time.Time // when to drop obsolete items, by key
 
@@ -64,23 +67,25 @@
 // New creates a replica from its persisted state.
 func New(cfg Config, persisted PersistedState, now time.Time) *Replica {
 	r := &Replica{
-		config:           cfg,
-		startedAt:        now,
-		output:           Output{NotifyAfter: -1},
-		acceptor:         quorum.NewAcceptor(persisted.Entries, persisted.MinProposal),
-		undecided:        map[string]undecidedValue{},
-		verification:     verification{requested: 1},
-		operations:       map[uint64]*operation{},
-		pendingRequests:  map[uint64]pendingRequest{},
-		pendingSaves:     map[uint64]pendingSave{},
-		unsavedEntries:   map[string]uint64{},
-		peers:            map[string]*peerState{},
-		candidates:       map[string]*candidate{},
-		pullProgress:     map[string]peerProgress{},
-		tombstones:       map[string]time.Time{},
-		backends:         map[string]*replication.Backend{},
-		departedOwners:   map[string]time.Time{},
-		decidingReleases: map[string]bool{},
+		config:             cfg,
+		startedAt:          now,
+		output:             Output{NotifyAfter: -1},
+		acceptor:           quorum.NewAcceptor(persisted.Entries, persisted.MinProposal),
+		undecided:          map[string]undecidedValue{},
+		verification:       verification{requested: 1},
+		operations:         map[uint64]*operation{},
+		pendingRequests:    map[uint64]pendingRequest{},
+		pendingSaves:       map[uint64]pendingSave{},
+		unsavedEntries:     map[string]uint64{},
+		peers:              map[string]*peerState{},
+		candidates:         map[string]*candidate{},
+		partialPulls:       map[string]*partialPull{},
+		unrestoredVersions: map[string]uint64{},
+		pullProgress:       map[string]peerProgress{},
+		tombstones:         map[string]time.Time{},
+		backends:           map[string]*replication.Backend{},
+		departedOwners:     map[string]time.Time{},
+		decidingReleases:   map[string]bool{},
 	}
 	r.items = replication.NewItemStore(cfg.Source, newOrigin(cfg.Self.Node, now, cfg.Random()))
 	r.liveness = replication.NewLivenessTable(LeaseTerm, proxyRetention)
--- a/internal/control/replica/sim_checks_test.go
+++ b/internal/control/replica/sim_checks_test.go
@@ -23,6 +23,7 @@
 		if !strings.HasPrefix(item.Key, replication.RegisterKeyPrefix) {
 			continue
 		}
+		sim.recordPublished(response.OriginOf(item), item)
 		entry := quorum.Entry{}
 		if easyjson.Unmarshal([]byte(item.Body), &entry) != nil || !entry.Chosen {
 			sim.fail("a pull response contains %s, which is not chosen: %s", item.Key, item.Body)
@@ -272,6 +273,7 @@
 				node.self.Node, item.Key, item.Sequence, origin, progress[origin])
 		}
 	}
+	node.checkClaims()
 }
 
 // unrecoveredReason describes what has not recovered yet. It returns an empty string if everything has.
@@ -341,6 +343,39 @@
 	return ""
 }
 
+// publication is the register version that an origin has published under a sequence number.
+type publication struct {
+	key     string
+	version uint64
+}
+
+// recordPublished records a register that a pull response contains.
+func (sim *simulation) recordPublished(origin string, item replication.Item) {
+	if sim.publications[origin] == nil {
+		sim.publications[origin] = map[uint64]publication{}
+	}
+	sim.publications[origin][item.Sequence] = publication{item.Key, item.Version}
+}
+
+// checkClaims checks that a node holds all register versions that its progress covers, or newer ones: no other node
+// would send them to it, or to those that take over its progress.
+func (node *simNode) checkClaims() {
+	if node.replica.isRestoring() {
+		return // it claims no progress
+	}
+	for origin, sequence := range node.replica.items.Vector() {
+		for published, content := range node.sim.publications[origin] {
+			if published > sequence {
+				continue
+			}
+			if held, _ := node.replica.items.Get(content.key); held.Version < content.version {
+				node.sim.fail("%s claims the progress %d of %s, which includes version %d of %s, and holds version %d",
+					node.self.Node, sequence, origin, content.version, content.key, held.Version)
+			}
+		}
+	}
+}
+
 // describeLeases lists the leases that a node holds.
 func (node *simNode) describeLeases() (text string) {
 	node.replica.items.ForEach(replication.LeaseKeyPrefix, func(item replication.Item) {
--- a/internal/control/replica/sim_test.go
+++ b/internal/control/replica/sim_test.go
@@ -57,6 +57,8 @@
 	sentVersions    map[string]uint64        // by register: the last version sent by an operator
 	history         []linear.Operation       // writes and reads of items
 
+	publications map[string]map[uint64]publication // by origin and sequence number: the registers in pull responses
+
 	// State of the checks: backends.
 	drainAckedAt     map[string]time.Time // by backend: when its drain was acknowledged
 	drainSentAt      map[string]time.Time // by backend: when that drain was requested
@@ -99,6 +101,7 @@
 		confirmedBodies:  map[string]string{},
 		releaseOutcomes:  map[string]release.Phase{},
 		sentVersions:     map[string]uint64{},
+		publications:     map[string]map[uint64]publication{},
 		drainAckedAt:     map[string]time.Time{},
 		drainSentAt:      map[string]time.Time{},
 		drainingBackends: map[string]bool{},
