--- a/internal/control/replica/sim_disk_test.go
+++ b/internal/control/replica/sim_disk_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"sagelever/internal/control/membership"
 	"sagelever/internal/control/message"
 	"sagelever/internal/control/quorum"
 	"sagelever/internal/control/replication"
@@ -219,6 +220,14 @@
 	if sim.configuration.Epoch == 0 {
 		return sim.lostInitialDisks()
 	}
+	if !sim.configurationSurvives() {
+		return max(sim.lostInitialDisks(), sim.lostMemberDisks())
+	}
+	return sim.lostMemberDisks()
+}
+
+// lostMemberDisks returns the result of lostDisks for the members of the current configuration.
+func (sim *simulation) lostMemberDisks() (lost int) {
 	lost = sim.memberCount - len(sim.configuration.Members)
 	for _, member := range sim.configuration.Members {
 		node := sim.nodeByAddr(member.Addr)
@@ -232,8 +241,26 @@
 	return lost
 }
 
-// lostInitialDisks returns the result of lostDisks before the first configuration is chosen, which requires two of the
-// three initial peers.
+// configurationSurvives reports whether more disks hold the decision on the configuration than may be lost. The first
+// configuration is decided by the initial peers: while only some of these hold it, the loss of two of the three leaves
+// no member that can know the decision.
+func (sim *simulation) configurationSurvives() bool {
+	const firstEpoch = 1
+	if sim.configuration.Epoch > firstEpoch {
+		return true
+	}
+	holders := 0
+	for _, node := range sim.nodes {
+		entry := node.disk.entries[membership.RegisterKey]
+		if !node.removed && (entry.Chosen || entry.Value.Version > firstEpoch) {
+			holders++
+		}
+	}
+	return holders > sim.faultTolerance
+}
+
+// lostInitialDisks returns the result of lostDisks before the first configuration is known to enough members. Its choice
+// requires two of the three initial peers.
 func (sim *simulation) lostInitialDisks() (lost int) {
 	for _, node := range sim.nodes {
 		if !node.diskLost && !node.removed && node.incarnation > 0 {
