--- a/internal/control/replica/pull_response.go
+++ b/internal/control/replica/pull_response.go
@@ -24,10 +24,22 @@
 		changed = append(changed, r.learnEntries(now, []quorum.Entry{*response.Configuration})...)
 	}
 	r.recordPeerResponse(now, from, response)
+	r.learnAddresses(now, response.Members)
 	r.save(now, Save{Entries: changed}, nil)
 	r.reportQuorumChange(now)
 }
 
+// learnAddresses updates the addresses of unreachable members: they may have moved since the configuration was decided,
+// and a candidate gets no pulls that would tell it.
+func (r *Replica) learnAddresses(now time.Time, members []message.Member) {
+	for _, member := range members {
+		peer := r.peers[member.Node]
+		if peer != nil && peer.SameReplica(member) && !r.reachable(member.Node, now) {
+			peer.Addr = member.Addr
+		}
+	}
+}
+
 // mergeItems merges the items of a response and adds their keys to received. It returns the changed register entries,
 // which the caller must save.
 func (r *Replica) mergeItems(
