--- a/internal/control/replica/clock.go
+++ b/internal/control/replica/clock.go
@@ -27,7 +27,7 @@
 	for _, pull := range r.partialPulls {
 		moveBack(setBack, &pull.lastPartAt)
 	}
-	moveBack(setBack, &r.nextRepairAt, &r.startedAt, &r.lastEpochPullAt, &r.local.adoptedAt)
+	moveBack(setBack, &r.nextRepairAt, &r.contendedUntil, &r.startedAt, &r.lastEpochPullAt, &r.local.adoptedAt)
 }
 
 // moveBack subtracts a duration from each non-zero time.
--- a/internal/control/replica/peers.go
+++ b/internal/control/replica/peers.go
@@ -84,11 +84,20 @@
 			r.peers[member.Node] = known
 			continue
 		}
-		if candidate := r.candidates[member.Node]; candidate != nil && candidate.SameReplica(member) {
-			member = candidate.Member // with the address of its last pull
-		}
-		r.peers[member.Node] = &peerState{Member: member, memberSince: now}
+		r.peers[member.Node] = &peerState{Member: r.withLastAddress(member), memberSince: now}
+	}
+}
+
+// withLastAddress returns another replica with the address of its last pull from this replica. It may have moved since
+// the configuration was decided, or after it left the configuration.
+func (r *Replica) withLastAddress(member message.Member) message.Member {
+	if peer := r.peers[member.Node]; peer != nil && peer.SameReplica(member) {
+		return peer.Member
+	}
+	if candidate := r.candidates[member.Node]; candidate != nil && candidate.SameReplica(member) {
+		return candidate.Member
 	}
+	return member
 }
 
 // registerController records the pull of another controller. With its current disk, the controller is either a member
--- a/internal/control/replica/persistence.go
+++ b/internal/control/replica/persistence.go
@@ -18,6 +18,9 @@
 		return nil, nil, since
 	}
 	for _, item := range r.items.Since(since, nil) {
+		if item.Version < r.unrestoredVersions[item.Key] {
+			continue // the disk holds a newer version, which the progress covers
+		}
 		origin, sequence := r.items.OriginOf(item.Key)
 		if strings.HasPrefix(item.Key, replication.RegisterKeyPrefix) {
 			item.Body = "" // saved with the register
--- a/internal/control/replica/takeover.go
+++ b/internal/control/replica/takeover.go
@@ -67,10 +67,7 @@
 		if member.SameReplica(r.local.self) || slices.ContainsFunc(sources, member.SameReplica) {
 			continue
 		}
-		if peer := r.peers[member.Node]; peer != nil && peer.SameReplica(member) {
-			member = peer.Member
-		}
-		sources = append(sources, member)
+		sources = append(sources, r.withLastAddress(member))
 	}
 	return sources
 }
