--- a/internal/control/replica/sim_node_test.go
+++ b/internal/control/replica/sim_node_test.go
@@ -403,6 +403,7 @@
 	node.sim.log("removed", node.index)
 	node.sim.coverage["node removed"]++
 	node.sim.lastRemoval = node.sim.now
+	node.recordCandidateLoss()
 	node.kill()
 	node.removed = true
 }
