--- a/internal/control/replica/errors.go
+++ b/internal/control/replica/errors.go
@@ -18,6 +18,9 @@
 	// ErrNoQuorum means that this replica can't reach a majority of the members, so that its data may be outdated.
 	ErrNoQuorum = errors.New("this controller does not reach a majority of the members")
 
+	// ErrForeignProposer means that the proposer of a round is not a member of the round's epoch.
+	ErrForeignProposer = errors.New("the proposer is not a member of the configuration")
+
 	// ErrNotMember means that this replica is not a member of the current configuration.
 	ErrNotMember = errors.New("this controller is not a member of the configuration")
 )
--- a/internal/control/replica/local_membership.go
+++ b/internal/control/replica/local_membership.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"sagelever/internal/control/membership"
@@ -73,6 +74,14 @@
 	return name + "/" + strconv.FormatUint(l.identity.Starts, proposerStartsBase)
 }
 
+// proposerNode returns the node in a proposerID.
+func proposerNode(proposer string) string {
+	if end := strings.LastIndexByte(proposer, '/'); end >= 0 {
+		return proposer[:end]
+	}
+	return proposer
+}
+
 // loadMembership restores this replica's identity and configuration from the persisted state.
 func (r *Replica) loadMembership(now time.Time, persisted PersistedState) {
 	local := &r.local
--- a/internal/control/replica/registers.go
+++ b/internal/control/replica/registers.go
@@ -15,11 +15,17 @@
 type responseCallback func(now time.Time, response *message.PeerResponse, err error)
 
 // HandleRequest handles a request of another member. The response is part of the Output of this step or of a later one,
-// with the same call ID: it is sent only once the state that it depends on is on disk.
+// with the same call ID: it is sent only once the state that it depends on is on disk. An invalid request gets a
+// *message.InvalidError and changes nothing.
 func (r *Replica) HandleRequest(now time.Time, callID uint64, path string, request *message.PeerRequest) {
-	r.serveRequest(now, path, request, func(_ time.Time, response *message.PeerResponse, err error) {
+	respond := func(_ time.Time, response *message.PeerResponse, err error) {
 		r.output.Responses = append(r.output.Responses, OutgoingResponse{callID, response, err})
-	})
+	}
+	if err := request.Validate(path); err != nil {
+		respond(now, nil, err)
+		return
+	}
+	r.serveRequest(now, path, request, respond)
 }
 
 // serveRequest serves a request of another member, or of this replica to itself as a voter.
@@ -46,6 +52,10 @@
 		respond(now, nil, ErrCatchingUp)
 		return
 	}
+	if path != message.ReadPath && !r.isMemberProposer(request.Proposal.Proposer) {
+		respond(now, nil, ErrForeignProposer)
+		return
+	}
 	response := &message.PeerResponse{}
 	var changed []quorum.Entry
 	switch path {
@@ -64,6 +74,16 @@
 	r.save(now, Save{Entries: changed}, respondSaved(response, respond))
 }
 
+// isMemberProposer reports whether a proposer is a member of the current configuration. Before the first configuration,
+// the initial peers are identified by their addresses, which may differ from those that this replica knows.
+func (r *Replica) isMemberProposer(proposer string) bool {
+	if r.local.configuration.Epoch == 0 {
+		return true
+	}
+	_, isMember := r.local.configuration.Find(proposerNode(proposer))
+	return isMember
+}
+
 // respondSaved returns a save callback that sends a response if the save succeeds, and the error otherwise.
 func respondSaved(response *message.PeerResponse, respond responseCallback) saveCallback {
 	return func(now time.Time, err error) {
--- a/internal/control/replica/sim_test.go
+++ b/internal/control/replica/sim_test.go
@@ -79,6 +79,7 @@
 	ignoresViolations      bool      // only recovery is checked: a disk copy too recent to be detected was restored
 	partitionedUntil       time.Time // no partition is healed before this time
 	linksHealedAt          time.Time // when links were last restored
+	candidateLostAt        time.Time // when a candidate's disk was last lost
 	movedNode              *simNode  // the only node that may move to another address
 	faultOnReconfiguration bool      // inject another fault during the next reconfiguration
 }
--- a/internal/control/server/peer_handler.go
+++ b/internal/control/server/peer_handler.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"sagelever/internal/control/message"
 	"sagelever/internal/control/replica"
 	"sagelever/internal/rpc"
@@ -39,7 +41,7 @@
 		}
 		response, err := s.handleRequest(r.Context(), path, request)
 		if err != nil {
-			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			http.Error(w, err.Error(), peerErrorStatus(err))
 			return
 		}
 		rpc.WriteResponse(w, response)
@@ -47,11 +49,33 @@
 	}
 }
 
+// peerErrorStatus returns the status of the response to a request that failed.
+func peerErrorStatus(err error) int {
+	_, invalid := message.AsInvalid(err)
+	switch {
+	case invalid:
+		return http.StatusBadRequest
+	case errors.Is(err, replica.ErrForeignProposer):
+		return http.StatusForbidden
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// rejectInvalid responds with 400 and returns true if validation has failed.
+func rejectInvalid(w http.ResponseWriter, err error) bool {
+	if err == nil {
+		return false
+	}
+	http.Error(w, err.Error(), http.StatusBadRequest)
+	return true
+}
+
 // handlePull responds with the updates that the caller lacks. If there are none, it waits for updates, and responds
 // without any when the wait that the caller has requested is over.
 func (s *Server) handlePull(w http.ResponseWriter, r *http.Request) {
 	request := &message.PullRequest{}
-	if !rpc.ReadRequest(w, r, request) {
+	if !rpc.ReadRequest(w, r, request) || rejectInvalid(w, request.Validate()) {
 		return
 	}
 	waitMs := max(0, min(request.WaitMs, maxPullWait.Milliseconds()))
@@ -106,7 +130,7 @@
 // handleInFlightReport records a proxy's report for an in-flight survey.
 func (s *Server) handleInFlightReport(w http.ResponseWriter, r *http.Request) {
 	report := &message.InFlightReport{}
-	if !rpc.ReadRequest(w, r, report) {
+	if !rpc.ReadRequest(w, r, report) || rejectInvalid(w, report.Validate()) {
 		return
 	}
 	s.mu.Lock()
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"time"
+	"unicode"
 
 	"github.com/mailru/easyjson"
 
@@ -96,12 +98,22 @@
 		err = easyjson.Unmarshal(data, message)
 	}
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		http.Error(w, singleLine(err.Error()), http.StatusBadRequest)
 		return false
 	}
 	return true
 }
 
+// singleLine replaces the control characters of a text, which may quote a request, by spaces.
+func singleLine(text string) string {
+	return strings.Map(func(r rune) rune {
+		if unicode.IsControl(r) {
+			return ' '
+		}
+		return r
+	}, text)
+}
+
 // WriteResponse responds with a message. It returns the size of the body in bytes, after compression.
 func WriteResponse(w http.ResponseWriter, message easyjson.Marshaler) (size int) {
 	body, err := easyjson.Marshal(message)
