--- a/internal/control/replica/pull_answer.go
+++ b/internal/control/replica/pull_answer.go
@@ -199,13 +199,17 @@
 	return beyond
 }
 
-// shouldListMembers reports whether a response should list the members: if the sender requested them, or if the sender
-// is a proxy and the response contains items or is the first one from this incarnation.
+// shouldListMembers reports whether a response should list the members: if the sender requested them, if it is a
+// controller that is not a member, or if it is a proxy and the response contains items or is the first one from this
+// incarnation.
 func (r *Replica) shouldListMembers(request *message.PullRequest, response *message.PullResponse) bool {
 	if request.MembersOnly {
 		return true
 	}
-	return request.Role == message.RoleProxy && (len(response.Items) > 0 || !r.knownToSender(request))
+	if request.Role == message.RoleController {
+		return r.pullingPeer(request) == nil
+	}
+	return len(response.Items) > 0 || !r.knownToSender(request)
 }
 
 // pullTargets returns the members from which others may pull. It includes this replica only if this replica is a member
