--- a/httpagent/clientconns.go
+++ b/httpagent/clientconns.go
@@ -1,7 +1,6 @@
 package httpagent
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -94,20 +93,12 @@
 	return true
 }
 
-// clientConnKey is the context key under which requests carry their connection.
-type clientConnKey struct{}
-
-// connContext adds a connection to the context of its requests. It implements http.Server.ConnContext.
-func (c *clientConns) connContext(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, clientConnKey{}, conn)
-}
-
 // claim marks the connection of a request as in use until it is idle again, and reports whether the request may become
 // a transaction. It returns false if the connection was closed while the request was being read: the client sees a
 // close without a response and repeats the request under the same ID, here or at another agent, and both would be
 // forwarded.
 func (c *clientConns) claim(r *http.Request) bool {
-	conn, _ := r.Context().Value(clientConnKey{}).(net.Conn)
+	conn := tcp.ConnFrom(r.Context())
 	if conn == nil {
 		return true // an embedding server that does not track connections
 	}
--- a/httpagent/frontend.go
+++ b/httpagent/frontend.go
@@ -1,12 +1,12 @@
 package httpagent
 
 import (
-	"net"
 	"net/http"
 	"time"
 
 	"sagelever/internal/agent/api"
 	"sagelever/internal/agent/engine"
+	"sagelever/internal/tcp"
 	"sagelever/match"
 )
 
@@ -91,7 +91,7 @@
 // TrackUpgraded registers the hijacked connection of a request. Until release is called, the connection counts towards
 // the client connection limits, and Run waits for it on shutdown.
 func (a *Agent) TrackUpgraded(r *http.Request) (release func()) {
-	conn, _ := r.Context().Value(clientConnKey{}).(net.Conn)
+	conn := tcp.ConnFrom(r.Context())
 	a.upgraded.Add(1)
 	return func() {
 		a.clientConns.remove(conn)
--- a/httpagent/server.go
+++ b/httpagent/server.go
@@ -91,7 +91,7 @@
 		MaxHeaderBytes:               maxHeaderSize,
 		DisableGeneralOptionsHandler: true,
 		ConnState:                    a.clientConns.connStateChanged,
-		ConnContext:                  a.clientConns.connContext,
+		ConnContext:                  tcp.WithConn,
 		ErrorLog:                     log.New(serverErrorLog{&a.badRequestLog}, "", 0),
 	}
 }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -9,6 +9,7 @@
 	"sagelever/internal/control/routing"
 	"sagelever/internal/proxy/balancer"
 	"sagelever/internal/proxy/retry"
+	"sagelever/internal/tcp"
 )
 
 // minRetryAfter is the minimum Retry-After of a rejected request.
@@ -19,7 +20,7 @@
 	arrivedAt := time.Now()
 	p.counters.received.Add(1)
 	tryID := r.Header.Get(headerTryID)
-	if clientConnClosed(r.Context()) {
+	if tcp.ConnClosed(r.Context()) {
 		p.counters.aborted.Add(1)
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -158,26 +157,11 @@
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    int(min(limits.MaxHeaderBytes, maxHeaderLimit)),
-		ConnContext:       withClientConn,
+		ConnContext:       tcp.WithConn,
 		ErrorLog:          zap.NewStdLog(zap.NewNop()), // malformed client requests are not logged
 	}
 }
 
-// clientConnKey is the context key under which requests carry their client's connection.
-type clientConnKey struct{}
-
-// withClientConn adds a connection to the context of its requests. It implements http.Server.ConnContext.
-func withClientConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, clientConnKey{}, conn)
-}
-
-// clientConnClosed reports whether this side has closed the connection of a request, so that its client can get no
-// response.
-func clientConnClosed(ctx context.Context) bool {
-	conn, ok := ctx.Value(clientConnKey{}).(*tcp.CloseTrackingConn)
-	return ok && conn.Closed()
-}
-
 // close shuts the listener down. For the time that the schedule calls notice it accepts connections, as clients still
 // have the address. Then it stops listening and waits until the requests in flight are answered. It calls passDeadline
 // at the shutdown deadline.
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -25,7 +25,7 @@
 
 // replyShuttingDown responds to a request that was not sent to a backend by the shutdown deadline.
 func (p *Proxy) replyShuttingDown(w http.ResponseWriter) {
-	w.Header().Set("Connection", "close")
+	p.announceShutdown(w.Header())
 	p.replyUnavailable(w, "shutting down", minRetryAfter)
 }
 
