--- a/cmd/loadtest/main.go
+++ b/cmd/loadtest/main.go
@@ -32,6 +32,7 @@
 		newRateCommand(),
 		newSoakCommand(),
 		newDrainCommand(),
+		newRecoveryCommand(),
 		newHollowCommand(),
 		newHollowProcessCommand(),
 	)
--- a/internal/testbed/cluster/clients.go
+++ b/internal/testbed/cluster/clients.go
@@ -193,11 +193,16 @@
 	return nil
 }
 
-// SendOnce sends one POST request and returns the status of its response, or 0 if there was none.
+// SendOnce sends one POST request to the first proxy and returns the status of its response, or 0 if there was none.
 func (c *Cluster) SendOnce(service, path string, timeout time.Duration) int {
+	return c.SendTo(0, service, path, timeout)
+}
+
+// SendTo is like SendOnce for the proxy with the given index.
+func (c *Cluster) SendTo(proxy int, service, path string, timeout time.Duration) int {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	url := "http://" + net.JoinHostPort(c.ip(0), listenerPort) + path
+	url := "http://" + c.ProxyAddress(proxy) + path
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("once"))
 	if err != nil {
 		return 0
--- a/internal/testbed/cluster/configure.go
+++ b/internal/testbed/cluster/configure.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"sagelever/internal/control/calls"
+	"sagelever/internal/control/client"
 )
 
 // object is a JSON object of the controllers' API.
@@ -63,6 +64,32 @@
 	return items
 }
 
+// PutRoutes creates routes of a service in one change, which the controller of a zone proposes. It returns once the
+// change is acknowledged.
+func (c *Cluster) PutRoutes(ctx context.Context, zone, service string, paths []string) error {
+	var items []object
+	for _, path := range paths {
+		items = append(items, object{
+			"type":     "routes",
+			"metadata": object{"name": service + path, "version": "00000001"},
+			"body": object{
+				"host":        serviceHost(service),
+				"pathStart":   path,
+				"kind":        changeRequest.routeKind,
+				"giveUp":      clientTimeout.String(),
+				"target_time": "1s",
+				"service":     service,
+				"tries":       3,
+			},
+		})
+	}
+	body, err := json.Marshal(object{"putItems": object{"items": items}})
+	if err != nil {
+		return err
+	}
+	return client.New([]string{c.controllerAddress(zone)}).Call(ctx, calls.SettingsChange, "", body, nil)
+}
+
 // SetBodyLimit sets the maximum size of request bodies.
 func (c *Cluster) SetBodyLimit(ctx context.Context, bytes int) error {
 	limits := object{
