--- a/internal/control/replica/persistence.go
+++ b/internal/control/replica/persistence.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -57,6 +58,9 @@
 		r.lastPullAt = now
 	}
 	r.items.Retract(unrestored)
+	if count := len(r.unrestoredVersions); count > 0 {
+		r.logEvent("items withheld until registers are decided", LogField{"registers", strconv.Itoa(count)})
+	}
 }
 
 // isRestoring reports whether this replica lacks an item that it held before its start, or a newer version of it. Its
