--- a/internal/control/replica/sim_node_test.go
+++ b/internal/control/replica/sim_node_test.go
@@ -68,6 +68,7 @@
 	diskLost         bool     // the disk was lost and the node has not caught up since
 	staleDiskID      string   // the ID of a restored old disk copy, on which the node must not vote; empty for none
 	removed          bool     // permanently, or until reviveNode
+	wasRemoved       bool     // it has been removed, whether or not it was revived since
 	replacementOf    *simNode // the node that it was started to replace; may be nil
 	leaving          bool     // it was requested to leave
 	leaveRequestedAt time.Time
@@ -406,6 +407,7 @@
 	node.recordCandidateLoss()
 	node.kill()
 	node.removed = true
+	node.wasRemoved = true
 }
 
 // lastMember returns the node as a member, with the disk on which it last ran.
