--- a/internal/control/replica/sim_disk_test.go
+++ b/internal/control/replica/sim_disk_test.go
@@ -250,8 +250,12 @@
 // toleratesLoss reports whether the group tolerates the loss of one more disk. Losses count against the current
 // configuration, against the initial peers while these may hold the only copies of their decision, and against each
 // newer configuration that some member has accepted, because it may be chosen. The disk of a candidate counts too,
-// because the candidate may just be made a member.
+// because the candidate may just be made a member. While the first configuration is being proposed, it may lack an
+// initial peer already.
 func (sim *simulation) toleratesLoss() bool {
+	if sim.configuration.Epoch == 0 && slices.ContainsFunc(sim.nodes, (*simNode).isProposing) {
+		return false
+	}
 	lost := max(sim.lostDisks(), sim.disksGone(sim.configuration))
 	if !sim.configurationSurvives() {
 		lost = max(lost, sim.lostInitialDisks())
@@ -265,6 +269,9 @@
 	return lost < sim.faultTolerance
 }
 
+// isProposing reports whether the node's replica was proposing a configuration when it last ran.
+func (node *simNode) isProposing() bool { return node.replica != nil && node.replica.local.proposing }
+
 // recordCandidateLoss records the loss of a node's disk if the node is a candidate that is ready to become a member.
 func (node *simNode) recordCandidateLoss() {
 	isMember := node.sim.configuration.Contains(node.lastMember())
