--- a/internal/control/message/validate.go
+++ b/internal/control/message/validate.go
@@ -21,10 +21,12 @@
 // Validate returns an *InvalidError if no correct controller sends the request to the given path.
 func (r *PeerRequest) Validate(path string) error {
 	switch path {
-	case PreparePath, ConfirmPath:
-		return firstError(r.validateProposal(), r.validateKeys())
+	case PreparePath:
+		return firstError(r.validateProposal(), r.validateRoundEpoch(), r.validateKeys())
 	case AcceptPath:
-		return firstError(r.validateProposal(), r.validateEntries())
+		return firstError(r.validateProposal(), r.validateRoundEpoch(), r.validateEntries())
+	case ConfirmPath:
+		return firstError(r.validateProposal(), r.validateKeys())
 	case ReadPath:
 		return requireThat(len(r.Keys) > 0 || r.Ranges != nil, "neither keys nor ranges")
 	case StatePath:
@@ -39,10 +41,16 @@
 	return firstError(
 		requireThat(r.Proposal.Number > 0 && r.Proposal.Number < maxProposalNumber, "proposal number out of range"),
 		requireThat(r.Proposal.Proposer != "", "no proposer"),
-		requireThat(r.Proposal.Epoch == r.Epoch, "proposal of another epoch"),
+		requireThat(r.Proposal.Epoch <= r.Epoch, "proposal of a later epoch"),
 	)
 }
 
+// validateRoundEpoch checks that the round is one of the sender's epoch. A confirmation may concern a value that was
+// accepted in an earlier one.
+func (r *PeerRequest) validateRoundEpoch() error {
+	return requireThat(r.Proposal.Epoch == r.Epoch, "proposal of another epoch")
+}
+
 func (r *PeerRequest) validateKeys() error {
 	for _, key := range r.Keys {
 		if key == "" {
--- a/internal/control/replica/invalid_request_test.go
+++ b/internal/control/replica/invalid_request_test.go
@@ -46,3 +46,20 @@
 		t.Errorf("the next proposal is %v, before it was %v", next, promised)
 	}
 }
+
+// Guards against a confirmation that is taken for invalid: it concerns a value that a member of an earlier epoch, which
+// is no member any more, has proposed.
+func TestConfirmationOfAnEarlierEpochIsServed(t *testing.T) {
+	sim := newFaultFreeSimulation(6, 2, 35*time.Millisecond, 5*time.Millisecond)
+	node := sim.nodes[0]
+	request := &message.PeerRequest{
+		Epoch:    node.replica.Epoch(),
+		Proposal: quorum.ProposalNumber{Epoch: 0, Number: 99, Proposer: "m9/1"},
+		Keys:     []string{"zone/z1"},
+	}
+	node.replica.HandleRequest(node.clock(), 1, message.ConfirmPath, request)
+	output := node.replica.TakeOutput()
+	if len(output.Responses) != 1 || output.Responses[0].Err != nil || !output.Responses[0].Response.OK {
+		t.Errorf("the responses are %+v", output.Responses)
+	}
+}
--- a/internal/control/replica/registers.go
+++ b/internal/control/replica/registers.go
@@ -52,7 +52,8 @@
 		respond(now, nil, ErrCatchingUp)
 		return
 	}
-	if path != message.ReadPath && !r.isMemberProposer(request.Proposal.Proposer) {
+	isRound := path == message.PreparePath || path == message.AcceptPath
+	if isRound && !r.isMemberProposer(request.Proposal.Proposer) {
 		respond(now, nil, ErrForeignProposer)
 		return
 	}
