--- a/cmd/loadtest/drain.go
+++ b/cmd/loadtest/drain.go
@@ -56,21 +56,29 @@
 			return cluster.Options{}, err
 		}
 	}
+	options := testbedOptions(dir)
+	options.Proxies = o.nodes
+	options.Backends = o.backends
+	options.Seed = o.seed
+	options.Load = o.load
+	options.MeanWork = 150 * time.Millisecond
+	options.WarmUp = time.Second
+	options.Logger = log
+	options.Fault = cluster.Fault(o.fault)
+	return options, nil
+}
+
+// testbedOptions returns the options that the experiments with a whole system share, without a log. Draining backends
+// serve for 0.8 s.
+func testbedOptions(dir string) cluster.Options {
 	return cluster.Options{
-		Proxies:           o.nodes,
-		Backends:          o.backends,
-		Seed:              o.seed,
-		Load:              o.load,
-		MeanWork:          150 * time.Millisecond,
 		DrainTime:         800 * time.Millisecond,
-		WarmUp:            time.Second,
 		ShutdownGrace:     3 * time.Second,
 		HeartbeatInterval: 400 * time.Millisecond,
 		ArrivalBound:      300 * time.Millisecond,
 		Dir:               dir,
-		Logger:            log,
-		Fault:             cluster.Fault(o.fault),
-	}, nil
+		Logger:            zap.NewNop(),
+	}
 }
 
 // runDrain runs the experiment and prints its report. It fails if a guarantee was violated.
--- a/cmd/loadtest/recovery.go
+++ b/cmd/loadtest/recovery.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/spf13/cobra"
-	"go.uber.org/zap"
 
 	"sagelever/internal/testbed/cluster"
 	"sagelever/internal/testbed/recovery"
@@ -65,18 +64,12 @@
 
 // cluster returns the options of the testbed: nodes are processes.
 func (o recoveryOptions) cluster(dir string) cluster.Options {
-	return cluster.Options{
-		Proxies:           o.proxies,
-		Backends:          1,
-		Seed:              1,
-		MeanWork:          time.Millisecond,
-		DrainTime:         800 * time.Millisecond,
-		WarmUp:            time.Millisecond,
-		ShutdownGrace:     3 * time.Second,
-		HeartbeatInterval: 400 * time.Millisecond,
-		ArrivalBound:      300 * time.Millisecond,
-		Dir:               dir,
-		Logger:            zap.NewNop(),
-		Binary:            o.binary,
-	}
+	options := testbedOptions(dir)
+	options.Proxies = o.proxies
+	options.Backends = 1
+	options.Seed = 1
+	options.MeanWork = time.Millisecond
+	options.WarmUp = time.Millisecond
+	options.Binary = o.binary
+	return options
 }
--- a/internal/control/message/validate.go
+++ b/internal/control/message/validate.go
@@ -1,6 +1,13 @@
 package message
 
-import "github.com/go-faster/errors"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/go-faster/errors"
+
+	"sagelever/internal/control/quorum"
+)
 
 const (
 	// maxProposalNumber is far above any number that proposers reach by counting.
@@ -22,11 +29,11 @@
 func (r *PeerRequest) Validate(path string) error {
 	switch path {
 	case PreparePath:
-		return firstError(r.validateProposal(), r.validateRoundEpoch(), r.validateKeys())
+		return cmp.Or(r.validateProposal(), r.validateRoundEpoch(), r.validateKeys())
 	case AcceptPath:
-		return firstError(r.validateProposal(), r.validateRoundEpoch(), r.validateEntries())
+		return cmp.Or(r.validateProposal(), r.validateRoundEpoch(), r.validateEntries())
 	case ConfirmPath:
-		return firstError(r.validateProposal(), r.validateKeys())
+		return cmp.Or(r.validateProposal(), r.validateKeys())
 	case ReadPath:
 		return requireThat(len(r.Keys) > 0 || r.Ranges != nil, "neither keys nor ranges")
 	case StatePath:
@@ -38,7 +45,7 @@
 }
 
 func (r *PeerRequest) validateProposal() error {
-	return firstError(
+	return cmp.Or(
 		requireThat(r.Proposal.Number > 0 && r.Proposal.Number < maxProposalNumber, "proposal number out of range"),
 		requireThat(r.Proposal.Proposer != "", "no proposer"),
 		requireThat(r.Proposal.Epoch <= r.Epoch, "proposal of a later epoch"),
@@ -52,26 +59,23 @@
 }
 
 func (r *PeerRequest) validateKeys() error {
-	for _, key := range r.Keys {
-		if key == "" {
-			return &InvalidError{"empty key"}
-		}
-	}
-	return requireThat(len(r.Keys) > 0, "no keys")
+	return cmp.Or(
+		requireThat(len(r.Keys) > 0, "no keys"),
+		requireThat(!slices.Contains(r.Keys, ""), "empty key"),
+	)
 }
 
 func (r *PeerRequest) validateEntries() error {
-	for _, entry := range r.Entries {
-		if entry.Key == "" {
-			return &InvalidError{"empty key"}
-		}
-	}
-	return requireThat(len(r.Entries) > 0, "no entries")
+	isUnnamed := func(entry quorum.Entry) bool { return entry.Key == "" }
+	return cmp.Or(
+		requireThat(len(r.Entries) > 0, "no entries"),
+		requireThat(!slices.ContainsFunc(r.Entries, isUnnamed), "empty key"),
+	)
 }
 
 // Validate returns an *InvalidError if neither a correct controller nor a correct proxy sends the pull.
 func (r *PullRequest) Validate() error {
-	return firstError(
+	return cmp.Or(
 		requireThat(r.Role == RoleController || r.Role == RoleProxy, "unknown role"),
 		requireThat(r.From.Node != "", "no sender"),
 		requireThat(r.Incarnation < maxIncarnation, "incarnation out of range"),
@@ -87,13 +91,3 @@
 	}
 	return &InvalidError{reason}
 }
-
-// firstError returns the first error that is not nil.
-func firstError(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/internal/control/replica/confirm.go
+++ b/internal/control/replica/confirm.go
@@ -130,13 +130,13 @@
 func (r *Replica) endConfirmation(now time.Time, op *operation) {
 	r.finish(op, nil, nil)
 	later := repairDelay/2 + r.jitter(repairDelay/2)
+	preceding := r.reachableBefore(now)
 	for position, key := range op.confirmation.Keys {
 		value, undecided := r.undecided[key]
 		if !undecided || value.accepted != op.confirmation.Proposal {
 			continue
 		}
-		mayHold := func(node string) bool { return op.confirmation.MayHold(node, position) }
-		turn := r.repairTurnDelay(now, mayHold)
+		turn := repairTurnDelay(op.confirmation, position, preceding)
 		at := now
 		switch {
 		case !r.isAwaited(key):
@@ -163,12 +163,22 @@
 	r.scheduleRepair(key, value.roundAt, true)
 }
 
-// repairTurnDelay returns how long this replica waits for the repair rounds of those reachable members that precede it
-// by name and may hold the value. It is one attemptTimeout for each, because a round of a large change can take that
-// long.
-func (r *Replica) repairTurnDelay(now time.Time, mayHold func(node string) bool) (turn time.Duration) {
+// reachableBefore returns the reachable members that precede this replica by name.
+func (r *Replica) reachableBefore(now time.Time) (nodes []string) {
 	for node := range r.peers {
-		if node < r.config.Self.Node && r.reachable(node, now) && mayHold(node) {
+		if node < r.config.Self.Node && r.reachable(node, now) {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
+}
+
+// repairTurnDelay returns how long a replica waits for the repair rounds of those preceding members that may hold the
+// value at a position of a confirmation. It is one attemptTimeout for each, because a round of a large change can take
+// that long.
+func repairTurnDelay(confirmation *quorum.Confirmation, position int, preceding []string) (turn time.Duration) {
+	for _, node := range preceding {
+		if confirmation.MayHold(node, position) {
 			turn += attemptTimeout
 		}
 	}
--- a/internal/testbed/cluster/configure.go
+++ b/internal/testbed/cluster/configure.go
@@ -49,21 +49,26 @@
 			"warmingRateS": 5,
 		})
 		for _, kind := range []requestKind{readRequest, changeRequest} {
-			put("routes", service+kind.routeSuffix, object{
-				"host":        serviceHost(service),
-				"pathStart":   kind.path,
-				"kind":        kind.routeKind,
-				"giveUp":      cmp.Or(c.options.RequestTimeout, clientTimeout).String(),
-				"target_time": "1s",
-				"service":     service,
-				"tries":       3,
-			})
+			put("routes", service+kind.routeSuffix, c.route(service, kind.path, kind))
 		}
 	}
 	put("limits", "", object{"headSizeBytes": 16384, "bodySizeBytes": 1 << 20, "headWait": "3s", "quiet": "15s"})
 	return items
 }
 
+// route returns the body of a route for a kind of requests.
+func (c *Cluster) route(service, path string, kind requestKind) object {
+	return object{
+		"host":        serviceHost(service),
+		"pathStart":   path,
+		"kind":        kind.routeKind,
+		"giveUp":      cmp.Or(c.options.RequestTimeout, clientTimeout).String(),
+		"target_time": "1s",
+		"service":     service,
+		"tries":       3,
+	}
+}
+
 // PutRoutes creates routes of a service in one change, which the controller of a zone proposes. It returns once the
 // change is acknowledged.
 func (c *Cluster) PutRoutes(ctx context.Context, zone, service string, paths []string) error {
@@ -72,15 +77,7 @@
 		items = append(items, object{
 			"type":     "routes",
 			"metadata": object{"name": service + path, "version": "00000001"},
-			"body": object{
-				"host":        serviceHost(service),
-				"pathStart":   path,
-				"kind":        changeRequest.routeKind,
-				"giveUp":      clientTimeout.String(),
-				"target_time": "1s",
-				"service":     service,
-				"tries":       3,
-			},
+			"body":     c.route(service, path, changeRequest),
 		})
 	}
 	body, err := json.Marshal(object{"putItems": object{"items": items}})
