--- /dev/null
+++ b/review/_harness/scenes.go
@@ -0,0 +1,352 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	clientHost   = "ficu95.example"
+	settleTime   = 3 * time.Second // from the start of the machines to the first configuration
+	confirm      = 6 * time.Second
+	orderTimeout = confirm
+)
+
+// begin starts the machines and sends the first configuration.
+func (f *fleet) begin(items ...item) error {
+	if err := f.startAll(true); err != nil {
+		return err
+	}
+	time.Sleep(settleTime)
+	status, _ := f.order("operator", "call=settings.change", change(items...), []int{0, 1, 2, 3, 4, 5}, 20*time.Second)
+	if status != 200 {
+		return fmt.Errorf("%w: the first configuration got %d", errNotRun, status)
+	}
+	f.rec.say("the first configuration is acknowledged")
+	return nil
+}
+
+// appliancesEverywhere starts appliances of a service in every zone.
+func (f *fleet) appliancesEverywhere(service string, perZone, firstNumber int, work time.Duration) ([]*appliance, error) {
+	var all []*appliance
+	for i, zone := range zones {
+		for j := range perZone {
+			a, err := f.startAppliance(firstNumber+i*perZone+j, service, zone, work)
+			if err != nil {
+				return nil, err
+			}
+			all = append(all, a)
+		}
+	}
+	return all, nil
+}
+
+// lateOrder: a zone is evacuated, taken back and evacuated again. The machine to which the operator sends clear_out.finish
+// stands still while the order waits there; the operator sends the order again to another machine, which acknowledges it.
+// The second evacuation must last until it is taken back.
+func lateOrder(f *fleet, trouble bool) (broken bool, err error) {
+	const zone, frozen, other, third = "new-town-b", 1, 2, 4
+	if err := f.begin(service("huvo11a", 7), limits(7), route("r-1", 7, clientHost, "/lohu930/", "harmless", "huvo11a")); err != nil {
+		return false, err
+	}
+	appliances, err := f.appliancesEverywhere("huvo11a", 2, 0, 100*time.Millisecond)
+	if err != nil {
+		return false, err
+	}
+	load := f.newTraffic()
+	defer load.end()
+	time.Sleep(2 * time.Second)
+	for _, name := range zones {
+		load.runClients(4, clientHost, "GET", "/lohu930/2f", name, 300*time.Millisecond)
+	}
+	time.Sleep(inTouch)
+
+	begin, finish := "call=clear_out.begin&of="+zone, "call=clear_out.finish&of="+zone
+	if status, _ := f.order("operator", begin, nil, []int{other, third}, orderTimeout); status != 200 {
+		return false, fmt.Errorf("%w: the first evacuation got %d", errNotRun, status)
+	}
+	time.Sleep(2 * time.Second)
+	if trouble {
+		f.rec.say("SIGSTOP to the machine in %s", zones[frozen])
+		f.signal(frozen, syscall.SIGSTOP)
+	}
+	stoppedAt := time.Now()
+	if status, _ := f.order("operator", finish, nil, []int{frozen, other, third}, orderTimeout); status != 200 {
+		return false, fmt.Errorf("%w: taking the zone back got %d", errNotRun, status)
+	}
+	f.rec.say("clear_out.finish is acknowledged")
+	time.Sleep(100 * time.Millisecond)
+	if status, _ := f.order("operator", begin, nil, []int{third, other}, orderTimeout); status != 200 {
+		return false, fmt.Errorf("%w: the second evacuation got %d", errNotRun, status)
+	}
+	acknowledgedAt := time.Now()
+	f.rec.say("the second clear_out.begin is acknowledged")
+	time.Sleep(time.Until(stoppedAt.Add(2 * time.Second)))
+	if trouble {
+		f.rec.say("SIGCONT to the machine in %s", zones[frozen])
+		f.signal(frozen, syscall.SIGCONT)
+	}
+	// All bounds of the rule, one after the other: the machines are in touch again, and an unsettled core extends the bound.
+	bound := time.Now().Add(inTouch + clearOut + stretch)
+	f.rec.say("the zone must get nothing later than %.3f s", bound.Sub(f.rec.started).Seconds())
+	time.Sleep(time.Until(bound.Add(6 * time.Second)))
+	watchedUntil := time.Now()
+	load.end()
+
+	late, soon := 0, 0
+	for _, a := range appliances {
+		if a.zone != zone {
+			continue
+		}
+		soon += len(a.since(acknowledgedAt.Add(clearOut)))
+		for _, arrival := range a.since(bound) {
+			got, known := load.sentBy(arrival.tryID)
+			if known && !strings.HasPrefix(got.proxy, f.ip(frozen)+":") {
+				late++
+			}
+		}
+	}
+	sent, served := load.count(bound, watchedUntil)
+	f.rec.say("after the bound: %d requests sent, %d served, %d of them arrived in the evacuated zone by way of machines in touch",
+		sent, served, late)
+	f.rec.say("arrivals in the zone later than clearOut after the acknowledgement: %d", soon)
+	if sent < 50 || served < sent/2 {
+		return false, fmt.Errorf("%w: too little traffic was served", errNotRun)
+	}
+	return late > 0, nil
+}
+
+// signOffRounds is how often signOff replaces an appliance. Whether the sign-off is lost depends on the moment: the
+// controllers note the state of the appliances on their disks four times a second.
+const signOffRounds = 3
+
+// signOff: an appliance leaves. It never says emptying but signs off and serves on. Right after the acknowledgement every
+// process of the core is killed; they come back within a second with their disks. A new appliance follows in the zone
+// before the next round.
+func signOff(f *fleet, trouble bool) (broken bool, err error) {
+	if err := f.begin(service("huvo11a", 7), limits(7), route("r-1", 7, clientHost, "/lohu930/", "harmless", "huvo11a")); err != nil {
+		return false, err
+	}
+	appliances, err := f.appliancesEverywhere("huvo11a", 1, 0, 250*time.Millisecond)
+	if err != nil {
+		return false, err
+	}
+	load := f.newTraffic()
+	defer load.end()
+	time.Sleep(2 * time.Second)
+	for _, name := range zones {
+		load.runClients(8, clientHost, "GET", "/lohu930/2f", name, 250*time.Millisecond)
+	}
+	time.Sleep(inTouch)
+	for round := range signOffRounds {
+		leaving := appliances[3+round]
+		time.Sleep(time.Duration(rand.IntN(250)) * time.Millisecond)
+		late, err := f.signOffRound(leaving, load, rand.IntN(len(zones)), trouble)
+		if err != nil {
+			return false, err
+		}
+		if late > 0 {
+			return true, nil
+		}
+		if _, err := f.startAppliance(20+round, "huvo11a", leaving.zone, 250*time.Millisecond); err != nil {
+			return false, err
+		}
+		time.Sleep(4 * time.Second)
+	}
+	return false, nil
+}
+
+// signOffRound returns how many requests reach a leaving appliance after the bound.
+func (f *fleet) signOffRound(leaving *appliance, load *traffic, machine int, trouble bool) (late int, err error) {
+	acknowledgedAt, ok := leaving.signOff(machine)
+	if !ok {
+		return 0, fmt.Errorf("%w: no acknowledgement", errNotRun)
+	}
+	restartedAt := acknowledgedAt
+	if trouble {
+		f.killAll()
+		f.rec.say("SIGKILL to every process of the core; all have ended %d ms after the acknowledgement",
+			time.Since(acknowledgedAt).Milliseconds())
+		time.Sleep(400 * time.Millisecond)
+		if err := f.startAll(false); err != nil {
+			return 0, err
+		}
+		restartedAt = time.Now()
+		f.rec.say("all processes are started again with their disks")
+	}
+	bound := restartedAt.Add(2 * inTouch)
+	f.rec.say("the appliance must get nothing later than %.3f s", bound.Sub(f.rec.started).Seconds())
+	time.Sleep(time.Until(bound.Add(4 * time.Second)))
+	watchedUntil := time.Now()
+	late = len(leaving.since(bound))
+	soon := len(leaving.since(acknowledgedAt.Add(empty)))
+	leaving.end()
+	sent, served := load.count(bound, watchedUntil)
+	f.rec.say("after the bound: %d requests sent, %d served, %d arrived at the appliance that had signed off", sent, served, late)
+	f.rec.say("arrivals there later than empty after the acknowledgement: %d", soon)
+	if sent < 50 || served < sent/2 {
+		return 0, fmt.Errorf("%w: too little traffic was served", errNotRun)
+	}
+	return late, nil
+}
+
+// Figures of refusedPart: as many pairs of calls race at a time as may be under way (eight orders), each on a route of its
+// own, one pair after the other.
+const (
+	raceGroups   = 4
+	racePairs    = 100                   // of each group
+	raceOffset   = 10 * time.Millisecond // the longest time between the two calls of a pair
+	firstVersion = 7
+)
+
+// race is the state of the calls of refusedPart.
+type race struct {
+	fleet *fleet
+	mu    sync.Mutex
+	// refused holds the routes that a refused call would have added, with the number of calls that it took to get the
+	// refusal.
+	refused      map[string]int
+	acknowledged map[string]bool
+	unclear      int
+}
+
+// refusedPart: two operators change a route at the same time under one version, at two machines; each call also adds a
+// new route of its own. One of them has to be refused, and then nothing of it may come into force.
+func refusedPart(f *fleet, trouble bool) (broken bool, err error) {
+	first := []item{service("huvo11a", firstVersion), limits(firstVersion),
+		route("r-1", firstVersion, clientHost, "/lohu930/", "harmless", "huvo11a")}
+	for group := range raceGroups {
+		first = append(first, route(sharedRoute(group), firstVersion, clientHost, fmt.Sprintf("/shared%d/", group), "harmless", "huvo11a"))
+	}
+	if err := f.begin(first...); err != nil {
+		return false, err
+	}
+	if _, err := f.appliancesEverywhere("huvo11a", 1, 0, 20*time.Millisecond); err != nil {
+		return false, err
+	}
+	time.Sleep(inTouch)
+	r := &race{fleet: f, refused: map[string]int{}, acknowledged: map[string]bool{}}
+	started := time.Now()
+	var groups sync.WaitGroup
+	for group := range raceGroups {
+		groups.Go(func() {
+			for pair := range racePairs {
+				if time.Since(started) > 60*time.Second {
+					return
+				}
+				r.play(group, pair, trouble)
+			}
+		})
+	}
+	groups.Wait()
+	f.rec.say("%d calls were acknowledged, %d refused, %d got no clear answer", len(r.acknowledged), len(r.refused), r.unclear)
+	time.Sleep(apply + stretch)
+	return r.judge()
+}
+
+func sharedRoute(group int) string { return fmt.Sprintf("r-shared-%d", group) }
+
+func addedRoute(group, pair, operator int) string {
+	return fmt.Sprintf("r-new-%d-%d-%d", group, pair, operator)
+}
+
+func addedPath(name string) string { return "/" + name + "/" }
+
+// play plays one pair: both calls at the same time or, without the disruption, one after the other.
+func (r *race) play(group, pair int, trouble bool) {
+	machines := rand.Perm(len(zones))
+	number := firstVersion + 1 + pair
+	call := func(operator int) {
+		shared := route(sharedRoute(group), number, clientHost, fmt.Sprintf("/shared%d/", group), "harmless", "huvo11a")
+		shared.Body["giveUp"] = fmt.Sprintf("%dms", 1500+operator)
+		name := addedRoute(group, pair, operator)
+		body := change(shared, route(name, number, clientHost, addedPath(name), "harmless", "huvo11a"))
+		r.send(fmt.Sprintf("operator %d.%d", group, operator), name, body, machines[operator:])
+	}
+	if !trouble {
+		call(0)
+		call(1)
+		return
+	}
+	var both sync.WaitGroup
+	for operator := range 2 {
+		both.Go(func() {
+			time.Sleep(rand.N(raceOffset))
+			call(operator)
+		})
+	}
+	both.Wait()
+}
+
+// send makes a call as operators do and notes its result.
+func (r *race) send(who, name string, body []byte, machines []int) {
+	until := time.Now().Add(confirm)
+	for calls := 1; time.Now().Before(until); calls++ {
+		status, _ := r.fleet.call(who, machines[(calls-1)%len(machines)], "call=settings.change", body)
+		switch {
+		case status == 200:
+			r.mu.Lock()
+			r.acknowledged[name] = true
+			r.mu.Unlock()
+			return
+		case status >= 400 && status < 500 && status != 408 && status != 429:
+			r.mu.Lock()
+			r.refused[name] = calls
+			r.mu.Unlock()
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	r.mu.Lock()
+	r.unclear++
+	r.mu.Unlock()
+}
+
+// judge reads the configuration back and sends requests on the routes of refused calls that it lists.
+func (r *race) judge() (broken bool, err error) {
+	f := r.fleet
+	_, data := f.order("operator", "call=settings.read", nil, []int{3, 4, 5}, orderTimeout)
+	list := struct{ Items []item }{}
+	if err := json.Unmarshal(data, &list); err != nil {
+		return false, fmt.Errorf("%w: settings.read: %v", errNotRun, err)
+	}
+	inForce := map[string]bool{}
+	for _, read := range list.Items {
+		if read.Type == "routes" {
+			inForce[fmt.Sprint(read.Metadata["name"])] = true
+		}
+	}
+	load := f.newTraffic()
+	defer load.end()
+	found := 0
+	for name, calls := range r.refused {
+		if !inForce[name] {
+			continue
+		}
+		found++
+		ran := 0
+		for machine := range zones {
+			if load.send(f.address(machine, "front"), clientHost, "GET", addedPath(name)+"2f").status == 200 {
+				ran++
+			}
+		}
+		f.rec.say("%s: its call was refused (answer to call %d), but settings.read lists it, and %d of %d machines pass requests on it",
+			name, calls, ran, len(zones))
+	}
+	lost := 0
+	for name := range r.acknowledged {
+		if !inForce[name] {
+			lost++
+		}
+	}
+	f.rec.say("%d of %d refused calls have a part in force; %d acknowledged routes are missing", found, len(r.refused), lost)
+	if len(r.refused) < raceGroups || len(r.acknowledged) < raceGroups {
+		return false, fmt.Errorf("%w: too few calls had a clear answer", errNotRun)
+	}
+	return found > 0 || lost > 0, nil
+}
