--- a/internal/control/replica/confirm.go
+++ b/internal/control/replica/confirm.go
@@ -111,6 +111,7 @@
 			chosen = append(chosen, entry)
 		}
 	}
+	r.logDecided(decidedByConfirmation, chosen, chosen)
 	chosen = append(chosen, response.Entries...)
 	r.save(now, Save{Entries: r.learnEntries(now, chosen)}, nil)
 	if confirmation.Done() || !r.anyUndecided(confirmation) {
--- a/internal/control/replica/operation.go
+++ b/internal/control/replica/operation.go
@@ -85,6 +85,7 @@
 	proposal     proposal
 	read         readState
 	confirmation *quorum.Confirmation // set for confirmValues
+	held         []quorum.Entry       // set for repairValues: the undecided entries that this replica held at the start
 
 	attempt attempt
 	retryAt time.Time // when the next attempt begins; zero while one is in progress or the operation is parked
--- a/internal/control/replica/repair.go
+++ b/internal/control/replica/repair.go
@@ -1,8 +1,11 @@
 package replica
 
 import (
+	"fmt"
 	"maps"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"sagelever/internal/backoff"
@@ -130,7 +133,9 @@
 	r.updateNextRepair(now)
 	r.confirmValues(now, confirm)
 	for part := range slices.Chunk(propose, maxRepairKeys) {
-		r.startOperation(now, newProposal(repairValues, part, keepValues))
+		repair := newProposal(repairValues, part, keepValues)
+		repair.held = r.acceptedEntries(part)
+		r.startOperation(now, repair)
 	}
 }
 
@@ -180,3 +185,44 @@
 	r.resolveReads(entry)
 	r.resolveVerification(now, entry.Key)
 }
+
+// maxLoggedRegisters limits the registers that a log entry about decided values names.
+const maxLoggedRegisters = 4
+
+// Ways in which undecided values are decided.
+const (
+	decidedByRound        = "round"
+	decidedByConfirmation = "confirmation"
+)
+
+// logDecided logs which of the values that this replica held undecided are now chosen or replaced. held are the entries
+// before, in the order of their keys.
+func (r *Replica) logDecided(by string, held, chosen []quorum.Entry) {
+	if len(held) == 0 {
+		return
+	}
+	chosenByKey := make(map[string]quorum.Entry, len(chosen))
+	for _, entry := range chosen {
+		chosenByKey[entry.Key] = entry
+	}
+	var described []string
+	for _, entry := range held[:min(len(held), maxLoggedRegisters)] {
+		described = append(described, describeDecision(entry, chosenByKey[entry.Key]))
+	}
+	r.logEvent("undecided values decided",
+		LogField{"by", by},
+		LogField{"registers", strconv.Itoa(len(held))},
+		LogField{"decisions", strings.Join(described, ", ")})
+}
+
+// describeDecision describes the entry that this replica held of a register and the one that was chosen: the versions
+// and the proposals.
+func describeDecision(held, chosen quorum.Entry) string {
+	describe := func(entry quorum.Entry) string {
+		return fmt.Sprintf("version %d of %d/%s", entry.Value.Version, entry.Accepted.Number, entry.Accepted.Proposer)
+	}
+	if chosen.Key == "" {
+		return fmt.Sprintf("%s: held %s, nothing chosen", held.Key, describe(held))
+	}
+	return fmt.Sprintf("%s: held %s, chosen %s", held.Key, describe(held), describe(chosen))
+}
--- a/internal/control/replica/round.go
+++ b/internal/control/replica/round.go
@@ -64,6 +64,7 @@
 		return
 	}
 	chosen := round.ChosenEntries()
+	r.logDecided(decidedByRound, op.held, chosen)
 	// The operation needn't wait for this save: the values are on the disks of a quorum, and a member that finds them
 	// undecided after a restart repairs them.
 	r.save(now, Save{Entries: r.learnEntries(now, chosen)}, nil)
