--- a/internal/control/quorum/quorum.go
+++ b/internal/control/quorum/quorum.go
@@ -58,6 +58,10 @@
 	Annotation string `json:"n,omitempty"`
 }
 
+// Absent is the value of a register in which no value has been written. A round chooses it for a register that it leaves
+// without a value. Every written value replaces it, because written versions are above 0.
+var Absent = Value{Deleted: true}
+
 // Entry is the state of one register on one member.
 //
 //easyjson:json
@@ -79,6 +83,10 @@
 // from the result keeps its value. It must be deterministic.
 type DecideFunc func(current map[string]Value) map[string]Value
 
+// Keep is the DecideFunc of a round that changes no register. Once its outcome is chosen, no value that an earlier
+// proposal has left with some of the members can take effect any more.
+func Keep(map[string]Value) map[string]Value { return nil }
+
 // UpdateEach returns the sorted keys and the DecideFunc of a round that updates each register independently.
 func UpdateEach(updates map[string]UpdateFunc) (keys []string, decide DecideFunc) {
 	decide = func(current map[string]Value) map[string]Value {
--- a/internal/control/quorum/round.go
+++ b/internal/control/quorum/round.go
@@ -55,7 +55,11 @@
 }
 
 // chooseValues returns the values that the round proposes. For a register that the DecideFunc leaves out, it proposes
-// the current value, which may have been accepted without having been chosen.
+// the current value, which may have been accepted without having been chosen, or Absent.
+//
+// Invariant: once the round's values are chosen, no value of an earlier proposal can be chosen in any of its registers.
+// A value that an earlier proposal left with members outside the prepare quorum is replaced whenever they propose it
+// again, because their prepare quorum includes a member that has accepted this round's value.
 func (r *Round) chooseValues() []Entry {
 	current := make(map[string]Value, len(r.keys))
 	for _, key := range r.keys {
@@ -66,16 +70,21 @@
 	for _, key := range r.keys {
 		value, updated := decided[key]
 		if !updated {
-			if r.highestAccepted[key].Accepted == (ProposalNumber{}) {
-				continue // no value to propose; the promises already prevent earlier proposals from being chosen
-			}
-			value = current[key]
+			value = r.currentValue(key)
 		}
 		values = append(values, Entry{Key: key, Accepted: r.Proposal, Value: value})
 	}
 	return values
 }
 
+// currentValue returns the value with the highest proposal number among the promises, or Absent if there is none.
+func (r *Round) currentValue(key string) Value {
+	if entry, found := r.highestAccepted[key]; found && entry.Accepted != (ProposalNumber{}) {
+		return entry.Value
+	}
+	return Absent
+}
+
 // HandleAccepted handles a member's reply that it has accepted the values and has them on disk (phase 2b). It reports
 // whether the values are chosen.
 func (r *Round) HandleAccepted(member string) (chosen bool) {
--- a/internal/control/replica/pull_answer.go
+++ b/internal/control/replica/pull_answer.go
@@ -140,14 +140,20 @@
 	return known
 }
 
-// itemFilter returns a filter, by key, of the items to send to a role; nil for all items. Proxies need neither leases
-// nor the configuration.
-func itemFilter(role string) func(key string) bool {
+// itemFilter returns a filter of the items to send to a role; nil for all items. Proxies need neither leases, nor the
+// configuration, nor registers without a value.
+func itemFilter(role string) func(item replication.Item) bool {
 	if role == message.RoleController {
 		return nil
 	}
-	return func(key string) bool {
-		return !strings.HasPrefix(key, replication.LeaseKeyPrefix) && key != replication.RegisterKeyPrefix+membership.RegisterKey
+	return func(item replication.Item) bool {
+		switch {
+		case strings.HasPrefix(item.Key, replication.LeaseKeyPrefix):
+			return false
+		case strings.HasPrefix(item.Key, replication.RegisterKeyPrefix):
+			return item.Version > 0 && item.Key != replication.RegisterKeyPrefix+membership.RegisterKey
+		}
+		return true
 	}
 }
 
--- a/internal/control/replica/repair.go
+++ b/internal/control/replica/repair.go
@@ -133,7 +133,7 @@
 	r.updateNextRepair(now)
 	r.confirmValues(now, confirm)
 	for part := range slices.Chunk(propose, maxRepairKeys) {
-		repair := newProposal(repairValues, part, keepValues)
+		repair := newProposal(repairValues, part, quorum.Keep)
 		repair.held = r.acceptedEntries(part)
 		r.startOperation(now, repair)
 	}
--- a/internal/control/replica/round.go
+++ b/internal/control/replica/round.go
@@ -8,10 +8,6 @@
 	"sagelever/internal/control/quorum"
 )
 
-// keepValues is the decision of a repair: the round proposes the current values of its registers again, so that they
-// become chosen.
-func keepValues(map[string]quorum.Value) map[string]quorum.Value { return nil }
-
 // startRound starts phase 1 of a Paxos round.
 func (r *Replica) startRound(now time.Time, op *operation) {
 	configuration := r.local.configuration
--- a/internal/control/replication/item_store.go
+++ b/internal/control/replication/item_store.go
@@ -212,10 +212,10 @@
 
 // Missing returns the items that a replica with the given progress lacks, in the order in which they were stored, and
 // the origins to which their OriginIndex refers. It omits items of other origins with a local sequence number above
-// maxLocalSequence: these arrived recently and are already being sent to every replica. match selects items by key;
+// maxLocalSequence: these arrived recently and are already being sent to every replica. match selects items;
 // nil selects all.
 func (s *ItemStore) Missing(
-	progress Vector, maxLocalSequence uint64, match func(key string) bool,
+	progress Vector, maxLocalSequence uint64, match func(item Item) bool,
 ) (items []Item, origins []string) {
 	missing := func(stored *storedItem) bool {
 		if stored.sequence <= progress[stored.origin] {
@@ -224,7 +224,7 @@
 		if stored.origin != s.Origin && stored.localSequence > maxLocalSequence {
 			return false
 		}
-		return match == nil || match(stored.item.Key)
+		return match == nil || match(stored.item)
 	}
 	origins = []string{s.Origin}
 	originIndex := map[string]int{s.Origin: 0}
@@ -243,10 +243,10 @@
 }
 
 // Since returns the items with local sequence numbers above the given one, in order. It serves pulls of the previous
-// protocol version. match selects items by key; nil selects all.
-func (s *ItemStore) Since(localSequence uint64, match func(key string) bool) []Item {
+// protocol version. match selects items; nil selects all.
+func (s *ItemStore) Since(localSequence uint64, match func(item Item) bool) []Item {
 	keys := s.selectKeys(func(stored *storedItem) bool {
-		return stored.localSequence > localSequence && (match == nil || match(stored.item.Key))
+		return stored.localSequence > localSequence && (match == nil || match(stored.item))
 	})
 	items := make([]Item, len(keys))
 	for i, key := range keys {
