--- a/internal/control/server/change.go
+++ b/internal/control/server/change.go
@@ -148,11 +148,24 @@
 		return err
 	}
 	if err := s.configIndex.check(current, change.values); err != nil {
-		return err
+		return refuseWith(ctx, propose, change, err)
 	}
 	return commitWith(ctx, propose, change, config.Commit(change.values))
 }
 
+// refuseWith refuses a change for a reason that depends on the configuration in force. The refusal is definite only once
+// no value that an earlier attempt at the change may have left with a member can take effect.
+func refuseWith(ctx context.Context, propose proposeFunc, change *configChange, reason error) error {
+	if !isType[*config.InvalidError](reason) {
+		return reason
+	}
+	chosen, err := propose(ctx, change.keys, quorum.Keep)
+	if err != nil {
+		return err
+	}
+	return config.RefusalOutcome(chosen, change.values, reason)
+}
+
 // commitSelfContained commits a change whose validity depends only on the services that it refers to. done is false if
 // the validity depends on other items too, or if this can't be determined without reading the configuration.
 func (s *Server) commitSelfContained(
--- /dev/null
+++ b/internal/control/server/refused_change_test.go
@@ -0,0 +1,52 @@
+package server
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"sagelever/internal/control/config"
+	"sagelever/internal/control/message"
+	"sagelever/internal/control/quorum"
+)
+
+// acceptAlone makes a member accept a value of a round that reaches no other member. The caller must hold m.mu.
+func (m *testMember) acceptAlone(key string, value quorum.Value) {
+	proposal := m.replica.Register(config.Key(config.KindServices, "s")).Accepted
+	proposal.Number++
+	m.replica.HandleRequest(m.now(), 0, message.AcceptPath, &message.PeerRequest{
+		Epoch:    proposal.Epoch,
+		Proposal: proposal,
+		Entries:  []quorum.Entry{{Key: key, Value: value}},
+	})
+	m.logEntries(m.applyOutput())
+}
+
+// Guards against a part of a refused change in force: a member that is held up has accepted a route in a round that was
+// defeated, and another member refuses the change with 400, as its service was removed. The first member must not bring
+// the route into force when it goes on.
+func TestInvalidChangeReplacesDefeatedAttempt(t *testing.T) {
+	t.Parallel()
+	cluster := newStartedCluster(t)
+	cluster.mustCall(0, "settings.change", putItems(serviceItem("s", "00000001", "h")))
+	holder, key := cluster.running[2], config.Key(config.KindRoutes, "r")
+	waitUntil(t, "the member holds the service", func() bool {
+		return holder.register(config.Key(config.KindServices, "s")).Chosen
+	})
+	body := putItems(routeItem("r", "00000003", "x", "s"))
+	change, err := newConfigChange([]byte(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	holder.mu.Lock() // the member is held up
+	holder.acceptAlone(key, change.values[key])
+	cluster.mustCall(0, "settings.change", removeItem("services", "s", "00000002"))
+	cluster.wantStatus(0, http.StatusBadRequest, "settings.change", body)
+	holder.mu.Unlock()
+	waitUntil(t, "no register is undecided", func() bool { return holder.undecidedCount() == 0 })
+	for i := range memberCount {
+		if text := cluster.mustCall(i, "settings.read", ""); strings.Contains(text, `"r"`) {
+			t.Errorf("member %d: a refused route is in force: %s", i, text)
+		}
+	}
+}
