--- a/internal/control/server/drain.go
+++ b/internal/control/server/drain.go
@@ -49,8 +49,39 @@
 }
 
 // beginDrain begins a drain. If the drain is active or was begun within the resend window, the order is a repetition
-// and has no effect.
+// and has no effect. An order is rejected only if no earlier attempt at it can take effect any more.
 func (s *Server) beginDrain(ctx context.Context, order *drain.BeginRequest) (drain.Response, error) {
+	response, err := s.attemptDrain(ctx, order)
+	if !isRejection(err) {
+		return response, err
+	}
+	values, settleErr := s.settleDrains(ctx)
+	if settleErr != nil {
+		return drain.Response{}, settleErr
+	}
+	if key, _, active := drain.Find(values, order.Target); active {
+		s.awaitPropagation(ctx, key)
+		return drain.Response{Target: order.Target, AlreadyActive: true}, nil
+	}
+	return drain.Response{}, err
+}
+
+// settleDrains replaces what earlier attempts at orders have left with some of the members, by a round that keeps the
+// drains of all zones as they are. It returns their registers. A drain that they don't list begins only with a later
+// order.
+func (s *Server) settleDrains(ctx context.Context) (map[string]quorum.Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var keys []string
+	for zone := range s.settings.Zones {
+		keys = append(keys, drain.ListKey(zone))
+	}
+	slices.Sort(keys)
+	return s.proposeAtomic(ctx, keys, quorum.Keep)
+}
+
+// attemptDrain begins a drain on the basis of the registers that it reads.
+func (s *Server) attemptDrain(ctx context.Context, order *drain.BeginRequest) (drain.Response, error) {
 	readCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	values, err := s.readPrefix(readCtx, "")
@@ -177,7 +208,8 @@
 	return writeValue(w, http.StatusOK, drain.Response{Target: name})
 }
 
-// endDrain withdraws a drain. It does nothing if the drain was withdrawn within the resend window.
+// endDrain withdraws a drain. It does nothing if the drain was withdrawn within the resend window. It rejects the order
+// only if no earlier attempt to begin the drain can take effect any more.
 func (s *Server) endDrain(ctx context.Context, name string) error {
 	values, err := s.readPrefix(ctx, drain.ListKey(""))
 	if err != nil {
@@ -185,10 +217,16 @@
 	}
 	now := s.now()
 	key, active, found := drain.Find(values, name)
+	if !found && drain.RemovedRecently(values, name, now, s.resendWindow()) {
+		return nil
+	}
 	if !found {
-		if drain.RemovedRecently(values, name, now, s.resendWindow()) {
-			return nil
+		if values, err = s.settleDrains(ctx); err != nil {
+			return err
 		}
+		key, active, found = drain.Find(values, name)
+	}
+	if !found {
 		return errNoSuchDrain
 	}
 	change := drain.RemoveRecorded(drain.ZoneOfListKey(key), active, now, s.resendWindow())
--- a/internal/control/server/errors.go
+++ b/internal/control/server/errors.go
@@ -87,6 +87,11 @@
 	return http.StatusServiceUnavailable
 }
 
+// isRejection reports whether an error is a definite rejection of a call.
+func isRejection(err error) bool {
+	return err != nil && statusOf(err) < http.StatusInternalServerError
+}
+
 // isType reports whether an error in err's chain has type T.
 func isType[T error](err error) bool {
 	_, ok := errors.Into[T](err)
--- a/internal/control/server/refused_change_test.go
+++ b/internal/control/server/refused_change_test.go
@@ -1,11 +1,14 @@
 package server
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"sagelever/internal/control/config"
+	"sagelever/internal/control/drain"
 	"sagelever/internal/control/message"
 	"sagelever/internal/control/quorum"
 )
@@ -50,3 +53,35 @@
 		}
 	}
 }
+
+// Guards against a drain in force that was refused: a member that is held up has accepted a drain in a round that was
+// defeated, and another member refuses the order, or denies that there is such a drain. The first member must not bring
+// the drain into force when it goes on.
+func TestRefusedDrainReplacesDefeatedAttempt(t *testing.T) {
+	t.Parallel()
+	const zone, target = "a1", "i1"
+	for query, body := range map[string]string{
+		"drains.begin":            fmt.Sprintf(`{"target":"%s"}`, target),
+		"drains.end&of=" + target: "",
+	} {
+		t.Run(query, func(t *testing.T) {
+			t.Parallel()
+			cluster := newStartedCluster(t)
+			cluster.mustCall(0, "settings.change", putItems(serviceItem("s", "00000001", "h")))
+			holder := cluster.running[2]
+			waitUntil(t, "the member holds the service", func() bool {
+				return holder.register(config.Key(config.KindServices, "s")).Chosen
+			})
+			key := drain.ListKey(zone)
+			add := drain.Add(drain.Drain{ID: target}, func(string) bool { return false }, time.Now())
+			holder.mu.Lock() // the member is held up
+			holder.acceptAlone(key, add(quorum.Value{}))
+			cluster.wantStatus(0, http.StatusNotFound, query, body)
+			holder.mu.Unlock()
+			waitUntil(t, "no register is undecided", func() bool { return holder.undecidedCount() == 0 })
+			for i := range memberCount {
+				cluster.wantStatus(i, http.StatusNotFound, "drains.read&of="+target, "")
+			}
+		})
+	}
+}
