--- a/internal/control/config/commit.go
+++ b/internal/control/config/commit.go
@@ -24,6 +24,7 @@
 //   - The highest version of an item is in force.
 //   - At most one content is ever confirmed under a version: the first one.
 //   - A change is atomic: if one of its items cannot be confirmed, none takes effect.
+//   - A change that was refused (see Refuse) has no effect.
 //
 // An item that a higher version has already superseded is confirmed without effect. It is recorded in the register's
 // history, so that no other content can be confirmed under its version later.
@@ -35,6 +36,9 @@
 		digest = changeDigest(changes)
 	}
 	return func(current map[string]quorum.Value) map[string]quorum.Value {
+		if isRefused(current, changes) {
+			return nil
+		}
 		next := make(map[string]quorum.Value, len(changes))
 		for key, incoming := range changes {
 			switch statusOf(current[key], incoming) {
@@ -74,23 +78,14 @@
 }
 
 // Outcome returns the result of a change, given the values that were chosen in a round of Commit: nil if every item is
-// confirmed, otherwise a *ConflictError or an *IndeterminateError.
+// confirmed, otherwise an *InvalidError, a *ConflictError or an *IndeterminateError.
 func Outcome(chosen, changes map[string]quorum.Value) error {
-	var conflict *ConflictError
-	allConfirmed := true
-	for _, key := range slices.Sorted(maps.Keys(changes)) {
-		status := statusOf(chosen[key], changes[key])
-		if status != statusConfirmed {
-			allConfirmed = false
-		}
-		if status == statusConflict && conflict == nil {
-			kind, name, _ := SplitKey(key)
-			conflict = &ConflictError{Kind: kind, Name: name, Version: changes[key].Version}
-		}
-	}
+	conflict := findConflict(chosen, changes)
 	switch {
-	case allConfirmed:
+	case allConfirmed(chosen, changes):
 		return nil
+	case isRefused(chosen, changes):
+		return &InvalidError{Err: errRefusedBefore}
 	case conflict == nil:
 		return &IndeterminateError{Reason: unknownReason}
 	case partlyCommitted(chosen, changes):
@@ -99,6 +94,17 @@
 	return conflict
 }
 
+// findConflict returns the conflict of the first item by key that has one, or nil.
+func findConflict(chosen, changes map[string]quorum.Value) *ConflictError {
+	for _, key := range slices.Sorted(maps.Keys(changes)) {
+		if statusOf(chosen[key], changes[key]) == statusConflict {
+			kind, name, _ := SplitKey(key)
+			return &ConflictError{Kind: kind, Name: name, Version: changes[key].Version}
+		}
+	}
+	return nil
+}
+
 // Reasons of an IndeterminateError.
 const (
 	unknownReason = "a version in the call is older than the history that is kept, so that its content is not known"
--- a/internal/control/server/change.go
+++ b/internal/control/server/change.go
@@ -154,12 +154,12 @@
 }
 
 // refuseWith refuses a change for a reason that depends on the configuration in force. The refusal is definite only once
-// no value that an earlier attempt at the change may have left with a member can take effect.
+// it is recorded, so that no other attempt at the change can take effect.
 func refuseWith(ctx context.Context, propose proposeFunc, change *configChange, reason error) error {
 	if !isType[*config.InvalidError](reason) {
 		return reason
 	}
-	chosen, err := propose(ctx, change.keys, quorum.Keep)
+	chosen, err := propose(ctx, change.keys, config.Refuse(change.values))
 	if err != nil {
 		return err
 	}
--- a/internal/control/server/refused_change_test.go
+++ b/internal/control/server/refused_change_test.go
@@ -54,6 +54,38 @@
 	}
 }
 
+// Guards against a late copy of a refused change in force: once a call was refused with 400, the same call is refused by
+// every member, also when it would be valid by then, and after a restart. Other calls under the same versions are not
+// affected.
+func TestRefusedChangeStaysRefused(t *testing.T) {
+	t.Parallel()
+	cluster := newStartedCluster(t)
+	cluster.mustCall(0, "settings.change", putItems(serviceItem("s", "00000001", "h")))
+	refused := putItems(routeItem("r", "00000002", "x", "z"), routeItem("q", "00000002", "y", "s"))
+	cluster.wantStatus(0, http.StatusBadRequest, "settings.change", refused)
+	cluster.mustCall(1, "settings.change", putItems(serviceItem("z", "00000002", "h")))
+	wantRefused := func() {
+		t.Helper()
+		for i := range memberCount {
+			cluster.wantStatus(i, http.StatusBadRequest, "settings.change", refused)
+		}
+		if text := cluster.mustCall(1, "settings.read", ""); strings.Contains(text, "routes") {
+			t.Errorf("a part of a refused change is in force: %s", text)
+		}
+	}
+	wantRefused()
+	cluster.stopAll()
+	cluster.restartAll()
+	for i := range memberCount {
+		cluster.awaitReady(i)
+	}
+	wantRefused()
+	cluster.wantStatus(2, http.StatusOK, "settings.change", putItems(routeItem("r", "00000002", "x", "z")))
+	cluster.wantStatus(2, http.StatusOK, "settings.change", putItems(routeItem("q", "00000002", "y", "s")))
+	// By now other calls have confirmed all of its items.
+	cluster.wantStatus(1, http.StatusOK, "settings.change", refused)
+}
+
 // Guards against a drain in force that was refused: a member that is held up has accepted a drain in a round that was
 // defeated, and another member refuses the order, or denies that there is such a drain. The first member must not bring
 // the drain into force when it goes on.
