--- a/internal/control/replica/sim_checks_test.go
+++ b/internal/control/replica/sim_checks_test.go
@@ -49,6 +49,9 @@
 	if previous, ok := recordOnce(sim.chosenBodies, key, value); !ok {
 		sim.fail("%s %d was chosen with two contents: %s and %s", key, value.Version, previous, contentOf(value))
 	}
+	if sim.racing != nil {
+		sim.racing.recordChosen(key, value)
+	}
 	service, isRelease := strings.CutPrefix(key, release.RegisterKey(""))
 	if !isRelease {
 		return
--- a/internal/control/replica/sim_faults_test.go
+++ b/internal/control/replica/sim_faults_test.go
@@ -254,6 +254,8 @@
 	sim.runFor(2 * time.Second)
 	for sim.now.Before(end) && sim.failure == "" {
 		switch choice := sim.rng.IntN(20); {
+		case choice < 6 && sim.racing != nil:
+			sim.racing.race()
 		case choice < 12:
 			sim.randomOperation()
 		case choice < 14:
--- a/internal/control/replica/sim_mutations_test.go
+++ b/internal/control/replica/sim_mutations_test.go
@@ -27,10 +27,18 @@
 	mutationUnreplicatedDrain   = "a drain is acknowledged by one member alone"
 	mutationUncheckedConfirm    = "members confirm what they have not accepted"
 	mutationUnverifiedAuthority = "a member reports its authority as confirmed without a verification"
+	mutationNoAbsentValues      = "a round leaves registers without a value"
+	mutationForgottenRefusals   = "refused calls are not recorded"
 )
 
-// mutateRequest may redirect a request to a removed member in the zone of its receiver.
+// mutateRequest may alter a request, or redirect it to a removed member in the zone of its receiver.
 func (sim *simulation) mutateRequest(to *simNode, request OutgoingRequest) (*simNode, OutgoingRequest) {
+	if sim.mutation == mutationNoAbsentValues && request.Path == message.AcceptPath {
+		altered := *request.Request
+		isAbsent := func(entry quorum.Entry) bool { return entry.Value == quorum.Absent }
+		altered.Entries = slices.DeleteFunc(slices.Clone(altered.Entries), isAbsent)
+		request.Request = &altered
+	}
 	isRound := request.Path == message.PreparePath || request.Path == message.AcceptPath
 	if sim.mutation != mutationRemovedVotes || !isRound || request.Request.Epoch == 0 {
 		return to, request
--- a/internal/control/replica/sim_test.go
+++ b/internal/control/replica/sim_test.go
@@ -58,6 +58,7 @@
 	sentVersions    map[string]uint64        // by register: the last version sent by an operator
 	history         []linear.Operation       // writes and reads of items
 
+	racing       *racingCalls                      // nil: no calls of several items
 	publications map[string]map[uint64]publication // by origin and sequence number: the registers in pull responses
 
 	// State of the checks: backends.
