--- /dev/null
+++ b/internal/control/server/abandoned_test.go
@@ -0,0 +1,107 @@
+package server
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// orders are the calls of operators that change something, by query, with their bodies.
+var orders = map[string]string{
+	"settings.change":         putItems(serviceItem("s", "00000001", "h")),
+	"releases.begin":          releaseBody("v2"),
+	"clear_out.begin&of=a1":   "",
+	"clear_out.finish&of=a1":  "",
+	"drains.begin":            `{"target":"a1","force":true}`,
+	"drains.end&of=a1":        "",
+	"drains.begin&of=ignored": `{"target":"b1","force":true}`,
+}
+
+// backlog is a listener at which requests wait until a controller begins to serve it, as they wait at the socket of a
+// process that stands still.
+type backlog struct {
+	t        *testing.T
+	listener net.Listener
+}
+
+func newBacklog(t *testing.T) *backlog {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &backlog{t, listener}
+}
+
+// send sends a request that waits.
+func (b *backlog) send(query, body string) net.Conn {
+	b.t.Helper()
+	conn, err := net.Dial("tcp4", b.listener.Addr().String())
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() { conn.Close() })
+	const format = "POST /api/rpc?call=%s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s"
+	if _, err := fmt.Fprintf(conn, format, query, len(body), body); err != nil {
+		b.t.Fatal(err)
+	}
+	return conn
+}
+
+// serve makes a controller serve the waiting requests.
+func (b *backlog) serve(member *testMember) {
+	endpoint := member.newEndpoint(b.listener.Addr().String(), member.apiHandler())
+	go func() { _ = endpoint.Serve(b.listener) }() // ends with the listener
+	b.t.Cleanup(func() { endpoint.Close() })
+}
+
+// statusOf returns the status of the response on a connection.
+func (b *backlog) statusOf(conn net.Conn) int {
+	b.t.Helper()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	response.Body.Close()
+	return response.StatusCode
+}
+
+// proposals returns the number of proposals that a member has made.
+func (m *testMember) proposals() int64 { return m.counters.proposals.Load() }
+
+// Guards against an order that undoes a later one: it waited at a controller that stood still until its caller had left,
+// by closing the connection or after a second of silence. Such an order is not begun; one that is awaited is.
+func TestAbandonedOrderIsNotBegun(t *testing.T) {
+	t.Parallel()
+	cluster := newStartedCluster(t)
+	member := cluster.running[0]
+	left, silent := newBacklog(t), newBacklog(t)
+	for query, body := range orders {
+		left.send(query, body).Close()
+	}
+	var waiting []net.Conn
+	for query, body := range orders {
+		waiting = append(waiting, silent.send(query, body))
+	}
+	time.Sleep(callerPatience + 50*time.Millisecond)
+	left.serve(member)
+	silent.serve(member)
+	for _, conn := range waiting {
+		if status := silent.statusOf(conn); status != http.StatusServiceUnavailable {
+			t.Errorf("an order that has waited for a second gets %d, want 503", status)
+		}
+	}
+	waitUntil(t, "all orders are recognized as abandoned", func() bool {
+		return member.counters.abandonedOrders.Load() == int64(2*len(orders))
+	})
+	if count := member.proposals(); count != 0 {
+		t.Errorf("%d abandoned orders were begun", count)
+	}
+	awaited := silent.send("clear_out.begin&of=a1", "")
+	if status := silent.statusOf(awaited); status != http.StatusOK {
+		t.Errorf("an order that is awaited gets %d, want 200", status)
+	}
+}
--- a/internal/control/server/api.go
+++ b/internal/control/server/api.go
@@ -47,14 +47,15 @@
 	}
 	handle(calls.Heartbeat, s.handleHeartbeat)
 	handle(calls.SignOff, s.handleSignOff)
-	handle(calls.SettingsChange, s.admitOrder(s.handleSettingsChange))
+	order := func(call calls.Name, handler apiFunc) { handle(call, s.whileAwaited(handler)) }
+	order(calls.SettingsChange, s.admitOrder(s.handleSettingsChange))
 	handle(calls.SettingsRead, s.handleSettingsRead)
-	handle(calls.ReleaseBegin, s.admitOrder(s.handleReleaseBegin))
+	order(calls.ReleaseBegin, s.admitOrder(s.handleReleaseBegin))
 	handle(calls.ReleaseRead, s.handleReleaseRead)
-	handle(calls.EvacuationBegin, s.handleEvacuationBegin)
-	handle(calls.EvacuationEnd, s.handleEvacuationEnd)
-	handle(calls.DrainBegin, s.admitOrder(s.handleDrainBegin))
-	handle(calls.DrainEnd, s.handleDrainEnd)
+	order(calls.EvacuationBegin, s.handleEvacuationBegin)
+	order(calls.EvacuationEnd, s.handleEvacuationEnd)
+	order(calls.DrainBegin, s.admitOrder(s.handleDrainBegin))
+	order(calls.DrainEnd, s.handleDrainEnd)
 	handle(calls.DrainsRead, s.handleDrainsRead)
 	return router
 }
--- a/internal/control/server/counters.go
+++ b/internal/control/server/counters.go
@@ -27,8 +27,11 @@
 	lookups    atomic.Int64
 	proposals  atomic.Int64
 	handedOver atomic.Int64 // changes handed over to another controller
-	peerCalls  atomic.Int64
-	sentBytes  [distanceCount]atomic.Int64 // in responses to pulls, by distance
+
+	abandonedOrders atomic.Int64 // orders that were not begun because their callers had left
+
+	peerCalls atomic.Int64
+	sentBytes [distanceCount]atomic.Int64 // in responses to pulls, by distance
 }
 
 // pathCounters count the requests to one path of the peer port and the bytes of their bodies as transmitted.
@@ -81,6 +84,7 @@
 		zap.Int64("lookups", s.counters.lookups.Load()),
 		zap.Int64("proposals", s.counters.proposals.Load()),
 		zap.Int64("handedOver", s.counters.handedOver.Load()),
+		zap.Int64("abandonedOrders", s.counters.abandonedOrders.Load()),
 		zap.Uint64("defeats", contention.Defeats),
 		zap.Uint64("batched", contention.Batched),
 		zap.Int64("connections", usage.connections),
@@ -108,6 +112,7 @@
 		"lookups_total":            &s.counters.lookups,
 		"proposals_total":          &s.counters.proposals,
 		"changes_handed_over":      &s.counters.handedOver,
+		"abandoned_orders_total":   &s.counters.abandonedOrders,
 		"peer_calls_total":         &s.counters.peerCalls,
 		"sent_in_zone_bytes":       &s.counters.sentBytes[sameZone],
 		"sent_in_region_bytes":     &s.counters.sentBytes[sameRegion],
--- a/internal/control/server/shutdown.go
+++ b/internal/control/server/shutdown.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"sagelever/internal/graceful"
+	"sagelever/internal/tcp"
 )
 
 const (
@@ -60,6 +61,7 @@
 			ReadTimeout:       readTimeout,
 			IdleTimeout:       idleTimeout,
 			ConnState:         s.resources.trackConnection,
+			ConnContext:       tcp.WithConn,
 			BaseContext:       func(net.Listener) context.Context { return requests },
 			ErrorLog:          zap.NewStdLog(s.log),
 		},
