--- a/internal/control/drain/evacuation.go
+++ b/internal/control/drain/evacuation.go
@@ -131,6 +131,37 @@
 	}
 }
 
+// EvacuationBase is what an order on a zone is based on: the zone's registers as they were when the order was received.
+type EvacuationBase struct {
+	Version      uint64 // of the evacuation register
+	Acknowledged uint64 // see ReadAcknowledged
+}
+
+// SetEvacuationFrom is SetEvacuationOnce for an order with the given base. It has no effect if another order has changed
+// the register since: that order may have been given after this one, of which another copy was acknowledged, and must not
+// be undone. EvacuationOvertaken tells this from an effect.
+func SetEvacuationFrom(base EvacuationBase, evacuate bool, now time.Time, window time.Duration) quorum.UpdateFunc {
+	update := SetEvacuationOnce(evacuate, base.Acknowledged, now, window)
+	return func(current quorum.Value) quorum.Value {
+		if current.Version != base.Version {
+			return current
+		}
+		return update(current)
+	}
+}
+
+// EvacuationOvertaken reports whether other orders have changed the register between the base of an order and the chosen
+// value. A value that follows the base and is of the order's kind is the effect of the order, or of a copy of it.
+func EvacuationOvertaken(base EvacuationBase, evacuate bool, chosen quorum.Value) bool {
+	switch chosen.Version {
+	case base.Version:
+		return false
+	case base.Version + 1:
+		return ReadEvacuation(chosen.Body).lastWithdrawn == evacuate
+	}
+	return true
+}
+
 // Acknowledge returns the update of the register of AcknowledgedKey that records a version of the evacuation register
 // as acknowledged. A lower version has no effect.
 func Acknowledge(version uint64) quorum.UpdateFunc {
--- a/internal/control/server/abandoned_test.go
+++ b/internal/control/server/abandoned_test.go
@@ -7,6 +7,10 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/go-faster/errors"
+
+	"sagelever/internal/control/drain"
 )
 
 // orders are the calls of operators that change something, by query, with their bodies.
@@ -105,3 +109,35 @@
 		t.Errorf("an order that is awaited gets %d, want 200", status)
 	}
 }
+
+// Guards against an order that undoes a later one: a controller that is held up carries out the withdrawal of an
+// evacuation after a copy of the withdrawal, and then another evacuation, were acknowledged elsewhere.
+func TestOvertakenEvacuationOrder(t *testing.T) {
+	t.Parallel()
+	const zone = "a1"
+	cluster := newStartedCluster(t)
+	heldUp := cluster.running[0]
+	cluster.mustCall(1, "clear_out.begin&of="+zone, "")
+	received := heldUp.now()
+	base, err := heldUp.readEvacuationBase(t.Context(), zone)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cluster.mustCall(1, "clear_out.finish&of="+zone, "")
+	if _, err := heldUp.proposeEvacuation(t.Context(), zone, false, base, received); err != nil {
+		t.Errorf("a copy of the last order: %v", err)
+	}
+	cluster.mustCall(2, "clear_out.begin&of="+zone, "")
+	if _, err := heldUp.proposeEvacuation(t.Context(), zone, false, base, received); !errors.Is(err, errOvertakenOrder) {
+		t.Errorf("an order that was overtaken: %v, want %v", err, errOvertakenOrder)
+	}
+	for i := range memberCount {
+		waitUntil(t, "the member has the last order", func() bool {
+			return cluster.running[i].register(drain.EvacuationKey(zone)).Value.Version == 3
+		})
+		state := drain.ReadEvacuation(cluster.running[i].register(drain.EvacuationKey(zone)).Value.Body)
+		if !state.InForce() {
+			t.Errorf("member %d: the second evacuation is not in force", i)
+		}
+	}
+}
--- a/internal/control/server/evacuation.go
+++ b/internal/control/server/evacuation.go
@@ -42,7 +42,7 @@
 	defer cancel()
 	begin := call == calls.EvacuationBegin
 	version, err := s.operations.join(ctx, operationKey(call, zone), 0, func(ctx context.Context) (uint64, error) {
-		return s.proposeEvacuation(ctx, zone, begin)
+		return s.orderEvacuation(ctx, zone, begin)
 	})
 	if err != nil {
 		return err
@@ -58,27 +58,60 @@
 	return nil
 }
 
-// proposeEvacuation commits an evacuation order, or its withdrawal if begin is not set, and returns the resulting
-// version of the zone's register. Orders are counted, but repeating an order that has not been acknowledged has no
-// effect.
-func (s *Server) proposeEvacuation(ctx context.Context, zone string, begin bool) (version uint64, err error) {
-	now := s.now()
+// orderEvacuation commits an evacuation order, or its withdrawal if begin is not set, and returns the resulting version of
+// the zone's register. Orders are counted, but repeating an order that has not been acknowledged has no effect.
+//
+// The order is based on the zone's registers as they are read while its caller waits for the answer. Later attempts keep
+// this base: by then, another controller may have acknowledged a copy of the order and a later one.
+func (s *Server) orderEvacuation(ctx context.Context, zone string, begin bool) (version uint64, err error) {
+	received := s.now()
+	base, err := s.readEvacuationBase(ctx, zone)
+	if err != nil {
+		return 0, err
+	}
 	err = s.newRetryPolicy(callTimeout).run(ctx, func(ctx context.Context) error {
-		acknowledgedKey := drain.AcknowledgedKey(zone)
-		values, err := s.readPrefix(ctx, acknowledgedKey)
-		if err != nil {
-			return err
-		}
-		acknowledged := drain.ReadAcknowledged(values[acknowledgedKey])
-		key := drain.EvacuationKey(zone)
-		change := drain.SetEvacuationOnce(begin, acknowledged, now, s.resendWindow())
-		chosen, err := s.propose(ctx, map[string]quorum.UpdateFunc{key: change})
-		version = chosen[key].Version
+		version, err = s.proposeEvacuation(ctx, zone, begin, base, received)
 		return err
 	})
 	return version, err
 }
 
+// readEvacuationBase reads the base of an order on a zone. It fails if that takes longer than callers wait.
+func (s *Server) readEvacuationBase(ctx context.Context, zone string) (base drain.EvacuationBase, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	startedAt := time.Now()
+	key, acknowledgedKey := drain.EvacuationKey(zone), drain.AcknowledgedKey(zone)
+	values, err := s.readKeys(ctx, []string{key, acknowledgedKey})
+	if err != nil {
+		return drain.EvacuationBase{}, err
+	}
+	if time.Since(startedAt) > callTimeout { // the process stood still: the order may have been overtaken before the read
+		return drain.EvacuationBase{}, errAbandonedOrder
+	}
+	return drain.EvacuationBase{
+		Version:      values[key].Version,
+		Acknowledged: drain.ReadAcknowledged(values[acknowledgedKey]),
+	}, nil
+}
+
+// proposeEvacuation makes one attempt to commit an order with a base. It returns errOvertakenOrder if another order was
+// committed in between.
+func (s *Server) proposeEvacuation(
+	ctx context.Context, zone string, begin bool, base drain.EvacuationBase, received time.Time,
+) (version uint64, err error) {
+	key := drain.EvacuationKey(zone)
+	change := drain.SetEvacuationFrom(base, begin, received, s.resendWindow())
+	chosen, err := s.propose(ctx, map[string]quorum.UpdateFunc{key: change})
+	if err != nil {
+		return 0, err
+	}
+	if drain.EvacuationOvertaken(base, begin, chosen[key]) {
+		return 0, errOvertakenOrder
+	}
+	return chosen[key].Version, nil
+}
+
 // recordAcknowledged records that the order that produced a version of a zone's register was acknowledged in time. From
 // then on the same order counts as a new one. If the record fails, the same order still counts as a repetition.
 func (s *Server) recordAcknowledged(zone string, version uint64) {
