--- a/internal/control/replica/leases.go
+++ b/internal/control/replica/leases.go
@@ -9,7 +9,8 @@
 )
 
 // The version of a lease's item consists of the proxy's incarnation and, in the low bits, a counter of the lease's
-// changes within that incarnation. The greatest counter value means that the proxy itself has ended the lease.
+// changes within that incarnation. The greatest counter value means that the proxy itself has ended the lease. No version
+// is used twice by one replica, even if it loses leases at a crash.
 const (
 	leaseCounterBits  = 8
 	leaseCounterEnded = 1<<leaseCounterBits - 1
@@ -48,15 +49,29 @@
 		return 0 // the published lease is up to date
 	}
 	if known && previous.Version >= item.Version {
-		if leaseIncarnation(previous.Version) > request.Incarnation || leaseEndedByProxy(previous.Version) {
+		if leaseIncarnation(previous.Version) > request.Incarnation || !r.mayIncrement(previous) {
 			return leaseIncarnation(previous.Version)
 		}
-		item.Version = previous.Version + 1 // the proxy has switched to this replica, or returned after its lease expired
+		item.Version = previous.Version + 1
 	}
-	r.mergeLocal(item)
+	r.publishLease(item)
 	return 0
 }
 
+// publishLease publishes a lease under a version that no lease had before.
+func (r *Replica) publishLease(item replication.Item) {
+	r.leaseVersions[item.Key] = item.Version
+	r.mergeLocal(item)
+}
+
+// mayIncrement reports whether the version after that of a lease is unused, because this replica has given the lease its
+// version since its start. Otherwise another replica may have given it the next one too, or this replica itself, before a
+// crash at which it lost the lease that others have received. Such a lease continues in the next incarnation.
+func (r *Replica) mayIncrement(item replication.Item) bool {
+	const lastIncrement = leaseCounterEnded - 1
+	return r.leaseVersions[item.Key] == item.Version && item.Version&leaseCounterEnded < lastIncrement
+}
+
 // expireLeases ends the leases that this replica granted and that have not been renewed. It must be called before
 // leases are reported, because the process may have been suspended since the last step.
 func (r *Replica) expireLeases(now time.Time) {
@@ -68,7 +83,11 @@
 		}
 		lease.Ended = true
 		lease.ListenAddress = ""
-		r.mergeLocal(lease.Item(item.Version + 1))
+		version := item.Version + 1
+		if !r.mayIncrement(item) {
+			version = leaseVersion(leaseIncarnation(item.Version)+1, 0)
+		}
+		r.publishLease(lease.Item(version))
 		r.logEvent("lease expired", LogField{"node", lease.Node}, LogField{"role", lease.Role})
 	}
 }
--- a/internal/control/replica/leases_test.go
+++ b/internal/control/replica/leases_test.go
@@ -61,3 +61,42 @@
 		}
 	}
 }
+
+// Guards against a lost lease that replaces the end of a later one: a controller that has restarted may have lost the
+// last versions that it gave to a lease, which others have received. It uses none of them again.
+func TestRestartReusesNoLeaseVersion(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	cfg := Config{Self: message.Member{Node: "m0", Zone: "z0"}, Random: func() float64 { return 0.5 }}
+	leaseOf := func(r *Replica) (found replication.Item) {
+		r.items.ForEach(replication.LeaseKeyPrefix, func(item replication.Item) { found = item })
+		return found
+	}
+	first := New(cfg, PersistedState{}, start)
+	first.HandlePull(start, proxyPull(8, "a:80"))
+	granted := leaseOf(first)
+	origin, sequence := first.items.OriginOf(granted.Key)
+	saved := []PersistedItem{{Item: granted, Origin: origin, Sequence: sequence}}
+	expiredAt := start.Add(2 * LeaseTerm)
+	first.expireLeases(expiredAt)
+	first.HandlePull(expiredAt, proxyPull(8, "a:80"))
+	lost := leaseOf(first) // held again, and not on disk
+
+	restartedAt := expiredAt.Add(time.Second)
+	restarted := New(cfg, PersistedState{Items: saved, ProgressAt: restartedAt}, restartedAt)
+	endedAt := restartedAt.Add(2 * LeaseTerm)
+	restarted.expireLeases(endedAt)
+	ended := leaseOf(restarted)
+	if lease, _ := replication.ReadLease(ended); !lease.Ended || !ended.Supersedes(lost) {
+		t.Errorf("the end of the lease is %+v, which doesn't replace the lost %+v", ended, lost)
+	}
+
+	restarted = New(cfg, PersistedState{Items: saved, ProgressAt: restartedAt}, restartedAt)
+	refusedBy := restarted.HandlePull(restartedAt, proxyPull(8, "b:80")).knownIncarnation
+	if refusedBy != 8 {
+		t.Errorf("after the restart, the lease in incarnation 8 is refused by incarnation %d, want 8", refusedBy)
+	}
+	restarted.HandlePull(restartedAt, proxyPull(refusedBy+1, "b:80"))
+	if renewed := leaseOf(restarted); !renewed.Supersedes(lost) {
+		t.Errorf("the lease after the restart is %+v, which doesn't replace the lost %+v", renewed, lost)
+	}
+}
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -60,6 +60,7 @@
 	liveness         *replication.LivenessTable
 	backends         map[string]*replication.Backend // by ID, as of their last heartbeats, which they send to this replica
 	departedOwners   map[string]time.Time            // owners of backends that are not members, and since when
+	leaseVersions    map[string]uint64               // by key: the last versions of leases that this replica gave since its start
 	decidingReleases map[string]bool                 // services for which the end of a release is being written
 	survey           surveyState
 }
@@ -85,6 +86,7 @@
 		tombstones:         map[string]time.Time{},
 		backends:           map[string]*replication.Backend{},
 		departedOwners:     map[string]time.Time{},
+		leaseVersions:      map[string]uint64{},
 		decidingReleases:   map[string]bool{},
 	}
 	r.items = replication.NewItemStore(cfg.Source, newOrigin(cfg.Self.Node, now, cfg.Random()))
--- a/internal/control/replica/sim_checks_test.go
+++ b/internal/control/replica/sim_checks_test.go
@@ -20,6 +20,9 @@
 // nodes have sent. It returns the response as the receiver decodes it.
 func (sim *simulation) checkPullResponse(response *message.PullResponse) *message.PullResponse {
 	for _, item := range response.Items {
+		if strings.HasPrefix(item.Key, replication.LeaseKeyPrefix) {
+			sim.checkLeaseVersion(item)
+		}
 		if !strings.HasPrefix(item.Key, replication.RegisterKeyPrefix) {
 			continue
 		}
@@ -36,6 +39,19 @@
 	return throughJSON(response, &message.PullResponse{})
 }
 
+// checkLeaseVersion checks that a controller gives no version of a lease twice.
+func (sim *simulation) checkLeaseVersion(item replication.Item) {
+	lease, ok := replication.ReadLease(item)
+	if !ok || leaseEndedByProxy(item.Version) {
+		return
+	}
+	name := fmt.Sprint(item.Key, " ", item.Version, " ", lease.Grantor)
+	if previous, known := sim.leaseBodies[name]; known && previous != item.Body {
+		sim.fail("%s gave version %d of %s twice: %s and %s", lease.Grantor, item.Version, item.Key, previous, item.Body)
+	}
+	sim.leaseBodies[name] = item.Body
+}
+
 // recordAcknowledged checks and records a value whose write was acknowledged.
 func (sim *simulation) recordAcknowledged(key string, value quorum.Value) {
 	sim.ackCount++
--- a/internal/control/replica/sim_test.go
+++ b/internal/control/replica/sim_test.go
@@ -59,6 +59,7 @@
 	history         []linear.Operation       // writes and reads of items
 
 	racing       *racingCalls                      // nil: no calls of several items
+	leaseBodies  map[string]string                 // by lease, version and grantor
 	publications map[string]map[uint64]publication // by origin and sequence number: the registers in pull responses
 
 	// State of the checks: backends.
@@ -106,6 +107,7 @@
 		confirmedBodies:  map[string]string{},
 		releaseOutcomes:  map[string]release.Phase{},
 		sentVersions:     map[string]uint64{},
+		leaseBodies:      map[string]string{},
 		publications:     map[string]map[uint64]publication{},
 		drainAckedAt:     map[string]time.Time{},
 		drainSentAt:      map[string]time.Time{},
