--- a/internal/control/replica/leases.go
+++ b/internal/control/replica/leases.go
@@ -14,6 +14,10 @@
 const (
 	leaseCounterBits  = 8
 	leaseCounterEnded = 1<<leaseCounterBits - 1
+
+	// leaseCounterLost is the counter of a lease that ends in the next incarnation, see mayIncrement. It is above those of
+	// the leases in that incarnation that this replica may have lost.
+	leaseCounterLost = leaseCounterEnded - 1
 )
 
 func leaseVersion(incarnation, counter uint64) uint64 { return incarnation<<leaseCounterBits | counter }
@@ -68,8 +72,7 @@
 // version since its start. Otherwise another replica may have given it the next one too, or this replica itself, before a
 // crash at which it lost the lease that others have received. Such a lease continues in the next incarnation.
 func (r *Replica) mayIncrement(item replication.Item) bool {
-	const lastIncrement = leaseCounterEnded - 1
-	return r.leaseVersions[item.Key] == item.Version && item.Version&leaseCounterEnded < lastIncrement
+	return r.leaseVersions[item.Key] == item.Version && item.Version&leaseCounterEnded+1 < leaseCounterLost
 }
 
 // expireLeases ends the leases that this replica granted and that have not been renewed. It must be called before
@@ -85,7 +88,7 @@
 		lease.ListenAddress = ""
 		version := item.Version + 1
 		if !r.mayIncrement(item) {
-			version = leaseVersion(leaseIncarnation(item.Version)+1, 0)
+			version = leaseVersion(leaseIncarnation(item.Version)+1, leaseCounterLost)
 		}
 		r.publishLease(lease.Item(version))
 		r.logEvent("lease expired", LogField{"node", lease.Node}, LogField{"role", lease.Role})
