--- a/internal/control/replica/leases.go
+++ b/internal/control/replica/leases.go
@@ -58,19 +58,27 @@
 		}
 		item.Version = previous.Version + 1
 	}
-	r.publishLease(item)
+	if r.isFreshIncarnation(item.Key, request.Incarnation) {
+		r.leaseVersions[item.Key] = item.Version
+	}
+	r.mergeLocal(item)
 	return 0
 }
 
-// publishLease publishes a lease under a version that no lease had before.
-func (r *Replica) publishLease(item replication.Item) {
-	r.leaseVersions[item.Key] = item.Version
-	r.mergeLocal(item)
+// isFreshIncarnation reports whether no earlier process of this replica can have given a lease in an incarnation: there
+// was none, or the proxy has chosen the incarnation after its first pull from this process.
+func (r *Replica) isFreshIncarnation(key string, incarnation uint64) bool {
+	first, seen := r.firstIncarnations[key]
+	if !seen {
+		r.firstIncarnations[key] = incarnation
+	}
+	return !r.restarted || seen && incarnation > first
 }
 
-// mayIncrement reports whether the version after that of a lease is unused, because this replica has given the lease its
-// version since its start. Otherwise another replica may have given it the next one too, or this replica itself, before a
-// crash at which it lost the lease that others have received. Such a lease continues in the next incarnation.
+// mayIncrement reports whether the version after that of a lease is unused, because this process has given the lease its
+// version, in a fresh incarnation. Otherwise another replica may have given it the next one too, or an earlier process of
+// this replica, which lost the lease at a crash after others had received it. Such a lease continues in the next
+// incarnation.
 func (r *Replica) mayIncrement(item replication.Item) bool {
 	return r.leaseVersions[item.Key] == item.Version && item.Version&leaseCounterEnded+1 < leaseCounterLost
 }
@@ -86,11 +94,12 @@
 		}
 		lease.Ended = true
 		lease.ListenAddress = ""
-		version := item.Version + 1
-		if !r.mayIncrement(item) {
-			version = leaseVersion(leaseIncarnation(item.Version)+1, leaseCounterLost)
+		version := leaseVersion(leaseIncarnation(item.Version)+1, leaseCounterLost)
+		if r.mayIncrement(item) {
+			version = item.Version + 1
+			r.leaseVersions[key] = version
 		}
-		r.publishLease(lease.Item(version))
+		r.mergeLocal(lease.Item(version))
 		r.logEvent("lease expired", LogField{"node", lease.Node}, LogField{"role", lease.Role})
 	}
 }
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -57,12 +57,15 @@
 	tombstones    map[string]time.Time // when to drop obsolete items, by key
 
 	// Proxies and backends.
-	liveness         *replication.LivenessTable
-	backends         map[string]*replication.Backend // by ID, as of their last heartbeats, which they send to this replica
-	departedOwners   map[string]time.Time            // owners of backends that are not members, and since when
-	leaseVersions    map[string]uint64               // by key: the last versions of leases that this replica gave since its start
-	decidingReleases map[string]bool                 // services for which the end of a release is being written
-	survey           surveyState
+	liveness       *replication.LivenessTable
+	backends       map[string]*replication.Backend // by ID, as of their last heartbeats, which they send to this replica
+	departedOwners map[string]time.Time            // owners of backends that are not members, and since when
+	restarted      bool                            // the disk had the state of an earlier process
+	leaseVersions  map[string]uint64               // by key: the versions of leases that this process gave in fresh incarnations
+	// firstIncarnations are those in which proxies first pulled from this process, by the keys of their leases.
+	firstIncarnations map[string]uint64
+	decidingReleases  map[string]bool // services for which the end of a release is being written
+	survey            surveyState
 }
 
 // New creates a replica from its persisted state.
@@ -86,7 +89,9 @@
 		tombstones:         map[string]time.Time{},
 		backends:           map[string]*replication.Backend{},
 		departedOwners:     map[string]time.Time{},
+		restarted:          persisted.Identity.DiskID != "",
 		leaseVersions:      map[string]uint64{},
+		firstIncarnations:  map[string]uint64{},
 		decidingReleases:   map[string]bool{},
 	}
 	r.items = replication.NewItemStore(cfg.Source, newOrigin(cfg.Self.Node, now, cfg.Random()))
