--- a/internal/control/server/abandoned.go
+++ b/internal/control/server/abandoned.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.uber.org/zap"
 
 	"sagelever/internal/tcp"
 )
@@ -22,7 +23,14 @@
 // orders something else, which the old order would undo.
 func (s *Server) whileAwaited(handler apiFunc) apiFunc {
 	return func(w http.ResponseWriter, r *http.Request) error {
-		if isAbandoned(r.Context()) {
+		caller := callerOf(r.Context())
+		s.log.Info("order received",
+			zap.String("call", r.URL.Query().Get("call")),
+			zap.Bool("requestEnded", caller.requestEnded),
+			zap.Bool("connectionClosed", caller.connectionClosed),
+			zap.Duration("sinceLastData", caller.sinceLastData),
+			zap.Bool("abandoned", caller.hasLeft()))
+		if caller.hasLeft() {
 			s.counters.abandonedOrders.Add(1)
 			return errAbandonedOrder
 		}
@@ -30,9 +38,23 @@
 	}
 }
 
-// isAbandoned reports whether the caller of a request has left: it has closed the connection, or the request has waited
-// for callerPatience, by the clock of the kernel, which goes on while the process stands still.
-func isAbandoned(ctx context.Context) bool {
+// callerState is what is known of the caller of an order.
+type callerState struct {
+	requestEnded     bool          // the server has noticed the end of the connection
+	connectionClosed bool          // by the kernel; false if it doesn't tell
+	sinceLastData    time.Duration // by the clock of the kernel, which goes on while the process stands still; 0 if not known
+}
+
+func callerOf(ctx context.Context) callerState {
 	conn := tcp.ConnFrom(ctx)
-	return ctx.Err() != nil || tcp.PeerClosed(conn) || tcp.SinceLastData(conn) >= callerPatience
+	return callerState{
+		requestEnded:     ctx.Err() != nil,
+		connectionClosed: tcp.PeerClosed(conn),
+		sinceLastData:    tcp.SinceLastData(conn),
+	}
+}
+
+// hasLeft reports whether the caller has closed the connection or has waited for callerPatience.
+func (c callerState) hasLeft() bool {
+	return c.requestEnded || c.connectionClosed || c.sinceLastData >= callerPatience
 }
