--- a/internal/control/server/abandoned.go
+++ b/internal/control/server/abandoned.go
@@ -18,10 +18,10 @@
 // caller is more patient than the protocol says.
 var errAbandonedOrder = errors.New("the order has waited here until its caller turned to another controller: ask again")
 
-// whileAwaited wraps the handler of an order. It does not begin an order whose caller has left: an order may wait at the
-// socket of a process that stands still, for any time. Meanwhile the caller gets an answer from another controller, and
-// orders something else, which the old order would undo.
-func (s *Server) whileAwaited(handler apiFunc) apiFunc {
+// refuseAbandoned wraps the handler of an order. It does not begin an order whose caller may have left: an order may wait at
+// the socket of a process that stands still, for any time. Meanwhile the caller gets an answer from another controller,
+// and orders something else, which the old order would undo.
+func (s *Server) refuseAbandoned(handler apiFunc) apiFunc {
 	return func(w http.ResponseWriter, r *http.Request) error {
 		caller := callerOf(r.Context())
 		s.log.Info("order received",
@@ -29,6 +29,7 @@
 			zap.Bool("requestEnded", caller.requestEnded),
 			zap.Bool("connectionClosed", caller.connectionClosed),
 			zap.Duration("sinceLastData", caller.sinceLastData),
+			zap.Duration("maxWait", caller.maxWait),
 			zap.Bool("abandoned", caller.hasLeft()))
 		if caller.hasLeft() {
 			s.counters.abandonedOrders.Add(1)
@@ -38,11 +39,21 @@
 	}
 }
 
+// watchArrivals wraps the handler of a call of an operator, so that an order which follows on the same connection is
+// known to be new.
+func watchArrivals(handler apiFunc) apiFunc {
+	return func(w http.ResponseWriter, r *http.Request) error {
+		tcp.WatchArrivals(tcp.ConnFrom(r.Context()))
+		return handler(w, r)
+	}
+}
+
 // callerState is what is known of the caller of an order.
 type callerState struct {
 	requestEnded     bool          // the server has noticed the end of the connection
 	connectionClosed bool          // by the kernel; false if it doesn't tell
-	sinceLastData    time.Duration // by the clock of the kernel, which goes on while the process stands still; 0 if not known
+	sinceLastData    time.Duration // by the clock of the kernel; 0 if it doesn't tell
+	maxWait          time.Duration // how long the order can have waited, as far as this process knows
 }
 
 func callerOf(ctx context.Context) callerState {
@@ -51,10 +62,12 @@
 		requestEnded:     ctx.Err() != nil,
 		connectionClosed: tcp.PeerClosed(conn),
 		sinceLastData:    tcp.SinceLastData(conn),
+		maxWait:          time.Since(tcp.ArrivedAfter(conn)),
 	}
 }
 
-// hasLeft reports whether the caller has closed the connection or has waited for callerPatience.
+// hasLeft reports whether the caller has closed the connection, or may have waited until it turned to another controller.
+// What the kernel tells can only show that a caller has left. That it still waits is shown by maxWait alone.
 func (c callerState) hasLeft() bool {
-	return c.requestEnded || c.connectionClosed || c.sinceLastData >= callerPatience
+	return c.requestEnded || c.connectionClosed || c.sinceLastData >= callerPatience || c.maxWait >= ackDeliveryTime
 }
--- a/internal/control/server/abandoned_test.go
+++ b/internal/control/server/abandoned_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"sagelever/internal/control/drain"
+	"sagelever/internal/tcp"
 )
 
 // orders are the calls of operators that change something, by query, with their bodies.
@@ -57,11 +59,29 @@
 
 // serve makes a controller serve the waiting requests.
 func (b *backlog) serve(member *testMember) {
+	b.serveWith(member.newEndpoint(b.listener.Addr().String(), member.apiHandler()))
+}
+
+// serveWithoutKernelState is like serve, on a kernel that tells nothing of a connection.
+func (b *backlog) serveWithoutKernelState(member *testMember) {
 	endpoint := member.newEndpoint(b.listener.Addr().String(), member.apiHandler())
+	endpoint.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return tcp.WithConn(ctx, opaqueConn{conn})
+	}
+	b.serveWith(endpoint)
+}
+
+func (b *backlog) serveWith(endpoint *endpoint) {
 	go func() { _ = endpoint.Serve(b.listener) }() // ends with the listener
 	b.t.Cleanup(func() { _ = endpoint.Close() })
 }
 
+// opaqueConn is a connection without a socket of which the kernel could tell anything.
+type opaqueConn struct{ net.Conn }
+
+// ArrivedAfter returns what the process itself knows of the arrival of a request.
+func (c opaqueConn) ArrivedAfter() time.Time { return tcp.ArrivedAfter(c.Conn) }
+
 // statusOf returns the status of the response on a connection.
 func (b *backlog) statusOf(conn net.Conn) int {
 	b.t.Helper()
@@ -110,6 +130,34 @@
 	}
 }
 
+// Guards against an order that undoes a later one, on a kernel that tells nothing of connections: it waited at a
+// controller that stood still until its caller had left. The controller itself knows that it may have waited.
+func TestAbandonedOrderWithoutKernelState(t *testing.T) {
+	t.Parallel()
+	cluster := newStartedCluster(t)
+	member := cluster.running[0]
+	waiting := newBacklog(t)
+	waiting.send("clear_out.finish&of=a1", "").Close()
+	silent := waiting.send("clear_out.begin&of=a1", "")
+	time.Sleep(callerPatience + 50*time.Millisecond)
+	waiting.serveWithoutKernelState(member)
+	if status := waiting.statusOf(silent); status != http.StatusServiceUnavailable {
+		t.Errorf("an order that has waited for a second gets %d, want 503", status)
+	}
+	waitUntil(t, "both orders are recognized as abandoned", func() bool {
+		return member.counters.abandonedOrders.Load() == 2
+	})
+	if count := member.proposals(); count != 0 {
+		t.Errorf("%d abandoned orders were begun", count)
+	}
+	for range 3 {
+		awaited := waiting.send("clear_out.begin&of=a1", "")
+		if status := waiting.statusOf(awaited); status != http.StatusOK {
+			t.Errorf("an order that is awaited gets %d, want 200", status)
+		}
+	}
+}
+
 // Guards against an order that undoes a later one: a controller that is held up carries out the withdrawal of an
 // evacuation after a copy of the withdrawal, and then another evacuation, were acknowledged elsewhere.
 func TestOvertakenEvacuationOrder(t *testing.T) {
--- a/internal/control/server/api.go
+++ b/internal/control/server/api.go
@@ -47,16 +47,17 @@
 	}
 	handle(calls.Heartbeat, s.handleHeartbeat)
 	handle(calls.SignOff, s.handleSignOff)
-	order := func(call calls.Name, handler apiFunc) { handle(call, s.whileAwaited(handler)) }
+	read := func(call calls.Name, handler apiFunc) { handle(call, watchArrivals(handler)) }
+	order := func(call calls.Name, handler apiFunc) { handle(call, watchArrivals(s.refuseAbandoned(handler))) }
 	order(calls.SettingsChange, s.admitOrder(s.handleSettingsChange))
-	handle(calls.SettingsRead, s.handleSettingsRead)
+	read(calls.SettingsRead, s.handleSettingsRead)
 	order(calls.ReleaseBegin, s.admitOrder(s.handleReleaseBegin))
-	handle(calls.ReleaseRead, s.handleReleaseRead)
+	read(calls.ReleaseRead, s.handleReleaseRead)
 	order(calls.EvacuationBegin, s.handleEvacuationBegin)
 	order(calls.EvacuationEnd, s.handleEvacuationEnd)
 	order(calls.DrainBegin, s.admitOrder(s.handleDrainBegin))
 	order(calls.DrainEnd, s.handleDrainEnd)
-	handle(calls.DrainsRead, s.handleDrainsRead)
+	read(calls.DrainsRead, s.handleDrainsRead)
 	return router
 }
 
--- a/internal/control/server/shutdown.go
+++ b/internal/control/server/shutdown.go
@@ -60,7 +60,7 @@
 			ReadHeaderTimeout: readHeaderTimeout,
 			ReadTimeout:       readTimeout,
 			IdleTimeout:       idleTimeout,
-			ConnState:         s.resources.trackConnection,
+			ConnState:         s.trackConnection,
 			ConnContext:       tcp.WithConn,
 			BaseContext:       func(net.Listener) context.Context { return requests },
 			ErrorLog:          zap.NewStdLog(s.log),
@@ -70,6 +70,27 @@
 	}
 }
 
+// trackConnection is the ConnState hook of the endpoints.
+func (s *Server) trackConnection(conn net.Conn, state http.ConnState) {
+	s.resources.trackConnection(conn, state)
+	if state == http.StateIdle {
+		tcp.ExpectRequest(conn)
+	}
+}
+
+// Serve is like http.Server.Serve. On the connections of a TCP listener, it is known since when a request can have waited
+// (tcp.ArrivedAfter).
+func (e *endpoint) Serve(listener net.Listener) error {
+	if plain, ok := listener.(*net.TCPListener); ok {
+		arrivals, err := tcp.NewArrivalListener(plain)
+		if err != nil {
+			return err
+		}
+		listener = arrivals
+	}
+	return e.Server.Serve(listener)
+}
+
 // serve serves connections until the endpoint is shut down.
 func (s *Server) serve(endpoint *endpoint, listener net.Listener) {
 	err := endpoint.Serve(listener)
--- a/internal/tcp/conncontext.go
+++ b/internal/tcp/conncontext.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 )
 
 // connKey is the context key under which requests carry their connection.
@@ -24,3 +25,29 @@
 	conn, ok := ConnFrom(ctx).(*CloseTrackingConn)
 	return ok && conn.Closed()
 }
+
+// ArrivedAfter returns a time before which nothing of the current request on a connection had arrived. It is zero if no
+// such time is known, as for connections that no ArrivalListener has accepted.
+func ArrivedAfter(conn net.Conn) time.Time {
+	arrival, ok := conn.(interface{ ArrivedAfter() time.Time })
+	if !ok {
+		return time.Time{}
+	}
+	return arrival.ArrivedAfter()
+}
+
+// WatchArrivals makes the listener of a connection keep ArrivedAfter precise for requests that follow a pause. It has no
+// effect on connections that no ArrivalListener has accepted.
+func WatchArrivals(conn net.Conn) {
+	if watchable, ok := conn.(interface{ Watch() }); ok {
+		watchable.Watch()
+	}
+}
+
+// ExpectRequest tells a connection that a response is complete. It has no effect on connections that no ArrivalListener
+// has accepted.
+func ExpectRequest(conn net.Conn) {
+	if arrival, ok := conn.(interface{ ExpectRequest() }); ok {
+		arrival.ExpectRequest()
+	}
+}
