--- a/internal/control/server/evacuation.go
+++ b/internal/control/server/evacuation.go
@@ -10,10 +10,6 @@
 	"sagelever/internal/control/quorum"
 )
 
-// ackDeliveryTime is the time after the arrival of an order within which a response must be sent to reach the caller
-// reliably. A caller gives up after a second and repeats the order at another controller.
-const ackDeliveryTime = 700 * time.Millisecond
-
 // handleEvacuationBegin orders the evacuation of a zone: no backend there gets traffic.
 func (s *Server) handleEvacuationBegin(w http.ResponseWriter, r *http.Request) error {
 	return s.changeEvacuation(w, r, calls.EvacuationBegin)
@@ -37,13 +33,11 @@
 	if err := s.requireQuorum(); err != nil {
 		return err
 	}
-	received := s.now()
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
 	defer cancel()
+	order := s.newArrivedOrder(r)
 	begin := call == calls.EvacuationBegin
-	version, err := s.operations.join(ctx, operationKey(call, zone), 0, func(ctx context.Context) (uint64, error) {
-		return s.orderEvacuation(ctx, zone, begin)
-	})
+	version, err := s.orderEvacuation(ctx, order, zone, begin)
 	if err != nil {
 		return err
 	}
@@ -51,8 +45,7 @@
 		s.awaitPropagation(ctx, drain.EvacuationKey(zone))
 	}
 	writeOK(w)
-	inTime := s.now().Sub(received) < ackDeliveryTime
-	if inTime && http.NewResponseController(w).Flush() == nil {
+	if order.isAwaited() && http.NewResponseController(w).Flush() == nil {
 		go s.recordAcknowledged(zone, version)
 	}
 	return nil
@@ -63,32 +56,37 @@
 //
 // The order is based on the zone's registers as they are read while its caller waits for the answer. Later attempts keep
 // this base: by then, another controller may have acknowledged a copy of the order and a later one.
-func (s *Server) orderEvacuation(ctx context.Context, zone string, begin bool) (version uint64, err error) {
-	received := s.now()
-	base, err := s.readEvacuationBase(ctx, zone)
+func (s *Server) orderEvacuation(
+	ctx context.Context, order arrivedOrder, zone string, begin bool,
+) (version uint64, err error) {
+	var base drain.EvacuationBase
+	err = s.whileAwaited(ctx, order, func(ctx context.Context) error {
+		base, err = s.readEvacuationBase(ctx, zone)
+		return err
+	})
 	if err != nil {
 		return 0, err
 	}
-	err = s.newRetryPolicy(callTimeout).run(ctx, func(ctx context.Context) error {
-		version, err = s.proposeEvacuation(ctx, zone, begin, base, received)
-		return err
+	call := calls.EvacuationEnd
+	if begin {
+		call = calls.EvacuationBegin
+	}
+	return s.operations.join(ctx, operationKey(call, zone), 0, func(ctx context.Context) (uint64, error) {
+		err := s.newRetryPolicy(callTimeout).run(ctx, func(ctx context.Context) error {
+			version, err = s.proposeEvacuation(ctx, zone, begin, base, order.receivedAt)
+			return err
+		})
+		return version, err
 	})
-	return version, err
 }
 
-// readEvacuationBase reads the base of an order on a zone. It fails if that takes longer than callers wait.
-func (s *Server) readEvacuationBase(ctx context.Context, zone string) (base drain.EvacuationBase, err error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	startedAt := time.Now()
+// readEvacuationBase reads the base of an order on a zone.
+func (s *Server) readEvacuationBase(ctx context.Context, zone string) (drain.EvacuationBase, error) {
 	key, acknowledgedKey := drain.EvacuationKey(zone), drain.AcknowledgedKey(zone)
 	values, err := s.readKeys(ctx, []string{key, acknowledgedKey})
 	if err != nil {
 		return drain.EvacuationBase{}, err
 	}
-	if time.Since(startedAt) > callTimeout { // the process stood still: the order may have been overtaken before the read
-		return drain.EvacuationBase{}, errAbandonedOrder
-	}
 	return drain.EvacuationBase{
 		Version:      values[key].Version,
 		Acknowledged: drain.ReadAcknowledged(values[acknowledgedKey]),
