--- a/internal/control/server/abandoned_test.go
+++ b/internal/control/server/abandoned_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"sagelever/internal/control/calls"
 	"sagelever/internal/control/drain"
 	"sagelever/internal/tcp"
 )
@@ -206,6 +207,36 @@
 	cluster.wantEvacuated(zone, 3)
 }
 
+// Guards against an order that is acknowledged without an effect, as it has joined an earlier one like it that was decided
+// before it arrived: the withdrawal of the first evacuation is held up after its decision, and the second one is withdrawn.
+func TestOrderDoesNotJoinEarlierOne(t *testing.T) {
+	t.Parallel()
+	const target = "a1"
+	cluster := newStartedCluster(t)
+	member := cluster.running[0]
+	unblock := make(chan struct{})
+	defer close(unblock)
+	for _, key := range []string{
+		operationKey(calls.EvacuationEnd, target),
+		operationKey(calls.DrainBegin, target, target),
+		operationKey(calls.DrainEnd, target),
+		operationKey(calls.ReleaseBegin, "s", "v2", "9s"),
+	} {
+		_, err := member.operations.joinOrStart(key, 0, func(context.Context) (uint64, error) {
+			<-unblock
+			return 0, nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	cluster.mustCall(1, "clear_out.begin&of="+target, "")
+	cluster.mustCall(0, "clear_out.finish&of="+target, "")
+	cluster.mustCall(0, "drains.begin", `{"target":"a1","force":true}`)
+	cluster.mustCall(0, "drains.end&of="+target, "")
+	cluster.mustCall(0, "releases.begin", releaseBody("v2"))
+}
+
 // wantEvacuated checks that a zone is evacuated by a version of its register, once all members have that version.
 func (c *testCluster) wantEvacuated(zone string, version uint64) {
 	c.t.Helper()
--- a/internal/control/server/drain.go
+++ b/internal/control/server/drain.go
@@ -8,7 +8,6 @@
 
 	"github.com/mailru/easyjson"
 
-	"sagelever/internal/control/calls"
 	"sagelever/internal/control/drain"
 	"sagelever/internal/control/quorum"
 	"sagelever/internal/control/replication"
@@ -167,17 +166,17 @@
 	change := drain.AddRecorded(target.zone, target.drain, isEnded, now, s.resendWindow())
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	operation := operationKey(calls.DrainBegin, target.zone, target.name())
-	return s.operations.run(ctx, operation, 0, func(ctx context.Context) error {
+	_, err := s.operations.runSeparately(ctx, 0, func(ctx context.Context) (uint64, error) {
 		chosen, err := s.propose(ctx, map[string]quorum.UpdateFunc{key: change})
 		if err != nil {
-			return err
+			return 0, err
 		}
 		if !slices.ContainsFunc(drain.ReadList(chosen[key]), target.drain.SameTarget) {
-			return errTooManyDrains
+			return 0, errTooManyDrains
 		}
-		return nil
+		return chosen[key].Version, nil
 	})
+	return err
 }
 
 // endedBackends returns, by backend ID, whether the drained backends have ended.
@@ -230,10 +229,11 @@
 		return errNoSuchDrain
 	}
 	change := drain.RemoveRecorded(drain.ZoneOfListKey(key), active, now, s.resendWindow())
-	return s.operations.run(ctx, operationKey(calls.DrainEnd, name), 0, func(ctx context.Context) error {
-		_, err := s.propose(ctx, map[string]quorum.UpdateFunc{key: change})
-		return err
+	_, err = s.operations.runSeparately(ctx, 0, func(ctx context.Context) (uint64, error) {
+		chosen, err := s.propose(ctx, map[string]quorum.UpdateFunc{key: change})
+		return chosen[key].Version, err
 	})
+	return err
 }
 
 // handleDrainsRead responds with the progress of all active drains, or of the one that targetParam names.
--- a/internal/control/server/evacuation.go
+++ b/internal/control/server/evacuation.go
@@ -5,24 +5,23 @@
 	"net/http"
 	"time"
 
-	"sagelever/internal/control/calls"
 	"sagelever/internal/control/drain"
 	"sagelever/internal/control/quorum"
 )
 
 // handleEvacuationBegin orders the evacuation of a zone: no backend there gets traffic.
 func (s *Server) handleEvacuationBegin(w http.ResponseWriter, r *http.Request) error {
-	return s.changeEvacuation(w, r, calls.EvacuationBegin)
+	return s.changeEvacuation(w, r, true)
 }
 
 // handleEvacuationEnd withdraws one evacuation order. The zone returns to service once all its orders have been
 // withdrawn.
 func (s *Server) handleEvacuationEnd(w http.ResponseWriter, r *http.Request) error {
-	return s.changeEvacuation(w, r, calls.EvacuationEnd)
+	return s.changeEvacuation(w, r, false)
 }
 
-// changeEvacuation executes calls.EvacuationBegin or calls.EvacuationEnd.
-func (s *Server) changeEvacuation(w http.ResponseWriter, r *http.Request, call calls.Name) error {
+// changeEvacuation orders the evacuation of a zone, or withdraws one order if begin is not set.
+func (s *Server) changeEvacuation(w http.ResponseWriter, r *http.Request, begin bool) error {
 	zone, err := readTarget(r)
 	if err != nil {
 		return err
@@ -36,7 +35,6 @@
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
 	defer cancel()
 	order := s.newArrivedOrder(r)
-	begin := call == calls.EvacuationBegin
 	version, err := s.orderEvacuation(ctx, order, zone, begin)
 	if err != nil {
 		return err
@@ -67,11 +65,7 @@
 	if err != nil {
 		return 0, err
 	}
-	call := calls.EvacuationEnd
-	if begin {
-		call = calls.EvacuationBegin
-	}
-	return s.operations.join(ctx, operationKey(call, zone), 0, func(ctx context.Context) (uint64, error) {
+	return s.operations.runSeparately(ctx, 0, func(ctx context.Context) (uint64, error) {
 		err := s.newRetryPolicy(callTimeout).run(ctx, func(ctx context.Context) error {
 			version, err = s.proposeEvacuation(ctx, zone, begin, base, order.receivedAt)
 			return err
--- a/internal/control/server/operations.go
+++ b/internal/control/server/operations.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -32,13 +33,14 @@
 // needs the version.
 type operationFunc func(ctx context.Context) (version uint64, err error)
 
-// operationGroup runs operations. An operation runs once, however often it is requested while it is in progress, so
-// that repetitions of an order don't compete with one another. An operation continues after its callers have given up;
-// they get its result by requesting it again before it ends. The zero value is ready to use.
+// operationGroup runs operations. An operation with a key runs once, however often it is requested while it is in
+// progress, so that repetitions of an order don't compete with one another. An operation continues after its callers have
+// given up; they get its result by requesting it again before it ends. The zero value is ready to use.
 type operationGroup struct {
-	mu    sync.Mutex
-	byKey map[string]*operation
-	bytes int // of the requests of all operations in progress
+	mu       sync.Mutex
+	byKey    map[string]*operation
+	bytes    int    // of the requests of all operations in progress
+	separate uint64 // number of operations that were started by runSeparately
 }
 
 // operation is an operation in progress. version and err may be read once done is closed.
@@ -60,6 +62,16 @@
 	return err
 }
 
+// runSeparately runs an operation that no other request joins, and returns its result like join. An order without a version
+// must not join an earlier one like it, which may have been decided before the order arrived.
+func (g *operationGroup) runSeparately(ctx context.Context, size int, do operationFunc) (version uint64, err error) {
+	g.mu.Lock()
+	g.separate++
+	key := strconv.FormatUint(g.separate, 10)
+	g.mu.Unlock()
+	return g.join(ctx, key, size, do)
+}
+
 // join waits for the operation with a key and returns its result. If the operation is not in progress, join starts it
 // by calling do. size is the size of the request in bytes, which the operation keeps in memory. join returns
 // errInProgress if ctx ends first, and errTooManyOperations if the operation can't be started.
--- a/internal/control/server/release.go
+++ b/internal/control/server/release.go
@@ -7,7 +7,6 @@
 
 	"github.com/mailru/easyjson"
 
-	"sagelever/internal/control/calls"
 	"sagelever/internal/control/quorum"
 	"sagelever/internal/control/release"
 	"sagelever/internal/settings"
@@ -41,10 +40,10 @@
 	change := release.StartOnce(order.Target, duration, received, s.resendWindow())
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
 	defer cancel()
-	key := operationKey(calls.ReleaseBegin, order.Service, order.Target, duration.String())
-	err = s.operations.run(ctx, key, len(data), func(ctx context.Context) error {
-		_, err := s.propose(ctx, map[string]quorum.UpdateFunc{release.RegisterKey(order.Service): change})
-		return err
+	key := release.RegisterKey(order.Service)
+	_, err = s.operations.runSeparately(ctx, len(data), func(ctx context.Context) (uint64, error) {
+		chosen, err := s.propose(ctx, map[string]quorum.UpdateFunc{key: change})
+		return chosen[key].Version, err
 	})
 	if err != nil {
 		return err
