--- a/internal/control/drain/update.go
+++ b/internal/control/drain/update.go
@@ -45,18 +45,23 @@
 	orderEnd   = "end "
 )
 
-// AddRecorded is like Add, and also records the order in the register, so that AddedRecently recognizes a resent order
-// even if the backend has ended and its drain was removed.
+// AddRecorded is like Add, for an order that is based on a value of the register and gives way to later orders, see
+// Overtaken. It also records the order in the register, so that AddedRecently recognizes a resent order even if the backend
+// has ended and its drain was removed.
 func AddRecorded(
-	zone string, added Drain, ended func(id string) bool, now time.Time, window time.Duration,
+	base quorum.Value, zone string, added Drain, ended func(id string) bool, now time.Time, window time.Duration,
 ) quorum.UpdateFunc {
-	return recordOrder(orderBegin+added.TargetName(zone), now, window, Add(added, ended, now))
+	target := added.TargetName(zone)
+	return ifNotOvertaken(base, target, recordOrder(orderBegin+target, now, window, Add(added, ended, now)))
 }
 
-// RemoveRecorded is like Remove, and also records the order in the register, so that RemovedRecently recognizes a
-// resent order.
-func RemoveRecorded(zone string, removed Drain, now time.Time, window time.Duration) quorum.UpdateFunc {
-	return recordOrder(orderEnd+removed.TargetName(zone), now, window, Remove(removed))
+// RemoveRecorded is like Remove, for an order that is based on a value of the register and gives way to later orders, see
+// Overtaken. It also records the order in the register, so that RemovedRecently recognizes a resent order.
+func RemoveRecorded(
+	base quorum.Value, zone string, removed Drain, now time.Time, window time.Duration,
+) quorum.UpdateFunc {
+	target := removed.TargetName(zone)
+	return ifNotOvertaken(base, target, recordOrder(orderEnd+target, now, window, Remove(removed)))
 }
 
 // recordOrder returns an update that applies another one and records the order in the register if the register changes.
--- a/internal/control/server/drain.go
+++ b/internal/control/server/drain.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/mailru/easyjson"
 
@@ -40,7 +41,7 @@
 	if err := s.requireQuorum(); err != nil {
 		return err
 	}
-	response, err := s.beginDrain(r.Context(), order)
+	response, err := s.beginDrain(r.Context(), s.newArrivedOrder(r), order)
 	if err != nil {
 		return err
 	}
@@ -49,8 +50,10 @@
 
 // beginDrain begins a drain. If the drain is active or was begun within the resend window, the order is a repetition
 // and has no effect. An order is rejected only if no earlier attempt at it can take effect any more.
-func (s *Server) beginDrain(ctx context.Context, order *drain.BeginRequest) (drain.Response, error) {
-	response, err := s.attemptDrain(ctx, order)
+func (s *Server) beginDrain(
+	ctx context.Context, arrived arrivedOrder, order *drain.BeginRequest,
+) (drain.Response, error) {
+	response, err := s.attemptDrain(ctx, arrived, order)
 	if !isRejection(err) {
 		return response, err
 	}
@@ -79,11 +82,12 @@
 	return s.proposeAtomic(ctx, keys, quorum.Keep)
 }
 
-// attemptDrain begins a drain on the basis of the registers that it reads.
-func (s *Server) attemptDrain(ctx context.Context, order *drain.BeginRequest) (drain.Response, error) {
-	readCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	values, err := s.readPrefix(readCtx, "")
+// attemptDrain begins a drain on the basis of the registers that it reads while the caller waits. It gives way to orders
+// on the target that were carried out since.
+func (s *Server) attemptDrain(
+	ctx context.Context, arrived arrivedOrder, order *drain.BeginRequest,
+) (drain.Response, error) {
+	values, err := s.readDrainBase(ctx, arrived, "")
 	if err != nil {
 		return drain.Response{}, err
 	}
@@ -94,7 +98,7 @@
 	backends := s.backends()
 	target, err := s.findDrainTarget(order.Target, backends)
 	if err != nil {
-		if drain.AddedRecently(values, order.Target, s.now(), s.resendWindow()) {
+		if drain.AddedRecently(values, order.Target, arrived.receivedAt, s.resendWindow()) {
 			return drain.Response{Target: order.Target}, nil // the backend has ended since then, which also ended its drain
 		}
 		return drain.Response{}, err
@@ -106,13 +110,24 @@
 			return drain.Response{}, &insufficientCapacityError{response}
 		}
 	}
-	if err := s.proposeDrain(ctx, target, values); err != nil {
+	if err := s.proposeDrain(ctx, target, values, arrived.receivedAt); err != nil {
 		return drain.Response{}, err
 	}
 	s.awaitPropagation(ctx, drain.ListKey(target.zone))
 	return response, nil
 }
 
+// readDrainBase reads the registers whose keys start with a prefix, on which an order is based.
+func (s *Server) readDrainBase(
+	ctx context.Context, arrived arrivedOrder, prefix string,
+) (values map[string]quorum.Value, err error) {
+	err = s.whileAwaited(ctx, arrived, func(ctx context.Context) error {
+		values, err = s.readPrefix(ctx, prefix)
+		return err
+	})
+	return values, err
+}
+
 // findDrainTarget resolves the name of a target. It returns a *notFoundError if the name is unknown.
 func (s *Server) findDrainTarget(name string, backends map[string]*replication.Backend) (drainTarget, error) {
 	zone, parsed, err := drain.ParseTarget(name, s.settings.Zones, func(id string) string {
@@ -157,13 +172,14 @@
 }
 
 // proposeDrain adds a drain to the drains of its zone. It returns errTooManyDrains if the zone has the maximum number
-// of drains.
-func (s *Server) proposeDrain(ctx context.Context, target drainTarget, values map[string]quorum.Value) error {
+// of drains, and errOvertakenOrder if a later order has withdrawn the drain.
+func (s *Server) proposeDrain(
+	ctx context.Context, target drainTarget, base map[string]quorum.Value, receivedAt time.Time,
+) error {
 	key := drain.ListKey(target.zone)
-	now := s.now()
-	ended := s.endedBackends(drain.ReadList(values[key]))
+	ended := s.endedBackends(drain.ReadList(base[key]))
 	isEnded := func(id string) bool { return ended[id] }
-	change := drain.AddRecorded(target.zone, target.drain, isEnded, now, s.resendWindow())
+	change := drain.AddRecorded(base[key], target.zone, target.drain, isEnded, receivedAt, s.resendWindow())
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_, err := s.operations.runSeparately(ctx, 0, func(ctx context.Context) (uint64, error) {
@@ -171,10 +187,13 @@
 		if err != nil {
 			return 0, err
 		}
-		if !slices.ContainsFunc(drain.ReadList(chosen[key]), target.drain.SameTarget) {
-			return 0, errTooManyDrains
+		if slices.ContainsFunc(drain.ReadList(chosen[key]), target.drain.SameTarget) {
+			return chosen[key].Version, nil
 		}
-		return chosen[key].Version, nil
+		if drain.Overtaken(base[key], chosen[key], target.name()) {
+			return 0, errOvertakenOrder
+		}
+		return 0, errTooManyDrains
 	})
 	return err
 }
@@ -201,7 +220,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
 	defer cancel()
-	if err := s.endDrain(ctx, name); err != nil {
+	if err := s.endDrain(ctx, s.newArrivedOrder(r), name); err != nil {
 		return err
 	}
 	return writeValue(w, http.StatusOK, drain.Response{Target: name})
@@ -209,29 +228,46 @@
 
 // endDrain withdraws a drain. It does nothing if the drain was withdrawn within the resend window. It rejects the order
 // only if no earlier attempt to begin the drain can take effect any more.
-func (s *Server) endDrain(ctx context.Context, name string) error {
-	values, err := s.readPrefix(ctx, drain.ListKey(""))
+func (s *Server) endDrain(ctx context.Context, arrived arrivedOrder, name string) error {
+	values, err := s.readDrainBase(ctx, arrived, drain.ListKey(""))
 	if err != nil {
 		return err
 	}
-	now := s.now()
-	key, active, found := drain.Find(values, name)
-	if !found && drain.RemovedRecently(values, name, now, s.resendWindow()) {
+	if _, _, found := drain.Find(values, name); found {
+		return s.proposeDrainEnd(ctx, name, values, arrived.receivedAt)
+	}
+	if drain.RemovedRecently(values, name, arrived.receivedAt, s.resendWindow()) {
 		return nil
 	}
-	if !found {
-		if values, err = s.settleDrains(ctx); err != nil {
-			return err
-		}
-		key, active, found = drain.Find(values, name)
+	err = s.whileAwaited(ctx, arrived, func(ctx context.Context) error {
+		values, err = s.settleDrains(ctx)
+		return err
+	})
+	if err != nil {
+		return err
 	}
-	if !found {
+	if _, _, found := drain.Find(values, name); !found {
 		return errNoSuchDrain
 	}
-	change := drain.RemoveRecorded(drain.ZoneOfListKey(key), active, now, s.resendWindow())
-	_, err = s.operations.runSeparately(ctx, 0, func(ctx context.Context) (uint64, error) {
+	return s.proposeDrainEnd(ctx, name, values, arrived.receivedAt)
+}
+
+// proposeDrainEnd removes the drain with a name, which base lists, from the drains of its zone. It returns
+// errOvertakenOrder if a later order has begun the drain anew.
+func (s *Server) proposeDrainEnd(
+	ctx context.Context, name string, base map[string]quorum.Value, receivedAt time.Time,
+) error {
+	key, active, _ := drain.Find(base, name)
+	change := drain.RemoveRecorded(base[key], drain.ZoneOfListKey(key), active, receivedAt, s.resendWindow())
+	_, err := s.operations.runSeparately(ctx, 0, func(ctx context.Context) (uint64, error) {
 		chosen, err := s.propose(ctx, map[string]quorum.UpdateFunc{key: change})
-		return chosen[key].Version, err
+		if err != nil {
+			return 0, err
+		}
+		if slices.ContainsFunc(drain.ReadList(chosen[key]), active.SameTarget) {
+			return 0, errOvertakenOrder
+		}
+		return chosen[key].Version, nil
 	})
 	return err
 }
