--- a/internal/control/release/release.go
+++ b/internal/control/release/release.go
@@ -72,8 +72,34 @@
 // StartOnce is Start for an order that may be a resent one: an order with the same target and duration as an earlier
 // one within the window has no effect, even if another release was started in between.
 func StartOnce(target string, duration time.Duration, now time.Time, window time.Duration) quorum.UpdateFunc {
-	order := duration.String() + " " + target
-	return dedup.ApplyOnce(order, now, window, Start(target, duration, now))
+	return dedup.ApplyOnce(orderText(target, duration), now, window, Start(target, duration, now))
+}
+
+// orderText is the text by which a register records the order of a release.
+func orderText(target string, duration time.Duration) string { return duration.String() + " " + target }
+
+// StartFrom is StartOnce for an order that is based on a version of the register. It has no effect if the register has
+// changed since: a later order may have been given after this one, and must not be replaced. Overtaken tells this from an
+// effect.
+func StartFrom(
+	base uint64, target string, duration time.Duration, now time.Time, window time.Duration,
+) quorum.UpdateFunc {
+	update := StartOnce(target, duration, now, window)
+	return func(current quorum.Value) quorum.Value {
+		if current.Version != base {
+			return current
+		}
+		return update(current)
+	}
+}
+
+// Overtaken reports whether the register has changed since the base of an order, so that the order has no effect, and is
+// not recorded as applied either.
+func Overtaken(
+	base uint64, target string, duration time.Duration, now time.Time, window time.Duration, chosen quorum.Value,
+) bool {
+	applied := dedup.ReadAppliedOrders(chosen)
+	return chosen.Version != base && !applied.Contains(orderText(target, duration), now, window)
 }
 
 // End returns the update that ends the release with the given number in the given phase. It has no effect on a release
--- a/internal/control/server/release.go
+++ b/internal/control/server/release.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/mailru/easyjson"
 
@@ -36,20 +37,52 @@
 	if err := s.requireQuorum(); err != nil {
 		return err
 	}
-	received := s.now() // the resend window starts on arrival, however long the proposal takes
-	change := release.StartOnce(order.Target, duration, received, s.resendWindow())
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
 	defer cancel()
+	if err := s.beginRelease(ctx, s.newArrivedOrder(r), order, duration); err != nil {
+		return err
+	}
+	writeOK(w)
+	return nil
+}
+
+// beginRelease starts a release on the basis of the register that it reads while the caller waits. It gives way to orders
+// that were carried out since.
+func (s *Server) beginRelease(
+	ctx context.Context, arrived arrivedOrder, order *release.StartRequest, duration time.Duration,
+) error {
 	key := release.RegisterKey(order.Service)
-	_, err = s.operations.runSeparately(ctx, len(data), func(ctx context.Context) (uint64, error) {
-		chosen, err := s.propose(ctx, map[string]quorum.UpdateFunc{key: change})
-		return chosen[key].Version, err
+	var base uint64
+	err := s.whileAwaited(ctx, arrived, func(ctx context.Context) error {
+		values, err := s.readKeys(ctx, []string{key})
+		base = values[key].Version
+		return err
 	})
 	if err != nil {
 		return err
 	}
-	writeOK(w)
-	return nil
+	_, err = s.operations.runSeparately(ctx, len(order.Service)+len(order.Target), func(ctx context.Context) (uint64, error) {
+		return s.proposeRelease(ctx, arrived, order, duration, base)
+	})
+	return err
+}
+
+// proposeRelease proposes a release that is based on a version of the service's register. It returns errOvertakenOrder if
+// another order was carried out since.
+func (s *Server) proposeRelease(
+	ctx context.Context, arrived arrivedOrder, order *release.StartRequest, duration time.Duration, base uint64,
+) (version uint64, err error) {
+	key := release.RegisterKey(order.Service)
+	receivedAt, window := arrived.receivedAt, s.resendWindow()
+	change := release.StartFrom(base, order.Target, duration, receivedAt, window)
+	chosen, err := s.propose(ctx, map[string]quorum.UpdateFunc{key: change})
+	if err != nil {
+		return 0, err
+	}
+	if release.Overtaken(base, order.Target, duration, receivedAt, window, chosen[key]) {
+		return 0, errOvertakenOrder
+	}
+	return chosen[key].Version, nil
 }
 
 // handleReleaseRead responds with the phase of a service's release. The reported phase has been chosen by a quorum, so
