--- a/internal/control/server/tasks.go
+++ b/internal/control/server/tasks.go
@@ -38,17 +38,24 @@
 	ctx context.Context, start func(now, until time.Time) uint64,
 ) (map[string]quorum.Value, error) {
 	done := make(chan replica.Completion, 1)
-	timeout := callTimeout
-	if deadline, ok := ctx.Deadline(); ok {
-		timeout = time.Until(deadline)
-	}
-	if timeout <= 0 {
-		return nil, replica.ErrTooFewResponses
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(callTimeout)
 	}
+	started := false
 	s.step(func(now time.Time) {
+		// The rest of the time is measured here, as the process may have been suspended on the way.
+		timeout := time.Until(deadline)
+		if timeout <= 0 {
+			return
+		}
+		started = true
 		id := start(now, now.Add(timeout))
 		s.pendingTasks[id] = done
 	})
+	if !started {
+		return nil, replica.ErrTooFewResponses
+	}
 	select {
 	case completion := <-done:
 		return completion.Values, completion.Err
