--- a/internal/control/server/abandoned_test.go
+++ b/internal/control/server/abandoned_test.go
@@ -207,6 +207,26 @@
 	cluster.wantEvacuated(zone, 3)
 }
 
+// Guards against an order that undoes a later one, on a kernel that tells nothing of connections: the network has held up
+// the order until its caller closed the connection, so that both arrive together.
+func TestOrderArrivesWithClose(t *testing.T) {
+	t.Parallel()
+	const rounds = 20
+	cluster := newStartedCluster(t)
+	member := cluster.running[0]
+	waiting := newBacklog(t)
+	waiting.serveWithoutKernelState(member)
+	cluster.mustCall(0, "clear_out.begin&of=a1", "")
+	for range rounds {
+		member.mu.Lock() // until both have been read
+		waiting.send("clear_out.finish&of=a1", "").Close()
+		time.Sleep(20 * time.Millisecond)
+		member.mu.Unlock()
+	}
+	waitUntil(t, "all orders have ended", func() bool { return member.counters.abandonedOrders.Load() == rounds })
+	cluster.wantEvacuated("a1", 1)
+}
+
 // Guards against an order that is acknowledged without an effect, as it has joined an earlier one like it that was decided
 // before it arrived: the withdrawal of the first evacuation is held up after its decision, and the second one is withdrawn.
 func TestOrderDoesNotJoinEarlierOne(t *testing.T) {
--- a/internal/control/server/arrived_order.go
+++ b/internal/control/server/arrived_order.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"sagelever/internal/tcp"
 )
 
@@ -29,12 +31,13 @@
 // isAwaited reports whether the caller of the order is certainly waiting for the answer.
 func (o arrivedOrder) isAwaited() bool { return time.Since(o.arrivedAfter) < ackDeliveryTime }
 
-// whileAwaited calls read, and returns errAbandonedOrder if the caller of the order may have left until read returns.
+// whileAwaited calls read, and returns errAbandonedOrder if the caller of the order may have left until read returns. ctx is
+// that of the request, which the server cancels when it reads the end of the connection.
 func (s *Server) whileAwaited(ctx context.Context, order arrivedOrder, read func(ctx context.Context) error) error {
-	ctx, cancel := context.WithDeadline(ctx, order.arrivedAfter.Add(ackDeliveryTime))
+	readCtx, cancel := context.WithDeadline(ctx, order.arrivedAfter.Add(ackDeliveryTime))
 	defer cancel()
-	err := read(ctx)
-	if !order.isAwaited() {
+	err := read(readCtx)
+	if !order.isAwaited() || errors.Is(ctx.Err(), context.Canceled) {
 		s.counters.abandonedOrders.Add(1)
 		return errAbandonedOrder
 	}
