--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -85,14 +85,17 @@
 }
 
 // checkWrite is called immediately before the first byte of an attempt is written. It forbids the write and returns the
-// event that forbids it if, since the backend was picked, the client has disconnected or the permission to send to the
-// backend was revoked.
+// event that forbids it if, since the backend was picked, the client has disconnected, the shutdown deadline has passed or
+// the permission to send to the backend was revoked.
 func (p *Proxy) checkWrite(r *http.Request, backend *balancer.Backend) (event retry.Event, forbidden bool) {
 	p.mu.Lock()
 	permitted := p.balancer.MayWrite(backend, time.Now())
 	p.mu.Unlock()
-	if r.Context().Err() != nil {
+	switch {
+	case r.Context().Err() != nil:
 		return retry.ClientDisconnected, true
+	case p.deadline.passed(): // the goroutine that cancels the attempt may not have run yet
+		return retry.ShutdownDeadline, true
 	}
 	return retry.PermissionRevoked, !permitted
 }
