--- a/internal/control/quorum/confirmation.go
+++ b/internal/control/quorum/confirmation.go
@@ -61,5 +61,8 @@
 	return !c.replied[member] || slices.Contains(c.confirmedBy[position], member)
 }
 
+// HasReplied reports whether a member has replied.
+func (c *Confirmation) HasReplied(member string) bool { return c.replied[member] }
+
 // Done reports whether all values are known to be chosen.
 func (c *Confirmation) Done() bool { return c.remaining == 0 }
--- a/internal/control/replica/confirm.go
+++ b/internal/control/replica/confirm.go
@@ -176,9 +176,14 @@
 
 // repairTurnDelay returns how long a replica waits for the repair rounds of those preceding members that may hold the
 // value at a position of a confirmation. It is one attemptTimeout for each, because a round of a large change can take
-// that long.
+// that long. The proposer of the value has no turn if it has not replied: its own round has had time to end, and it has
+// most likely failed.
 func repairTurnDelay(confirmation *quorum.Confirmation, position int, preceding []string) (turn time.Duration) {
+	proposer := proposerNode(confirmation.Proposal.Proposer)
 	for _, node := range preceding {
+		if node == proposer && !confirmation.HasReplied(node) {
+			continue
+		}
 		if confirmation.MayHold(node, position) {
 			turn += attemptTimeout
 		}
