--- a/internal/control/server/shutdown.go
+++ b/internal/control/server/shutdown.go
@@ -44,6 +44,13 @@
 	}
 }
 
+// afterReplacement returns the schedule for a replacement that took the given time. Requests of operators, backends and
+// clients get what it has left.
+func (s shutdownSchedule) afterReplacement(took time.Duration) shutdownSchedule {
+	s.api.Drain += max(0, s.replacement-took)
+	return s
+}
+
 // endpoint is an HTTP server on one address.
 type endpoint struct {
 	*http.Server
