--- a/internal/control/replica/leases.go
+++ b/internal/control/replica/leases.go
@@ -149,7 +149,8 @@
 }
 
 // acceptsClients reports whether the holder of a lease is a proxy that accepts clients. A lease that this replica
-// granted must have been renewed since this replica's start; the grantor of any other lease must be reachable.
+// granted must have been renewed since this replica's start. The grantor of any other lease must be reachable, and this
+// replica must have received all its items within PeerTimeout: otherwise the lease may have ended.
 func (r *Replica) acceptsClients(now time.Time, key string, lease *replication.Lease) bool {
 	if lease.Ended || lease.ListenAddress == "" || lease.Role != message.RoleProxy {
 		return false
@@ -157,5 +158,5 @@
 	if lease.Grantor == r.config.Self.Node && !r.liveness.HasRenewedLease(key) {
 		return false
 	}
-	return r.reachable(lease.Grantor, now)
+	return r.reachable(lease.Grantor, now) && r.isUpToDateWith(lease.Grantor, now)
 }
--- a/internal/control/replica/leases_test.go
+++ b/internal/control/replica/leases_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -109,3 +110,38 @@
 		t.Errorf("the end of the lease that was granted anew is %+v, which doesn't replace the lost %+v", ended, lost)
 	}
 }
+
+// Guards against clients that are sent to a proxy which is gone: a member doesn't learn that the proxy's lease has ended, as
+// the answers of the lease's grantor come in parts for longer than PeerTimeout, and take effect only with the last part.
+func TestLeaseIsNotUsedWhileItsGrantorAnswersInParts(t *testing.T) {
+	sim := newFaultFreeSimulation(6, 2, 35*time.Millisecond, 5*time.Millisecond)
+	node, grantor := sim.nodes[0], sim.nodes[1]
+	lease := &replication.Lease{
+		Node: "e9", Role: message.RoleProxy, Zone: "z0", ListenAddress: "e9:80", Grantor: grantor.self.Node,
+	}
+	node.replica.items.Publish(lease.Item(leaseVersion(1, 0)))
+	isListed := func() bool { return slices.Contains(node.listenerAddrs(), lease.ListenAddress) }
+	if !isListed() {
+		t.Fatal("a lease whose grantor is reachable is not listed")
+	}
+	node.unreachable[grantor.index], grantor.unreachable[node.index] = true, true
+	sequence := uint64(1)
+	for elapsed := time.Duration(0); elapsed <= PeerTimeout; elapsed += PeerTimeout / 4 {
+		sequence++
+		node.replica.HandlePullResponse(
+			node.clock(), grantor.self, node.replica.NewPullRequest(node.clock(), grantor.self), &message.PullResponse{
+				ProtocolVersion: message.ProtocolVersion,
+				Origins:         []string{grantor.replica.items.Origin, foreignOrigin},
+				Progress:        replication.Vector{foreignOrigin: sequence},
+				Truncated:       true,
+				DiskID:          node.replica.peers[grantor.self.Node].DiskID,
+			})
+		sim.runFor(PeerTimeout / 4)
+	}
+	if !node.replica.reachable(grantor.self.Node, node.clock()) {
+		t.Fatal("the grantor has answered and is not reachable")
+	}
+	if isListed() {
+		t.Errorf("a lease is used although all of its grantor's items last arrived over %v ago", PeerTimeout)
+	}
+}
--- a/internal/control/replica/peers.go
+++ b/internal/control/replica/peers.go
@@ -14,6 +14,7 @@
 	message.Member
 	lastPullAt       time.Time // when this replica last started a pull from the peer
 	lastResponseAt   time.Time // when the peer last responded to a pull
+	lastCompleteAt   time.Time // when the peer last sent everything that this replica lacked of its items
 	hasResponded     bool      // the peer has responded since this replica's start
 	unreachableSince time.Time // when the peer was found to be unreachable; zero while it is reachable
 	memberSince      time.Time // when this replica adopted a configuration with the peer
@@ -31,6 +32,9 @@
 // recordResponse updates the state from a response of the peer to a pull.
 func (p *peerState) recordResponse(now time.Time, response *message.PullResponse) {
 	p.lastResponseAt = now
+	if !response.Truncated {
+		p.lastCompleteAt = now
+	}
 	p.hasResponded = true
 	p.activeEpoch = response.ActiveEpoch
 	p.legacySource = ""
@@ -138,6 +142,16 @@
 	return peer != nil && peer.hasResponded && now.Sub(peer.lastResponseAt) < PeerTimeout
 }
 
+// isUpToDateWith reports whether a node is this replica, or another member of which this replica has received all items
+// within PeerTimeout.
+func (r *Replica) isUpToDateWith(node string, now time.Time) bool {
+	if node == r.config.Self.Node {
+		return true
+	}
+	peer := r.peers[node]
+	return peer != nil && now.Sub(peer.lastCompleteAt) < PeerTimeout
+}
+
 // HasQuorum reports whether this replica's items are up to date: it is a member and reaches a majority of the members.
 // Otherwise it may lack changes that other members have acknowledged.
 func (r *Replica) HasQuorum(now time.Time) bool {
