--- a/internal/control/server/evacuation.go
+++ b/internal/control/server/evacuation.go
@@ -65,8 +65,8 @@
 	if err != nil {
 		return 0, err
 	}
-	return s.operations.runSeparately(ctx, 0, func(ctx context.Context) (uint64, error) {
-		err := s.newRetryPolicy(callTimeout).run(ctx, func(ctx context.Context) error {
+	return s.operations.runSeparately(ctx, 0, func(ctx context.Context) (version uint64, err error) {
+		err = s.newRetryPolicy(callTimeout).run(ctx, func(ctx context.Context) error {
 			version, err = s.proposeEvacuation(ctx, zone, begin, base, order.receivedAt)
 			return err
 		})
