--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -24,7 +24,8 @@
 
 	// State of the current connection and of the request on it.
 	connected      atomic.Bool
-	reused         atomic.Bool // the connection has carried a request before
+	conn           atomic.Pointer[upstream.Conn] // the latest connection; nil if there was none
+	reused         atomic.Bool                   // the connection has carried a request before
 	headerWritten  atomic.Bool
 	requestWritten atomic.Bool
 
@@ -97,7 +98,9 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			a.connected.Store(true)
 			a.reused.Store(info.Reused)
-			info.Conn.(*upstream.Conn).Assign(&a.exchange)
+			conn := info.Conn.(*upstream.Conn)
+			a.conn.Store(conn)
+			conn.Assign(&a.exchange)
 		},
 		WroteHeaders: func() { a.headerWritten.Store(true) },
 		WroteRequest: func(info httptrace.WroteRequestInfo) { a.requestWritten.Store(info.Err == nil) },
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -15,12 +15,13 @@
 // counters count requests since the start of the proxy. They are logged at intervals; individual requests are not
 // logged.
 type counters struct {
-	received     atomic.Int64 // requests from clients
-	served       atomic.Int64 // responses forwarded that count as a success
-	rejected     atomic.Int64 // answered by the proxy itself without being executed
-	noRoute      atomic.Int64 // answered 404, as no route matched
-	failed       atomic.Int64 // other responses forwarded, and errors after the request may have been executed
-	dials        atomic.Int64 // connections opened to backends
+	received     atomic.Int64    // requests from clients
+	served       atomic.Int64    // responses forwarded that count as a success
+	rejected     atomic.Int64    // answered by the proxy itself without being executed
+	refused      refusalCounters // of these, answered 503, by the basis of the promise
+	noRoute      atomic.Int64    // answered 404, as no route matched
+	failed       atomic.Int64    // other responses forwarded, and errors after the request may have been executed
+	dials        atomic.Int64    // connections opened to backends
 	retries      atomic.Int64
 	queued       atomic.Int64 // requests that waited for a backend
 	aborted      atomic.Int64 // responses aborted before their end
@@ -45,6 +46,7 @@
 		zap.Int64("received", c.received.Load()),
 		zap.Int64("served", c.served.Load()),
 		zap.Int64("rejected", c.rejected.Load()),
+		zap.Int64s("refusedByBasis", c.refused.loadAll()),
 		zap.Int64("noRoute", c.noRoute.Load()),
 		zap.Int64("failed", c.failed.Load()),
 		zap.Int64("dials", c.dials.Load()),
@@ -74,9 +76,14 @@
 func (p *Proxy) metricsPage() *telemetry.Page {
 	page := telemetry.NewPage()
 	page.AddCounters(map[string]*atomic.Int64{
-		"requests_received_total":  &p.counters.received,
-		"requests_served_total":    &p.counters.served,
-		"requests_rejected_total":  &p.counters.rejected,
+		"requests_received_total": &p.counters.received,
+		"requests_served_total":   &p.counters.served,
+		"requests_rejected_total": &p.counters.rejected,
+
+		"requests_refused_not_attempted_total":     &p.counters.refused[notAttempted],
+		"requests_refused_nothing_written_total":   &p.counters.refused[nothingWritten],
+		"requests_refused_stated_by_backend_total": &p.counters.refused[statedByBackend],
+
 		"requests_no_route_total":  &p.counters.noRoute,
 		"requests_failed_total":    &p.counters.failed,
 		"requests_queued_total":    &p.counters.queued,
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -33,7 +33,7 @@
 	}
 	table := p.routingTable.Load()
 	if table == nil || table.ItemCount == 0 {
-		p.replyUnavailable(w, "no configuration yet", minRetryAfter)
+		p.replyUnavailable(w, nil, "no configuration yet", minRetryAfter)
 		return
 	}
 	if tryID == "" {
@@ -82,7 +82,7 @@
 // to be complete and up to date; otherwise the route may exist and another proxy may serve it.
 func (p *Proxy) replyNoRoute(w http.ResponseWriter) {
 	if !p.holdsAuthority(time.Now()) {
-		p.replyUnavailable(w, "the configuration may be incomplete or outdated", minRetryAfter)
+		p.replyUnavailable(w, nil, "the configuration may be incomplete or outdated", minRetryAfter)
 		return
 	}
 	p.counters.noRoute.Add(1)
@@ -122,22 +122,24 @@
 		defer stopInterrupt()
 	}
 	queueUntil := queueDeadline(request)
+	var attempts attemptRecords
 	for {
 		backend, event := p.acquireBackend(ctx, r, request, queueUntil)
 		if backend == nil {
-			p.respond(w, request, &attemptResult{rule: retry.Decide(retry.Queued, event)})
+			p.respond(w, request, &attemptResult{rule: retry.Decide(retry.Queued, event)}, attempts)
 			return
 		}
 		attempt := p.newAttempt(r, backend)
 		tracked.attempt.Store(attempt)
 		result := p.send(ctx, attempt, r, request, body)
+		attempts = append(attempts, result.record())
 		if p.reportOutcome(request, backend, result, body.replayable()) {
 			result.close()
 			continue
 		}
 		stopDeadline() // a response that is being forwarded continues until the process exits
 		result.cancelOnDisconnect = func() (stop func() bool) { return context.AfterFunc(r.Context(), cancel) }
-		p.respond(w, request, result)
+		p.respond(w, request, result, attempts)
 		return
 	}
 }
--- a/internal/proxy/requestbody.go
+++ b/internal/proxy/requestbody.go
@@ -46,7 +46,7 @@
 		return requestBody{}, false
 	}
 	if p.bufferedBytes.Load() > p.bufferLimit {
-		p.replyUnavailable(w, "no memory for the body", minRetryAfter)
+		p.replyUnavailable(w, nil, "no memory for the body", minRetryAfter)
 		return requestBody{}, false
 	}
 	if limits.IdleTimeout > 0 {
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -16,9 +16,11 @@
 const streamChunk = maxBufferedBody / 4
 
 // replyUnavailable responds with 503, which promises the client that its request was not executed and never will be,
-// and that it may retry after the given time.
-func (p *Proxy) replyUnavailable(w http.ResponseWriter, reason string, retryAfter time.Duration) {
+// and that it may retry after the given time. attempts are all attempts that were made for the request.
+func (p *Proxy) replyUnavailable(w http.ResponseWriter, attempts attemptRecords, reason string,
+	retryAfter time.Duration) {
 	p.counters.rejected.Add(1)
+	p.recordRefusal(w.Header().Get(headerTryID), attempts, reason)
 	w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	http.Error(w, reason, http.StatusServiceUnavailable)
 }
@@ -26,7 +28,7 @@
 // replyShuttingDown responds to a request that was not sent to a backend by the shutdown deadline.
 func (p *Proxy) replyShuttingDown(w http.ResponseWriter) {
 	p.announceShutdown(w.Header())
-	p.replyUnavailable(w, "shutting down", minRetryAfter)
+	p.replyUnavailable(w, nil, "shutting down", minRetryAfter)
 }
 
 // replyRejected responds to an invalid request that was not executed.
@@ -42,8 +44,9 @@
 }
 
 // respond responds to the client according to the retry rule of the last attempt. A response that promises that the
-// request was not executed is only sent if that holds for all attempts.
-func (p *Proxy) respond(w http.ResponseWriter, request *balancer.Request, result *attemptResult) {
+// request was not executed is only sent if that holds for all attempts, which are passed in their order.
+func (p *Proxy) respond(w http.ResponseWriter, request *balancer.Request, result *attemptResult,
+	attempts attemptRecords) {
 	defer result.close()
 	p.announceShutdown(w.Header()) // the shutdown may have begun since the request arrived
 	rule := result.rule
@@ -52,7 +55,7 @@
 	case rule.Response == retry.Forwarded && (neverExecuted || rule.Execution != retry.NotExecuted):
 		p.forwardResponse(w, result)
 	case rule.Response == retry.ServiceUnavailable && neverExecuted:
-		p.replyNoCapacity(w, request)
+		p.replyNoCapacity(w, request, attempts)
 	case rule.Response == retry.GatewayTimeout:
 		p.replyFailed(w, http.StatusGatewayTimeout, "no response in time")
 	default:
@@ -62,11 +65,11 @@
 
 // replyNoCapacity rejects a request that was not executed. Retry-After is the service's typical latency, after which
 // requests in flight have usually finished.
-func (p *Proxy) replyNoCapacity(w http.ResponseWriter, request *balancer.Request) {
+func (p *Proxy) replyNoCapacity(w http.ResponseWriter, request *balancer.Request, attempts attemptRecords) {
 	p.mu.Lock()
 	retryAfter := p.balancer.TypicalLatency(request.Service, time.Now())
 	p.mu.Unlock()
-	p.replyUnavailable(w, "no backend has capacity", max(minRetryAfter, retryAfter))
+	p.replyUnavailable(w, attempts, "no backend has capacity", max(minRetryAfter, retryAfter))
 }
 
 // forwardResponse forwards the response of the last attempt to the client. If that fails midway, it panics
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -21,8 +21,10 @@
 // attemptResult is the result of one attempt.
 type attemptResult struct {
 	balancer.Outcome
-	rule      retry.Rule // the retry rule of the outcome
-	attempt   *attempt   // nil if the request was never sent
+	phase     retry.Phase // in which the attempt ended
+	event     retry.Event // that ended the attempt
+	rule      retry.Rule  // the retry rule of phase and event
+	attempt   *attempt    // nil if the request was never sent
 	header    http.Header
 	body      []byte        // the response's body, or the first part of a long one
 	length    int64         // length of the response's body in bytes, -1 if unknown
@@ -159,10 +161,16 @@
 	return nil
 }
 
+// decide records how the attempt ended and what follows from it.
+func (r *attemptResult) decide(phase retry.Phase, event retry.Event) {
+	r.phase, r.event = phase, event
+	r.rule = retry.Decide(phase, event)
+	r.Execution = r.rule.Execution
+}
+
 // recordFailure records the outcome of an attempt that ended with event and without a complete response.
 func (r *attemptResult) recordFailure(ctx context.Context, event retry.Event) {
-	r.rule = retry.Decide(r.attempt.phase(), event)
-	r.Execution = r.rule.Execution
+	r.decide(r.attempt.phase(), event)
 	r.Withheld = r.attempt.withheldBy.Load() != nil
 	r.Cancelled = ctx.Err() != nil
 	r.TimedOut = errors.Is(ctx.Err(), context.DeadlineExceeded)
@@ -174,8 +182,7 @@
 	if !r.attempt.requestWritten.Load() { // the backend responded before the request was complete
 		phase = retry.WritingBody
 	}
-	r.rule = retry.Decide(phase, event)
-	r.Execution = r.rule.Execution
+	r.decide(phase, event)
 	r.Succeeded = event == retry.ResponseReceived && r.Status/100 == 2
 	r.attempt.complete.Store(r.remainder == nil)
 }
