--- a/internal/proxy/backendrequest.go
+++ b/internal/proxy/backendrequest.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"io"
 	"net/http"
 	"net/url"
@@ -17,8 +18,8 @@
 func newBackendRequest(r *http.Request, request *balancer.Request, body requestBody) *http.Request {
 	outbound := &http.Request{
 		Method: r.Method,
-		URL:    backendURL(r, request.SentTo.Address),
-		Host:   r.Host,
+		URL:    backendURL(r, destination{request.SentTo.ID, request.SentTo.Address}.host()),
+		Host:   cmp.Or(r.Host, request.SentTo.Address), // never the host of the URL
 		Header: make(http.Header, len(r.Header)+2),
 	}
 	for name, values := range r.Header {
@@ -40,11 +41,12 @@
 	return outbound
 }
 
-// backendURL returns the URL of a request at a backend, with path and query byte for byte as the client sent them.
-func backendURL(r *http.Request, address string) *url.URL {
+// backendURL returns the URL of a request at a backend, with the host of its destination, and with path and query byte for
+// byte as the client sent them.
+func backendURL(r *http.Request, host string) *url.URL {
 	path, query, hasQuery := strings.Cut(r.RequestURI, "?")
 	if !strings.HasPrefix(path, "/") || strings.HasPrefix(path, "//") { // as Opaque it would be parsed as an absolute URL
-		return &url.URL{Scheme: "http", Host: address, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery}
+		return &url.URL{Scheme: "http", Host: host, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery}
 	}
-	return &url.URL{Scheme: "http", Host: address, Opaque: path, RawQuery: query, ForceQuery: hasQuery && query == ""}
+	return &url.URL{Scheme: "http", Host: host, Opaque: path, RawQuery: query, ForceQuery: hasQuery && query == ""}
 }
--- a/internal/proxy/balancer/preconnect.go
+++ b/internal/proxy/balancer/preconnect.go
@@ -9,8 +9,8 @@
 
 // PreconnectTarget is a backend to which a connection is to be opened in advance.
 type PreconnectTarget struct {
-	Address string
-	InUse   int // number of connections in use, one per request in flight
+	BackendID, Address string
+	InUse              int // number of connections in use, one per request in flight
 }
 
 // planPreconnects plans connections for requests that are displaced by draining backends: one connection per displaced
@@ -32,7 +32,11 @@
 	}
 	sort.Slice(candidates, func(i, j int) bool { return candidates[i].cost < candidates[j].cost })
 	for _, chosen := range candidates[:min(displaced, len(candidates))] {
-		target := PreconnectTarget{Address: chosen.backend.Address, InUse: chosen.backend.Drain.InFlight()}
+		target := PreconnectTarget{
+			BackendID: chosen.backend.ID,
+			Address:   chosen.backend.Address,
+			InUse:     chosen.backend.Drain.InFlight(),
+		}
 		b.preconnects = append(b.preconnects, target)
 	}
 }
--- a/internal/proxy/healthcheck.go
+++ b/internal/proxy/healthcheck.go
@@ -54,7 +54,12 @@
 		GotConn: func(info httptrace.GotConnInfo) { info.Conn.(*upstream.Conn).Assign(exchange) },
 	}
 	ctx = httptrace.WithClientTrace(ctx, trace)
-	return http.NewRequestWithContext(ctx, http.MethodGet, "http://"+check.Address+check.Path, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+check.Address+check.Path, nil)
+	if err != nil {
+		return nil, err
+	}
+	request.URL.Host = destination{check.BackendID, check.Address}.host()
+	return request, nil
 }
 
 // parseHealthResponse fills in result from the response of a backend.
