--- a/cmd/loadtest/soak_system.go
+++ b/cmd/loadtest/soak_system.go
@@ -34,6 +34,7 @@
 	binary      string
 	report      string
 	timeline    bool
+	logLevel    string
 }
 
 func newSoakCommand() *cobra.Command {
@@ -131,6 +132,7 @@
 func (o *soakSystemOptions) addPlayFlags(command *cobra.Command) {
 	flags := command.Flags()
 	flags.StringVar(&o.binary, "binary", "target/loadbalancer", "the load balancer's program")
+	flags.StringVar(&o.logLevel, "log", "", "log level of the processes; with debug, findings name the connections of a refused request")
 	flags.StringVar(&o.report, "report", "", "file for the report; the plan of a run with findings is kept beside it")
 	flags.BoolVar(&o.timeline, "timeline", false, "print troubles, answers and the age of the configuration by second")
 }
@@ -155,9 +157,10 @@
 	out := command.OutOrStdout()
 	plan.Print(out)
 	report, err := soak.Run(ctx, soak.Options{
-		Plan:   plan,
-		Binary: o.binary,
-		Log:    func(format string, arguments ...any) { fmt.Fprintf(out, format+"\n", arguments...) },
+		Plan:     plan,
+		Binary:   o.binary,
+		LogLevel: o.logLevel,
+		Log:      func(format string, arguments ...any) { fmt.Fprintf(out, format+"\n", arguments...) },
 	})
 	if report == nil {
 		return false, err
--- a/internal/testbed/cluster/backend.go
+++ b/internal/testbed/cluster/backend.go
@@ -67,7 +67,12 @@
 	rng          *rand.Rand
 	draining     bool
 	warmingUntil time.Time
-	silentUntil  time.Time // until then it drops all requests that it receives
+	silentUntil  time.Time             // until then it drops all requests that it receives
+	faultyUntil  time.Time             // until then a share of its requests have faults
+	frozenUntil  time.Time             // until then it processes no requests
+	renewals     int                   // number of incarnations after the first
+	overlapUntil time.Time             // until then the previous incarnation executes requests, too
+	taken        map[net.Conn]struct{} // connections that were taken from net/http
 	heartbeats   int64
 	controller   string        // address of the controller that responded last
 	fixedWork    time.Duration // execution time of each request; 0: drawn at random
@@ -100,12 +105,14 @@
 		queue:         make(chan struct{}, slotsPerBackend+queuePerBackend),
 		rng:           rand.New(rand.NewPCG(c.options.Seed, uint64(number))),
 		runStarted:    make(chan struct{}, 1),
+		taken:         map[net.Conn]struct{}{},
 		controller:    c.controllerAddress(zone),
 		controlClient: &http.Client{Timeout: controllerTimeout},
 	}
 	if warmUp > 0 {
 		backend.warmingUntil = time.Now().Add(warmUp)
 	}
+	listener = newLinkLimitListener(listener, c.options.MaxLinks)
 	backend.server = &http.Server{Handler: backend, IdleTimeout: backendIdleTime}
 	ctx, cancel := context.WithCancel(context.Background())
 	backend.cancel = cancel
@@ -139,6 +146,7 @@
 
 // ServeHTTP responds to health checks and executes requests.
 func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	wasFrozen := b.waitUntilThawed()
 	b.mu.Lock()
 	draining := b.draining
 	warmUpLeft := time.Until(b.warmingUntil)
@@ -150,8 +158,15 @@
 		b.serveHealthCheck(w, draining, warmUpLeft)
 		return
 	}
-	if r.Header.Get(headerTargetBackend) != b.ID {
-		decline(w, http.StatusMisdirectedRequest)
+	if wasFrozen || b.faulty() {
+		if body, err := io.ReadAll(r.Body); err == nil {
+			b.takeOver(w, r, body)
+		}
+		return
+	}
+	if !b.accepts(r.Header.Get(headerTargetBackend)) {
+		b.recordArrival(r, "misdirected")
+		decline(w, r, http.StatusMisdirectedRequest)
 		return
 	}
 	b.cluster.Ledger.RequestArrived(b.ID, time.Now(), b.cluster.options.ArrivalBound)
@@ -168,7 +183,8 @@
 	case b.queue <- struct{}{}:
 		defer func() { <-b.queue }()
 	default:
-		decline(w, http.StatusServiceUnavailable)
+		b.recordArrival(r, "refused, full")
+		decline(w, r, http.StatusServiceUnavailable)
 		return
 	}
 	timeLeft, _ := strconv.Atoi(r.Header.Get(headerTimeLeft))
@@ -178,7 +194,8 @@
 	case b.slots <- struct{}{}:
 		defer func() { <-b.slots }()
 	case <-expired.C:
-		decline(w, http.StatusServiceUnavailable)
+		b.recordArrival(r, "refused, expired in the queue")
+		decline(w, r, http.StatusServiceUnavailable)
 		return
 	case <-r.Context().Done():
 		return
@@ -188,7 +205,7 @@
 
 func (b *Backend) serveHealthCheck(w http.ResponseWriter, draining bool, warmUpLeft time.Duration) {
 	header := w.Header()
-	header.Set(headerBackendID, b.ID)
+	header.Set(headerBackendID, b.incarnation())
 	header.Set(headerWarmUpLeft, strconv.FormatInt(max(0, warmUpLeft.Milliseconds()), 10))
 	if draining {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -196,7 +213,8 @@
 }
 
 // decline responds with a status and the header that guarantees that the request was not and will not be executed.
-func decline(w http.ResponseWriter, status int) {
+func decline(w http.ResponseWriter, r *http.Request, status int) {
+	w.Header().Set(headerAttemptID, r.Header.Get(headerAttemptID))
 	w.Header().Set(headerNotExecuted, "1")
 	w.WriteHeader(status)
 }
@@ -205,6 +223,7 @@
 func (b *Backend) run(w http.ResponseWriter, r *http.Request, body []byte, warmingUp bool, expired *time.Timer) {
 	ledger := b.cluster.Ledger
 	attempt := r.Header.Get(headerAttemptID)
+	b.recordArrival(r, "executed")
 	work := b.drawWork(warmingUp)
 	select {
 	case b.runStarted <- struct{}{}:
@@ -226,6 +245,7 @@
 	case <-finished.C:
 	case <-expired.C: // the request counts as executed
 		ledger.RunCompleted(attempt, work)
+		w.Header().Set(headerAttemptID, attempt)
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	case <-r.Context().Done():
@@ -302,6 +322,7 @@
 func (b *Backend) Kill() {
 	b.cancel()
 	_ = b.server.Close() // errors of closing the listener have no effect here
+	b.closeTaken()
 	b.cluster.mu.Lock()
 	delete(b.cluster.backends, b.ID)
 	b.cluster.mu.Unlock()
--- a/internal/testbed/cluster/cluster.go
+++ b/internal/testbed/cluster/cluster.go
@@ -39,6 +39,8 @@
 	ShutdownGrace     time.Duration // within which a process must exit after SIGTERM
 	ArrivalBound      time.Duration // how long new requests may still arrive after a removal is acknowledged
 	Fault             Fault         // to inject; empty: none
+	MaxLinks          int           // connections that a backend accepts, further ones are reset; 0: no limit
+	LogLevel          string        // of processes; empty: the program's own
 	Dir               string        // for the controllers' state, and the files of processes
 	Logger            *zap.Logger
 	// Binary is the path of the load balancer's program. If it is set, each node runs as a separate process, which logs
--- a/internal/testbed/cluster/heartbeat.go
+++ b/internal/testbed/cluster/heartbeat.go
@@ -54,7 +54,7 @@
 	preferred := b.controller
 	b.mu.Unlock()
 	for _, address := range append([]string{preferred}, b.cluster.ControllerAddresses()...) {
-		url := "http://" + address + "/api/rpc?call=" + string(call) + "&of=" + b.ID
+		url := "http://" + address + "/api/rpc?call=" + string(call) + "&of=" + b.incarnation()
 		response, err := b.controlClient.Post(url, "application/json", bytes.NewReader(body))
 		if err != nil {
 			continue
--- a/internal/testbed/cluster/ledger.go
+++ b/internal/testbed/cluster/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -27,8 +28,9 @@
 	abortedRuns         int           // aborted by a closed connection before the client's deadline
 	work                time.Duration // execution time of the last completed run
 	outcome             outcome       // of the last attempt
-	incompleteResponses int           // attempts without a complete response before the deadline
-	mismatchedResponses int           // responses that belonged to another request
+	arrivals            []Arrival
+	incompleteResponses int // attempts without a complete response before the deadline
+	mismatchedResponses int // responses that belonged to another request
 }
 
 // outcome is the result of the last attempt as the client saw it.
@@ -95,6 +97,58 @@
 	}
 }
 
+// Arrival is a request that a backend has received, and what it did with it.
+type Arrival struct {
+	Backend string // incarnation that received it
+	Target  string // incarnation that it was sent to
+	Caller  string // address of the proxy's end of the connection
+	At      time.Time
+	Effect  string
+}
+
+// String returns the arrival as a line of a report.
+func (a Arrival) String() string {
+	return fmt.Sprintf("%s from %s at %s, meant for %s: %s", a.At.Format("15:04:05.000"), a.Caller, a.Backend, a.Target, a.Effect)
+}
+
+// RecordArrival records an arrival of an attempt.
+func (l *Ledger) RecordArrival(attempt string, arrival Arrival) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if op := l.attempts[attempt]; op != nil {
+		op.arrivals = append(op.arrivals, arrival)
+	}
+}
+
+// Arrivals returns the arrivals of the operation of an attempt.
+func (l *Ledger) Arrivals(attempt string) []Arrival {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if op := l.attempts[attempt]; op != nil {
+		return slices.Clone(op.arrivals)
+	}
+	return nil
+}
+
+// Effects returns the number of arrivals by their effect, and of those on a connection on which the same attempt had
+// arrived before.
+func (l *Ledger) Effects() (counts map[string]int, sameConnection int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	counts = map[string]int{}
+	for _, op := range l.operations {
+		callers := map[string]bool{}
+		for _, arrival := range op.arrivals {
+			counts[arrival.Effect]++
+			if callers[arrival.Caller] {
+				sameConnection++
+			}
+			callers[arrival.Caller] = true
+		}
+	}
+	return counts, sameConnection
+}
+
 // Runs returns how often the operation of an attempt was executed, and how often its execution was aborted.
 func (l *Ledger) Runs(attempt string) (completed, aborted int) {
 	l.mu.Lock()
--- a/internal/testbed/cluster/process.go
+++ b/internal/testbed/cluster/process.go
@@ -51,7 +51,11 @@
 			return nil, err
 		}
 		defer log.Close() // the process has its own descriptor
-		cmd := exec.Command(c.options.Binary, role)
+		arguments := []string{role}
+		if c.options.LogLevel != "" {
+			arguments = append(arguments, "--log", c.options.LogLevel)
+		}
+		cmd := exec.Command(c.options.Binary, arguments...)
 		cmd.Env = append(os.Environ(), "SAGELEVER_CONFIG="+path)
 		cmd.Stdout, cmd.Stderr = log, log
 		process := &nodeProcess{cmd: cmd, startedAt: time.Now()}
--- a/internal/testbed/soak/clients.go
+++ b/internal/testbed/soak/clients.go
@@ -19,20 +19,21 @@
 )
 
 const (
-	requestTimeout = 2500 * time.Millisecond
-	patientTimeout = 9 * time.Second // of a patient client; longer than shutdownGrace
-	deadlineMargin = 150 * time.Millisecond
-	dialTimeout    = time.Second
-	streamedBytes  = 1300 << 10 // more than a proxy buffers for a retry
-	streamChunk    = 64 << 10
-	smallBytes     = 700
-	clientRetry    = 50 * time.Millisecond
-	maxIdlePause   = 2 * time.Second       // of an idling client, between requests
-	maxAbortDelay  = 40 * time.Millisecond // after which an aborting client breaks off a request
-	slowReadDelay  = 20 * time.Millisecond // before a streaming client reads a response
-	changesPerTen  = 4                     // non-idempotent requests in ten
-	abortOneIn     = 2                     // requests of an aborting client: one in so many is aborted
-	streamOneIn    = 3                     // requests of a streaming client: one in so many has a long body
+	requestTimeout  = 2500 * time.Millisecond
+	patientTimeout  = 9 * time.Second // of a patient client; longer than shutdownGrace
+	minHastyTimeout = 30 * time.Millisecond
+	deadlineMargin  = 150 * time.Millisecond
+	dialTimeout     = time.Second
+	streamedBytes   = 1300 << 10 // more than a proxy buffers for a retry
+	streamChunk     = 64 << 10
+	smallBytes      = 700
+	clientRetry     = 50 * time.Millisecond
+	maxIdlePause    = 2 * time.Second       // of an idling client, between requests
+	maxAbortDelay   = 40 * time.Millisecond // after which an aborting client breaks off a request
+	slowReadDelay   = 20 * time.Millisecond // before a streaming client reads a response
+	changesPerTen   = 4                     // non-idempotent requests in ten
+	abortOneIn      = 2                     // requests of an aborting client: one in so many is aborted
+	streamOneIn     = 3                     // requests of a streaming client: one in so many has a long body
 )
 
 // clientBehavior is how a client uses its connection.
@@ -44,6 +45,7 @@
 	streamingClient                       // sends long bodies slowly and reads slowly
 	abortingClient                        // aborts requests
 	patientClient                         // waits longer for responses than a proxy takes to shut down
+	hastyClient                           // waits only a short time for responses
 	clientBehaviors                       // number of behaviors
 )
 
@@ -160,8 +162,11 @@
 
 // timeout returns how long the client waits for a response.
 func (c *soakClient) timeout() time.Duration {
-	if c.behavior == patientClient {
+	switch c.behavior {
+	case patientClient:
 		return patientTimeout
+	case hastyClient:
+		return minHastyTimeout + time.Duration(c.rng.Int64N(int64(requestTimeout-minHastyTimeout)))
 	}
 	return requestTimeout
 }
--- a/internal/testbed/soak/findings.go
+++ b/internal/testbed/soak/findings.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -25,6 +26,9 @@
 	at   time.Time
 	node string // name of the affected node; "" if none
 	text string
+
+	tryID   string   // of the affected request; "" if none
+	details []string // lines about the affected request
 }
 
 // findings collects the violations of a run. It is safe for concurrent use.
@@ -66,6 +70,20 @@
 	return lines
 }
 
+// logOfRequest returns the lines of a log file that name a request.
+func logOfRequest(path, tryID string) (lines []string) {
+	data, err := os.ReadFile(path)
+	if err != nil || tryID == "" {
+		return nil
+	}
+	for line := range strings.Lines(string(data)) {
+		if strings.Contains(line, strconv.Quote(tryID)) {
+			lines = append(lines, strings.TrimSpace(line))
+		}
+	}
+	return lines
+}
+
 // clockOf formats a time of day as the logs do.
 func clockOf(at time.Time) string { return at.Format("15:04:05.000") }
 
--- a/internal/testbed/soak/injector.go
+++ b/internal/testbed/soak/injector.go
@@ -110,7 +110,7 @@
 		f.mu.Lock()
 		f.killOnAck = append(f.killOnAck, trouble)
 		f.mu.Unlock()
-	case BackendKill, BackendDrain, BackendWarmUp, BackendSwap, BackendSilent:
+	case BackendKill, BackendDrain, BackendWarmUp, BackendSwap, BackendSilent, BackendFaulty, BackendFreeze, BackendRenew:
 		f.disturbBackend(ctx, trouble)
 	case BigOrder:
 		f.bigOrder(ctx)
@@ -259,6 +259,19 @@
 	case BackendSilent:
 		backend.SetSilent(trouble.Duration)
 		return
+	case BackendFaulty:
+		backend.SetFaulty(trouble.Duration)
+		f.recordBackendDisturbance(trouble.Duration)
+		return
+	case BackendFreeze:
+		backend.SetFrozen(trouble.Duration)
+		f.recordBackendDisturbance(trouble.Duration)
+		return
+	case BackendRenew:
+		backend.SetFaulty(trouble.Duration)
+		f.recordBackendDisturbance(trouble.Duration)
+		backend.Renew()
+		return
 	case BackendDrain:
 		if err = backend.Shutdown(string(BackendDrain)); err == nil {
 			_, err = f.cluster.StartBackend(backend.Service, backend.Zone, backend.Build, newWarmUp)
@@ -290,6 +303,14 @@
 	return err
 }
 
+// recordBackendDisturbance records that a backend may lose and cut off responses for a duration.
+func (f *injector) recordBackendDisturbance(duration time.Duration) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.disturbed.backends = append(f.disturbed.backends, interval{now, now.Add(duration + resumeMargin)})
+}
+
 // pickBackend returns a backend of the service that has more of them, or nil if that service has too few. This keeps
 // some backends of both services running.
 func (f *injector) pickBackend(index int) *cluster.Backend {
--- a/internal/testbed/soak/plan.go
+++ b/internal/testbed/soak/plan.go
@@ -31,6 +31,9 @@
 	BackendWarmUp Kind = "backend-cold"   // a backend warms up again
 	BackendSwap   Kind = "backend-swap"   // a backend is killed, and one of the other service starts at its address
 	BackendSilent Kind = "backend-silent" // a backend drops the requests that it receives and answers nothing
+	BackendFaulty Kind = "backend-faulty" // a backend refuses, loses, cuts, repeats and resets responses
+	BackendFreeze Kind = "backend-freeze" // a backend processes nothing, and then all that it has received
+	BackendRenew  Kind = "backend-renew"  // another incarnation of a backend, with the same address and connections
 	BigOrder      Kind = "big-order"      // thousands of routes in one call
 )
 
@@ -130,6 +133,9 @@
 	BackendWarmUp: nil,
 	BackendSwap:   nil,
 	BackendSilent: nil,
+	BackendFaulty: nil,
+	BackendFreeze: nil,
+	BackendRenew:  nil,
 	BigOrder:      nil,
 }
 
@@ -184,6 +190,9 @@
 		minPause: wipePause, meanPause: 10 * time.Second, maxDuration: time.Second},
 	{kinds: []Kind{BigOrder}, targets: anyTarget, minPause: 5 * time.Second, meanPause: 20 * time.Second},
 	{kinds: []Kind{BackendSilent}, targets: anyTarget, meanPause: 3 * time.Second, maxDuration: 3 * time.Second},
+	{kinds: []Kind{BackendFaulty}, targets: anyTarget, meanPause: time.Second, maxDuration: 5 * time.Second},
+	{kinds: []Kind{BackendFreeze, BackendRenew, BackendRenew}, targets: anyTarget,
+		meanPause: 500 * time.Millisecond, maxDuration: 2 * time.Second},
 }
 
 // GeneratePlan returns the plan that a seed determines.
--- a/internal/testbed/soak/report.go
+++ b/internal/testbed/soak/report.go
@@ -109,8 +109,14 @@
 // Report is the result of a run.
 type Report struct {
 	Plan     Plan
-	Requests map[int]int // by status; 0: no response
-	Orders   [2]int64    // sent and acknowledged
+	Requests map[int]int    // by status; 0: no response
+	Orders   [2]int64       // sent and acknowledged
+	Refusals [2]int         // with a promise that they were not executed, and all; non-idempotent requests only
+	Arrivals map[string]int // of requests at backends, by their effect
+
+	// SameConnection is the number of arrivals on a connection on which the same request had arrived before.
+	SameConnection int
+
 	Findings []string
 	total    int // findings, including those that were not recorded
 	counts   *counts
@@ -125,19 +131,35 @@
 	for _, record := range r.requests.all() {
 		record.completedRuns, record.abortedRuns = r.cluster.Ledger.Runs(record.id)
 		record.drops = r.cluster.Ledger.Drops(record.id)
+		if record.nonIdempotent {
+			report.Refusals[1]++
+			if record.complete && guaranteesNotExecuted(record.status) {
+				report.Refusals[0]++
+			}
+		}
 		status := record.status
 		if !record.complete {
 			status = 0
 		}
 		report.Requests[status]++
 		if text := checkRequest(record, &r.injector.disturbed); text != "" {
-			r.findings.add(finding{at: record.sentAt, node: record.proxy, text: "request " + record.id + ": " + text})
+			r.findings.add(finding{at: record.sentAt, node: record.proxy, text: "request " + record.id + ": " + text,
+				tryID: record.id, details: r.arrivals(record.id)})
 		}
 	}
+	report.Arrivals, report.SameConnection = r.cluster.Ledger.Effects()
 	report.Orders = [2]int64{r.routes.sentOrders.Load(), r.routes.ackedOrders.Load()}
 	return report
 }
 
+// arrivals returns a line for each arrival of a request at a backend.
+func (r *run) arrivals(id string) (lines []string) {
+	for _, arrival := range r.cluster.Ledger.Arrivals(id) {
+		lines = append(lines, arrival.String())
+	}
+	return lines
+}
+
 // addLogs adds the findings to the report, each with the log lines of its node around that time.
 func (r *run) addLogs(report *Report) {
 	r.findings.mu.Lock()
@@ -145,9 +167,10 @@
 	report.total = r.findings.total
 	slices.SortStableFunc(r.findings.list, func(a, b finding) int { return a.at.Compare(b.at) })
 	for _, found := range r.findings.list {
-		lines := []string{found.describe(r.startedAt)}
+		lines := append([]string{found.describe(r.startedAt)}, found.details...)
 		if path := r.logPath(found.node); path != "" {
 			lines = append(lines, logAround(path, found.at)...)
+			lines = append(lines, logOfRequest(path, found.tryID)...)
 		}
 		report.Findings = append(report.Findings, strings.Join(lines, "\n    "))
 	}
@@ -173,6 +196,8 @@
 	fmt.Fprintf(w, "seed %d: %s; answers %s; probes %s; orders %d, acknowledged %d; most memory %d MB, before %d MB\n",
 		r.Plan.Seed, verdict, statuses(r.Requests), statuses(r.counts.probes), r.Orders[0], r.Orders[1],
 		r.counts.maxMemoryKB("after")>>10, r.counts.maxMemoryKB("before")>>10)
+	fmt.Fprintf(w, "refused with a promise: %d of %d non-idempotent requests; arrivals at backends %v, again on one connection: %d\n",
+		r.Refusals[0], r.Refusals[1], r.Arrivals, r.SameConnection)
 	for _, text := range r.Findings {
 		fmt.Fprintln(w, text)
 	}
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -21,7 +21,12 @@
 type Options struct {
 	Plan   Plan
 	Binary string // path of the load balancer's program
-	Log    func(format string, arguments ...any)
+
+	// LogLevel is the log level of the processes; empty: the program's own. With debug, the log lines of a finding tell on
+	// which connections a refused request was sent.
+	LogLevel string
+
+	Log func(format string, arguments ...any)
 }
 
 const (
@@ -32,6 +37,7 @@
 	heartbeatInterval = 600 * time.Millisecond
 	startTimeout      = 20 * time.Second
 	clientsPerProxy   = 2
+	maxLinks          = 14  // of a backend
 	firstVersion      = 100 // the first order has the next version; the initial configuration has version 1
 
 	// recoveryTime is how long the system may take to recover after the last trouble.
@@ -91,6 +97,8 @@
 		Dir:               dir,
 		Logger:            zap.NewNop(),
 		Binary:            options.Binary,
+		MaxLinks:          maxLinks,
+		LogLevel:          options.LogLevel,
 	})
 	if running != nil {
 		defer running.Close()
