--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -1,9 +1,11 @@
 package proxy
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -157,8 +159,23 @@
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    int(min(limits.MaxHeaderBytes, maxHeaderLimit)),
-		ConnContext:       tcp.WithConn,
-		ErrorLog:          zap.NewStdLog(zap.NewNop()), // malformed client requests are not logged
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			applyIdleTimeout(conn, limits.IdleTimeout)
+			return tcp.WithConn(ctx, conn)
+		},
+		ErrorLog: zap.NewStdLog(zap.NewNop()), // malformed client requests are not logged
+	}
+}
+
+// applyIdleTimeout lets a client read nothing for the idle timeout before its connection fails. The user timeout of the
+// listener is shorter, as it serves to notice machines that are gone, and would cut off a response to a client that pauses.
+func applyIdleTimeout(conn net.Conn, idleTimeout time.Duration) {
+	tracked, ok := conn.(*tcp.CloseTrackingConn)
+	if !ok || idleTimeout <= 0 {
+		return
+	}
+	if socket, ok := tracked.Conn.(syscall.Conn); ok {
+		_ = tcp.UserTimeout(idleTimeout).Apply(socket) // fails if the connection has ended
 	}
 }
 
--- a/internal/tcp/usertimeout.go
+++ b/internal/tcp/usertimeout.go
@@ -13,7 +13,8 @@
 
 // UserTimeout is the time after which a connection fails if the remote machine acknowledges no data (TCP_USER_TIMEOUT,
 // see RFC 5482 and tcp(7)) or answers no keep-alive probe. Connections to a machine that is only slow are kept, because
-// its kernel still sends acknowledgements.
+// its kernel still sends acknowledgements. It also bounds how long the remote machine may keep its receive window closed
+// while data waits, that is, how long its process may read nothing of a message that exceeds the buffers.
 type UserTimeout time.Duration
 
 // Listen listens on a TCP address. The user timeout applies to accepted connections.
@@ -27,7 +28,16 @@
 	return &net.Dialer{Timeout: timeout, Control: t.control, KeepAliveConfig: t.keepAliveConfig()}
 }
 
-// control sets the user timeout on a socket before it is bound or connected.
+// Apply replaces the user timeout of an open connection.
+func (t UserTimeout) Apply(conn syscall.Conn) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return t.control("", "", raw)
+}
+
+// control sets the user timeout on a socket.
 func (t UserTimeout) control(_, _ string, raw syscall.RawConn) error {
 	milliseconds := int(time.Duration(t).Milliseconds())
 	var optionErr error
