--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -24,10 +24,13 @@
 	requests graceful.Schedule // for requests in flight; the shutdown deadline is at the end of its first part
 }
 
+// newShutdownSchedule divides the grace period: requests that are still in flight after 53/60 of it are answered within a
+// further twentieth, whatever part of it clients need to notice.
 func newShutdownSchedule(grace time.Duration) shutdownSchedule {
+	notice := min(grace/3, maxDrainNotice)
 	return shutdownSchedule{
-		notice:   min(grace/3, maxDrainNotice),
-		requests: graceful.Schedule{Drain: grace * 11 / 20, Answers: grace / 20},
+		notice:   notice,
+		requests: graceful.Schedule{Drain: grace*53/60 - notice, Answers: grace / 20},
 	}
 }
 
