--- a/internal/control/message/pull.go
+++ b/internal/control/message/pull.go
@@ -1,6 +1,8 @@
 package message
 
 import (
+	"time"
+
 	"sagelever/internal/control/quorum"
 	"sagelever/internal/control/replication"
 )
@@ -47,6 +49,9 @@
 	// ResetCount is not sent. It identifies the sender's progress at the time of the request, to which the response
 	// applies.
 	ResetCount int `json:"-"`
+
+	// StartedAt is the sender's time at which it made the request; it is not sent.
+	StartedAt time.Time `json:"-"`
 }
 
 // ConfigurationEntry is the chosen value of the register that stores the membership configuration.
--- a/internal/control/replica/clock.go
+++ b/internal/control/replica/clock.go
@@ -19,7 +19,7 @@
 		r.undecided[key] = value
 	}
 	for _, peer := range r.peers {
-		moveBack(setBack, &peer.lastResponseAt, &peer.lastCompleteAt, &peer.lastPullAt, &peer.memberSince)
+		moveBack(setBack, &peer.lastResponseAt, &peer.answeredPullAt, &peer.lastCompleteAt, &peer.lastPullAt, &peer.memberSince)
 	}
 	for _, candidate := range r.candidates {
 		moveBack(setBack, &candidate.lastPullAt)
--- a/internal/control/replica/peers.go
+++ b/internal/control/replica/peers.go
@@ -14,6 +14,7 @@
 	message.Member
 	lastPullAt       time.Time // when this replica last started a pull from the peer
 	lastResponseAt   time.Time // when the peer last responded to a pull
+	answeredPullAt   time.Time // when the last pull to which the peer has responded was started
 	lastCompleteAt   time.Time // when the peer last sent everything that this replica lacked of its items
 	hasResponded     bool      // the peer has responded since this replica's start
 	unreachableSince time.Time // when the peer was found to be unreachable; zero while it is reachable
@@ -29,9 +30,13 @@
 	legacySequence uint64
 }
 
-// recordResponse updates the state from a response of the peer to a pull.
-func (p *peerState) recordResponse(now time.Time, response *message.PullResponse) {
+// recordResponse updates the state from a response of the peer to a pull that was started at startedAt.
+func (p *peerState) recordResponse(now, startedAt time.Time, response *message.PullResponse) {
 	p.lastResponseAt = now
+	if startedAt.After(now) { // the clock was set back meanwhile
+		startedAt = now
+	}
+	p.answeredPullAt = latestOf(p.answeredPullAt, startedAt)
 	if !response.Truncated {
 		p.lastCompleteAt = now
 	}
@@ -133,13 +138,15 @@
 	return peer
 }
 
-// reachable reports whether a node is this replica, or another member that has responded within PeerTimeout.
+// reachable reports whether a node is this replica, or another member that has responded to a pull that was started
+// within PeerTimeout. The time of the response doesn't count: a member to which nothing can be sent any more still answers
+// the pull that it holds, and what it acknowledges to others afterwards is missing here.
 func (r *Replica) reachable(node string, now time.Time) bool {
 	if node == r.config.Self.Node {
 		return true
 	}
 	peer := r.peers[node]
-	return peer != nil && peer.hasResponded && now.Sub(peer.lastResponseAt) < PeerTimeout
+	return peer != nil && peer.hasResponded && now.Sub(peer.answeredPullAt) < PeerTimeout
 }
 
 // isUpToDateWith reports whether a node is this replica, or another member of which this replica has received all items
--- a/internal/control/replica/pull_request.go
+++ b/internal/control/replica/pull_request.go
@@ -13,6 +13,7 @@
 func (r *Replica) NewPullRequest(now time.Time, to message.Member) *message.PullRequest {
 	local := &r.local
 	request := &message.PullRequest{
+		StartedAt:       now,
 		From:            local.self,
 		Role:            message.RoleController,
 		ProtocolVersion: message.ProtocolVersion,
--- a/internal/control/replica/pull_response.go
+++ b/internal/control/replica/pull_response.go
@@ -23,7 +23,7 @@
 	if response.Configuration != nil {
 		changed = append(changed, r.learnEntries(now, []quorum.Entry{*response.Configuration})...)
 	}
-	r.recordPeerResponse(now, from, response)
+	r.recordPeerResponse(now, from, request, response)
 	r.learnAddresses(now, response.Members)
 	r.save(now, Save{Entries: changed}, nil)
 	r.reportQuorumChange(now)
@@ -59,7 +59,9 @@
 // recordPeerResponse records that a member has responded. A member that was unreachable counts as reachable only once
 // it has sent everything that this replica lacks. Responses from another disk are ignored, because a candidate may have
 // taken over the member's address; responses of protocol version 1 don't contain the disk.
-func (r *Replica) recordPeerResponse(now time.Time, from message.Member, response *message.PullResponse) {
+func (r *Replica) recordPeerResponse(
+	now time.Time, from message.Member, request *message.PullRequest, response *message.PullResponse,
+) {
 	peer := r.peers[from.Node]
 	if peer == nil {
 		return
@@ -70,7 +72,7 @@
 	if response.Truncated && !r.reachable(peer.Node, now) {
 		return
 	}
-	peer.recordResponse(now, response)
+	peer.recordResponse(now, request.StartedAt, response)
 	r.peerResponded = true
 }
 
--- a/internal/control/replica/timing.go
+++ b/internal/control/replica/timing.go
@@ -10,9 +10,10 @@
 
 	// PeerPullWait is how long a member's pull from another member may wait for new items. It is long because traffic
 	// between regions is expensive.
-	PeerPullWait = 2500 * time.Millisecond
+	PeerPullWait = 1250 * time.Millisecond
 
-	// PeerTimeout is how long after its last response a member counts as reachable: PeerPullWait plus one second.
+	// PeerTimeout is how long after the start of the last pull that it answered a member counts as reachable: twice
+	// PeerPullWait, as the next pull may wait for as long, plus one second.
 	PeerTimeout = 3500 * time.Millisecond
 
 	// RemovalReplicationWait is how long the acknowledgement of a removal waits for all reachable members to hold it,
