--- a/internal/testbed/cluster/faulty.go
+++ b/internal/testbed/cluster/faulty.go
@@ -286,6 +286,7 @@
 		Backend: b.incarnation(),
 		Target:  request.Header.Get(headerTargetBackend),
 		Caller:  request.RemoteAddr,
+		Address: b.Address,
 		At:      time.Now(),
 		Effect:  effect,
 	})
--- a/internal/testbed/cluster/ledger.go
+++ b/internal/testbed/cluster/ledger.go
@@ -102,13 +102,15 @@
 	Backend string // incarnation that received it
 	Target  string // incarnation that it was sent to
 	Caller  string // address of the proxy's end of the connection
+	Address string // of the backend's end
 	At      time.Time
 	Effect  string
 }
 
 // String returns the arrival as a line of a report.
 func (a Arrival) String() string {
-	return fmt.Sprintf("%s from %s at %s, meant for %s: %s", a.At.Format("15:04:05.000"), a.Caller, a.Backend, a.Target, a.Effect)
+	return fmt.Sprintf("%s from %s at %s %s, meant for %s: %s",
+		a.At.Format("15:04:05.000"), a.Caller, a.Address, a.Backend, a.Target, a.Effect)
 }
 
 // RecordArrival records an arrival of an attempt.
@@ -137,13 +139,15 @@
 	defer l.mu.Unlock()
 	counts = map[string]int{}
 	for _, op := range l.operations {
-		callers := map[string]bool{}
+		type connection struct{ caller, address string }
+		connections := map[connection]bool{}
 		for _, arrival := range op.arrivals {
 			counts[arrival.Effect]++
-			if callers[arrival.Caller] {
+			current := connection{arrival.Caller, arrival.Address}
+			if connections[current] {
 				sameConnection++
 			}
-			callers[arrival.Caller] = true
+			connections[current] = true
 		}
 	}
 	return counts, sameConnection
