--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -168,7 +168,7 @@
 }
 
 // applyIdleTimeout lets a client read nothing for the idle timeout before its connection fails. The user timeout of the
-// listener is shorter, as it serves to notice machines that are gone, and would cut off a response to a client that pauses.
+// listener is shorter, as it serves to detect unreachable machines, and would cut off a response to a client that pauses.
 func applyIdleTimeout(conn net.Conn, idleTimeout time.Duration) {
 	tracked, ok := conn.(*tcp.CloseTrackingConn)
 	if !ok || idleTimeout <= 0 {
--- a/internal/proxy/refusal.go
+++ b/internal/proxy/refusal.go
@@ -46,6 +46,9 @@
 	return nil
 }
 
+// attemptRecords are the attempts of one request that have ended, in their order.
+type attemptRecords []attemptRecord
+
 // MarshalLogArray implements zapcore.ArrayMarshaler.
 func (r attemptRecords) MarshalLogArray(encoder zapcore.ArrayEncoder) error {
 	for _, record := range r {
@@ -56,9 +59,6 @@
 	return nil
 }
 
-// attemptRecords are the attempts of one request that have ended, in their order.
-type attemptRecords []attemptRecord
-
 // basis returns what a refusal after these attempts rests on.
 func (r attemptRecords) basis() refusalBasis {
 	switch {
--- a/internal/testbed/cluster/faulty.go
+++ b/internal/testbed/cluster/faulty.go
@@ -18,7 +18,7 @@
 	noFault          responseFault = iota
 	refuseEarly                    // states a refusal before it has read the body
 	refuseLate                     // states a refusal after a while, as if the request had waited in its queue
-	refuseWithoutRun               // executes the request, and answers 503 without the statement that it was not executed
+	refuseAfterRun                 // executes the request, and answers 503 without the statement that it was not executed
 	loseResponse                   // executes the request and closes the connection
 	resetBeforeRun                 // resets the connection, and drops the request
 	resetAfterRun                  // executes the request and resets the connection
@@ -239,7 +239,7 @@
 	response := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal-%s\r\nContent-Length: %d\r\n\r\n%s",
 		headerAttemptID, attempt, headerBackendSeal, b.ID, len(content), content)
 	switch fault {
-	case refuseWithoutRun:
+	case refuseAfterRun:
 		return c.write(fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
 			headerAttemptID, attempt))
 	case loseResponse:
