--- a/internal/control/drain/evacuation.go
+++ b/internal/control/drain/evacuation.go
@@ -3,9 +3,7 @@
 import (
 	"strconv"
 	"strings"
-	"time"
 
-	"sagelever/internal/control/dedup"
 	"sagelever/internal/control/quorum"
 )
 
@@ -19,7 +17,7 @@
 func EvacuationKey(zone string) string { return EvacuationKeyPrefix + zone }
 
 // AcknowledgedKey returns the key of the register that stores the highest acknowledged version of the zone's evacuation
-// register: the order that set it is known to have been acknowledged to the operator.
+// register: the answer to the order that set it is known to have been received. Builds without an order log need it.
 func AcknowledgedKey(zone string) string { return acknowledgedKeyPrefix + zone }
 
 // EvacuationState is the evacuation state of a zone: the number of evacuation orders in force, and whether the last
@@ -72,96 +70,6 @@
 	return wordOn + " " + strconv.Itoa(s.orders)
 }
 
-// SetEvacuation returns the update that orders the evacuation of a zone, or withdraws one such order. Orders are
-// counted: a zone is evacuated until as many orders are withdrawn as were given.
-//
-// An order has neither a name nor a body, so an order that an operator resends because the response was lost looks the
-// same as a new one. It is treated as resent, and has no effect, if the last order was of the same kind and is not
-// known to be acknowledged. acknowledged is the version up to which orders are known to be acknowledged, see
-// AcknowledgedKey.
-func SetEvacuation(evacuate bool, acknowledged uint64) quorum.UpdateFunc {
-	return func(current quorum.Value) quorum.Value {
-		state := ReadEvacuation(current.Body)
-		if current.Version == 0 && !evacuate {
-			return quorum.Value{Version: 1, Body: wordOff}
-		}
-		if !state.accepts(evacuate) {
-			return current
-		}
-		sameKind := state.lastWithdrawn == !evacuate
-		if current.Version > 0 && sameKind && acknowledged != current.Version {
-			return current
-		}
-		if evacuate {
-			state.orders++
-		} else {
-			state.orders--
-		}
-		state.lastWithdrawn = !evacuate
-		return quorum.Value{Version: current.Version + 1, Body: state.encode()}
-	}
-}
-
-// accepts reports whether the number of orders can be increased or, for a withdrawal, decreased.
-func (s EvacuationState) accepts(evacuate bool) bool {
-	if evacuate {
-		return s.orders < maxEvacuationOrders
-	}
-	return s.orders > 0
-}
-
-// evacuationOrder is the entry for the last order in the annotation of an evacuation register, which records when that
-// order was given.
-const evacuationOrder = "word"
-
-// SetEvacuationOnce is SetEvacuation for an order given at the time now. An order can be a resent one only within the
-// window after the last order; later, the last order counts as acknowledged.
-func SetEvacuationOnce(evacuate bool, acknowledged uint64, now time.Time, window time.Duration) quorum.UpdateFunc {
-	return func(current quorum.Value) quorum.Value {
-		applied := dedup.ReadAppliedOrders(current)
-		lastAcknowledged := acknowledged
-		if len(applied.Orders) > 0 && !applied.Contains(evacuationOrder, now, window) {
-			lastAcknowledged = current.Version
-		}
-		next := SetEvacuation(evacuate, lastAcknowledged)(current)
-		if next.Version != current.Version {
-			next.Annotation = dedup.AppliedOrders{}.With(evacuationOrder, now, window).Encode()
-		}
-		return next
-	}
-}
-
-// EvacuationBase is what an order on a zone is based on: the zone's registers as they were when the order was received.
-type EvacuationBase struct {
-	Version      uint64 // of the evacuation register
-	Acknowledged uint64 // see ReadAcknowledged
-}
-
-// SetEvacuationFrom is SetEvacuationOnce for an order with the given base. It has no effect if another order has changed
-// the register since: that order may have been given after this one, of which another copy was acknowledged, and must not
-// be undone. EvacuationOvertaken tells this from an effect.
-func SetEvacuationFrom(base EvacuationBase, evacuate bool, now time.Time, window time.Duration) quorum.UpdateFunc {
-	update := SetEvacuationOnce(evacuate, base.Acknowledged, now, window)
-	return func(current quorum.Value) quorum.Value {
-		if current.Version != base.Version {
-			return current
-		}
-		return update(current)
-	}
-}
-
-// EvacuationOvertaken reports whether other orders have changed the register between the base of an order and the chosen
-// value. A value that follows the base and is of the order's kind is the effect of the order, or of a copy of it.
-func EvacuationOvertaken(base EvacuationBase, evacuate bool, chosen quorum.Value) bool {
-	switch chosen.Version {
-	case base.Version:
-		return false
-	case base.Version + 1:
-		return ReadEvacuation(chosen.Body).lastWithdrawn == evacuate
-	}
-	return true
-}
-
 // Acknowledge returns the update of the register of AcknowledgedKey that records a version of the evacuation register
 // as acknowledged. A lower version has no effect.
 func Acknowledge(version uint64) quorum.UpdateFunc {
--- a/internal/control/replica/sim_test.go
+++ b/internal/control/replica/sim_test.go
@@ -50,13 +50,14 @@
 	coverage         map[string]int // by event: how often it occurred
 
 	// State of the checks: registers.
-	ackedVersions   map[string]uint64        // by register: the newest acknowledged version
-	readVersions    map[string]uint64        // by register: the newest version that a read has returned
-	chosenBodies    map[string]string        // by register and version: the content reported as chosen
-	confirmedBodies map[string]string        // by item and version: the content confirmed to an operator
-	releaseOutcomes map[string]release.Phase // by service and release number: the final phase
-	sentVersions    map[string]uint64        // by register: the last version sent by an operator
-	history         []linear.Operation       // writes and reads of items
+	ackedVersions    map[string]uint64        // by register: the newest acknowledged version
+	readVersions     map[string]uint64        // by register: the newest version that a read has returned
+	chosenBodies     map[string]string        // by register and version: the content reported as chosen
+	confirmedBodies  map[string]string        // by item and version: the content confirmed to an operator
+	releaseOutcomes  map[string]release.Phase // by service and release number: the final phase
+	sentVersions     map[string]uint64        // by register: the last version sent by an operator
+	evacuationOrders int                      // number of orders on zones
+	history          []linear.Operation       // writes and reads of items
 
 	racing       *racingCalls                      // nil: no calls of several items
 	leaseBodies  map[string]string                 // by lease, version and grantor
--- a/internal/control/server/evacuation.go
+++ b/internal/control/server/evacuation.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"sagelever/internal/control/drain"
@@ -35,7 +37,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
 	defer cancel()
 	order := s.newArrivedOrder(r)
-	version, err := s.orderEvacuation(ctx, order, zone, begin)
+	answered, err := s.orderEvacuation(ctx, order, zone, begin)
 	if err != nil {
 		return err
 	}
@@ -43,72 +45,83 @@
 		s.awaitPropagation(ctx, drain.EvacuationKey(zone))
 	}
 	writeOK(w)
-	if order.isAwaited() && http.NewResponseController(w).Flush() == nil {
-		go s.recordAcknowledged(zone, version)
-	}
+	s.observeReceipt(r.Context(), order, answered)
 	return nil
 }
 
-// orderEvacuation commits an evacuation order, or its withdrawal if begin is not set, and returns the resulting version of
-// the zone's register. Orders are counted, but repeating an order that has not been acknowledged has no effect.
+// answeredEvacuation is an order on a zone that was carried out, with the value of the zone's register that was chosen.
+type answeredEvacuation struct {
+	zone, arrivalID string
+	chosen          quorum.Value
+}
+
+// orderEvacuation commits an evacuation order, or its withdrawal if begin is not set. Orders are counted, but repeating an
+// order whose answer was lost has no effect.
 //
 // The order is based on the zone's registers as they are read while its caller waits for the answer. Later attempts keep
 // this base: by then, another controller may have acknowledged a copy of the order and a later one.
 func (s *Server) orderEvacuation(
 	ctx context.Context, order arrivedOrder, zone string, begin bool,
-) (version uint64, err error) {
-	var base drain.EvacuationBase
+) (answered answeredEvacuation, err error) {
+	var base evacuationBase
 	err = s.whileAwaited(ctx, order, func(ctx context.Context) error {
 		base, err = s.readEvacuationBase(ctx, zone)
 		return err
 	})
 	if err != nil {
-		return 0, err
+		return answeredEvacuation{}, err
 	}
-	return s.operations.runSeparately(ctx, 0, func(ctx context.Context) (version uint64, err error) {
+	var chosen quorum.Value
+	_, err = s.operations.runSeparately(ctx, 0, func(ctx context.Context) (version uint64, err error) {
 		err = s.newRetryPolicy(callTimeout).run(ctx, func(ctx context.Context) error {
-			version, err = s.proposeEvacuation(ctx, zone, begin, base, order.receivedAt)
+			chosen, err = s.proposeEvacuation(ctx, zone, begin, base, order.receivedAt)
 			return err
 		})
-		return version, err
+		return chosen.Version, err
 	})
+	if err != nil {
+		return answeredEvacuation{}, err
+	}
+	return answeredEvacuation{zone: zone, arrivalID: base.arrivalID, chosen: chosen}, nil
+}
+
+// evacuationBase is the base of an order on a zone, with the ID of the order's arrival here.
+type evacuationBase struct {
+	drain.EvacuationBase
+	arrivalID string
 }
 
 // readEvacuationBase reads the base of an order on a zone.
-func (s *Server) readEvacuationBase(ctx context.Context, zone string) (drain.EvacuationBase, error) {
+func (s *Server) readEvacuationBase(ctx context.Context, zone string) (evacuationBase, error) {
 	key, acknowledgedKey := drain.EvacuationKey(zone), drain.AcknowledgedKey(zone)
 	values, err := s.readKeys(ctx, []string{key, acknowledgedKey})
 	if err != nil {
-		return drain.EvacuationBase{}, err
+		return evacuationBase{}, err
 	}
-	return drain.EvacuationBase{
-		Version:      values[key].Version,
-		Acknowledged: drain.ReadAcknowledged(values[acknowledgedKey]),
+	return evacuationBase{
+		EvacuationBase: drain.ReadEvacuationBase(values[key], values[acknowledgedKey]),
+		arrivalID:      strconv.FormatUint(rand.Uint64(), 36),
 	}, nil
 }
 
-// proposeEvacuation makes one attempt to commit an order with a base. It returns errOvertakenOrder if another order was
-// committed in between.
+// proposeEvacuation makes one attempt to commit an order with a base, and returns the value that was chosen. It returns
+// errOvertakenOrder if another order was committed in between.
 func (s *Server) proposeEvacuation(
-	ctx context.Context, zone string, begin bool, base drain.EvacuationBase, received time.Time,
-) (version uint64, err error) {
+	ctx context.Context, zone string, begin bool, base evacuationBase, received time.Time,
+) (quorum.Value, error) {
 	key := drain.EvacuationKey(zone)
-	change := drain.SetEvacuationFrom(base, begin, received, s.resendWindow())
+	change := drain.SetEvacuation(base.EvacuationBase, drain.EvacuationArrival{
+		ID:         base.arrivalID,
+		Withdrawal: !begin,
+		ReceivedAt: received,
+		Window:     s.resendWindow(),
+	})
 	chosen, err := s.propose(ctx, map[string]quorum.UpdateFunc{key: change})
 	if err != nil {
-		return 0, err
+		return quorum.Value{}, err
 	}
-	if drain.EvacuationOvertaken(base, begin, chosen[key]) {
-		return 0, errOvertakenOrder
+	if drain.EvacuationOvertaken(base.EvacuationBase, !begin, chosen[key]) {
+		return quorum.Value{}, errOvertakenOrder
 	}
-	return chosen[key].Version, nil
-}
-
-// recordAcknowledged records that the order that produced a version of a zone's register was acknowledged in time. From
-// then on the same order counts as a new one. If the record fails, the same order still counts as a repetition.
-func (s *Server) recordAcknowledged(zone string, version uint64) {
-	ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
-	defer cancel()
-	changes := map[string]quorum.UpdateFunc{drain.AcknowledgedKey(zone): drain.Acknowledge(version)}
-	_, _ = s.propose(ctx, changes) // a failure is harmless: the order still counts as a repetition
+	return chosen[key], nil
 }
