--- a/internal/control/server/arrived_order.go
+++ b/internal/control/server/arrived_order.go
@@ -7,12 +7,13 @@
 
 	"github.com/go-faster/errors"
 
+	"sagelever/internal/delivery"
 	"sagelever/internal/tcp"
 )
 
 // ackDeliveryTime is the time after the arrival of an order within which a response must be sent to reach the caller
 // reliably. A caller gives up after callerPatience and repeats the order at another controller.
-const ackDeliveryTime = 700 * time.Millisecond
+const ackDeliveryTime = delivery.MaxAnswerTime
 
 // arrivedOrder is an order without a version. All copies of such an order look the same, and the same as the next order
 // like it. So it must be based on a state that was read while its caller was waiting for the answer: whatever was ordered
--- a/internal/control/server/evacuation.go
+++ b/internal/control/server/evacuation.go
@@ -53,6 +53,7 @@
 type answeredEvacuation struct {
 	zone, arrivalID string
 	chosen          quorum.Value
+	commitTime      time.Duration // since the arrival of the order
 }
 
 // orderEvacuation commits an evacuation order, or its withdrawal if begin is not set. Orders are counted, but repeating an
@@ -82,7 +83,12 @@
 	if err != nil {
 		return answeredEvacuation{}, err
 	}
-	return answeredEvacuation{zone: zone, arrivalID: base.arrivalID, chosen: chosen}, nil
+	return answeredEvacuation{
+		zone:       zone,
+		arrivalID:  base.arrivalID,
+		chosen:     chosen,
+		commitTime: time.Since(order.arrivedAfter),
+	}, nil
 }
 
 // evacuationBase is the base of an order on a zone, with the ID of the order's arrival here.
--- a/internal/control/server/receipt.go
+++ b/internal/control/server/receipt.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// recordTimeout bounds the attempts to record whether an answer was received.
-	recordTimeout = 3 * time.Second
+	// recordTimeout bounds the time in which it is decided and recorded whether an answer was received.
+	recordTimeout = 5 * time.Second
 
 	// assumeAfter is how long a receipt may be unknown until this controller assumes that the one which sent the answer is
 	// lost. It is longer than an observation and its record take.
@@ -46,13 +46,15 @@
 	received := verdict == delivery.Received
 	if verdict == delivery.ReceivedUnlessRepeated {
 		earlierCopies := drain.EarlierCopies(answered.chosen, answered.arrivalID)
-		wait(ctx, time.Until(seen.At.Add(delivery.RepeatTime(seen.Action, earlierCopies))))
+		repeatTime := delivery.RepeatTime(order.arrivedAfter, seen, answered.commitTime, earlierCopies)
+		wait(ctx, time.Until(seen.At.Add(repeatTime)))
 		received = !s.repeatedSince(ctx, answered)
 	}
 	s.log.Info("answer observed",
 		zap.String("zone", answered.zone),
 		zap.String("arrival", answered.arrivalID),
 		zap.Stringer("peer", seen.Action),
+		zap.Duration("commitTime", answered.commitTime),
 		zap.Duration("sinceArrival", seen.At.Sub(order.arrivedAfter)),
 		zap.Bool("unconfirmed", seen.Unconfirmed),
 		zap.Stringer("verdict", verdict),
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -13,6 +13,10 @@
 	// connection that the caller closes sooner was not given up because of silence.
 	MaxAnswerTime = 700 * time.Millisecond
 
+	// silenceTime is the time after the arrival of a request from which on a connection that the caller closes was given up
+	// because of silence.
+	silenceTime = 950 * time.Millisecond
+
 	// ObservationTime is the time after the arrival of a request after which a caller that got no answer has certainly
 	// given up its connection: a second of silence, and a second for the way there and for a busy machine.
 	ObservationTime = 2 * time.Second
@@ -23,12 +27,13 @@
 	firstRepeatPause = 100 * time.Millisecond
 	maxRepeatPause   = time.Second
 
-	// repeatCommitTime is how long a repetition takes, beyond twice the caller's pause, until it is on record.
-	repeatCommitTime = 150 * time.Millisecond
+	// Bounds of the time that a repetition takes, beyond twice the caller's pause, until it is on record.
+	minRecordTime = 150 * time.Millisecond
+	maxRecordTime = 400 * time.Millisecond
 
-	// resetRepeatTime is the least time in which a repetition is expected if a connection was reset: callers that have their
-	// answers hardly ever do this.
-	resetRepeatTime = time.Second
+	// unlikelyRepeatTime is the least time in which a repetition is expected if the way in which the connection ended is
+	// rare for a caller with an answer.
+	unlikelyRepeatTime = time.Second
 )
 
 // Action is what the peer of a connection does after the answer was written.
@@ -94,7 +99,7 @@
 	case Reused:
 		return Received
 	case Closed, Reset:
-		if age < MaxAnswerTime {
+		if age < silenceTime {
 			return ReceivedUnlessRepeated
 		}
 		return Lost
@@ -105,16 +110,17 @@
 	return Received
 }
 
-// RepeatTime returns the time after a peer has closed its connection within which a repetition of its request is on record,
-// if it got no answer. earlierCopies is the number of times that the request may have been sent before.
-func RepeatTime(action Action, earlierCopies int) time.Duration {
+// RepeatTime returns the time after the end of a connection within which a repetition of the request is on record, if the
+// verdict is ReceivedUnlessRepeated. commitTime is how long the request took until it was on record, and earlierCopies the
+// number of times that it may have been sent before.
+func RepeatTime(arrivedAfter time.Time, seen Observation, commitTime time.Duration, earlierCopies int) time.Duration {
 	pause := firstRepeatPause
 	for range earlierCopies {
 		pause = min(2*pause, maxRepeatPause)
 	}
-	wait := 2*pause + repeatCommitTime
-	if action == Reset {
-		return max(wait, resetRepeatTime)
+	wait := 2*pause + min(max(commitTime, minRecordTime), maxRecordTime)
+	if seen.Action == Reset || seen.At.Sub(arrivedAfter) >= MaxAnswerTime {
+		return max(wait, unlikelyRepeatTime)
 	}
 	return wait
 }
