--- a/internal/control/replica/pull_answer.go
+++ b/internal/control/replica/pull_answer.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"sagelever/internal/control/config"
 	"sagelever/internal/control/membership"
 	"sagelever/internal/control/message"
 	"sagelever/internal/control/replication"
@@ -141,14 +142,15 @@
 }
 
 // itemFilter returns a filter of the items to send to a role; nil for all items. Proxies need neither leases, nor the
-// configuration, nor registers without a value.
+// configuration of members, nor guards, nor registers without a value.
 func itemFilter(role string) func(item replication.Item) bool {
 	if role == message.RoleController {
 		return nil
 	}
 	return func(item replication.Item) bool {
 		switch {
-		case strings.HasPrefix(item.Key, replication.LeaseKeyPrefix):
+		case strings.HasPrefix(item.Key, replication.LeaseKeyPrefix),
+			strings.HasPrefix(item.Key, replication.RegisterKeyPrefix+config.GuardKeyPrefix):
 			return false
 		case strings.HasPrefix(item.Key, replication.RegisterKeyPrefix):
 			return item.Version > 0 && item.Key != replication.RegisterKeyPrefix+membership.RegisterKey
--- a/internal/control/server/change.go
+++ b/internal/control/server/change.go
@@ -22,6 +22,9 @@
 	// timePerItem is added to callTimeout for each item of a change, as callers wait longer for a large change.
 	timePerItem = 3 * time.Millisecond
 
+	// maxValidations is how often a change is validated before it pauses.
+	maxValidations = 4
+
 	// maxFailedHandOvers is the number of hand-overs without a definite answer after which this controller proposes a
 	// change itself.
 	maxFailedHandOvers = 2
@@ -132,15 +135,30 @@
 // proposeFunc changes registers by one decision and returns the chosen values.
 type proposeFunc func(ctx context.Context, keys []string, decide quorum.DecideFunc) (map[string]quorum.Value, error)
 
-// validateAndPropose validates a change against the current configuration and proposes it. It reads the current
-// configuration only if the validity of the change depends on it, as a read costs a message to all members and grows
-// with the configuration.
-func (s *Server) validateAndPropose(ctx context.Context, change *configChange) error {
+// validateAndPropose validates a change against the current configuration and proposes it, again if the configuration has
+// changed meanwhile. One of the changes that compete has been committed then.
+func (s *Server) validateAndPropose(ctx context.Context, change *configChange) (err error) {
+	for range maxValidations {
+		err = s.validateAndProposeOnce(ctx, change)
+		if !errors.Is(err, errConfigurationChanged) {
+			return err
+		}
+	}
+	return err
+}
+
+// validateAndProposeOnce reads the current configuration only if the validity of the change depends on it, as a read costs a
+// message to all members and grows with the configuration.
+func (s *Server) validateAndProposeOnce(ctx context.Context, change *configChange) error {
 	propose := s.proposer(change)
 	if !config.DependsOnOtherItems(change.values) {
-		return commitWith(ctx, propose, change, config.Commit(change.values))
+		return commitWith(ctx, propose, change, nil, config.Commit(change.values))
+	}
+	guards := config.NewGuards(change.values)
+	if err := s.readGuards(ctx, guards); err != nil {
+		return err
 	}
-	if done, err := s.commitSelfContained(ctx, propose, change); done {
+	if done, err := s.commitSelfContained(ctx, propose, change, guards); done {
 		return err
 	}
 	current, err := s.readConfiguration(ctx)
@@ -150,7 +168,21 @@
 	if err := s.configIndex.check(current, change.values); err != nil {
 		return refuseWith(ctx, propose, change, err)
 	}
-	return commitWith(ctx, propose, change, config.Commit(change.values))
+	return commitWith(ctx, propose, change, guards, config.Commit(change.values))
+}
+
+// readGuards reads the guards of a change, which must be done before the configuration is read. The values that this replica
+// knows to be chosen will do although they may be old: a guard with a newer value is found to have changed.
+func (s *Server) readGuards(ctx context.Context, guards *config.Guards) error {
+	values, chosen := s.localChosenValues(guards.Keys())
+	if !chosen {
+		var err error
+		if values, err = s.readKeys(ctx, guards.Keys()); err != nil {
+			return err
+		}
+	}
+	guards.SetRead(values)
+	return nil
 }
 
 // refuseWith refuses a change for a reason that depends on the configuration in force. The refusal is definite only once
@@ -169,27 +201,40 @@
 // commitSelfContained commits a change whose validity depends only on the services that it refers to. done is false if
 // the validity depends on other items too, or if this can't be determined without reading the configuration.
 func (s *Server) commitSelfContained(
-	ctx context.Context, propose proposeFunc, change *configChange,
+	ctx context.Context, propose proposeFunc, change *configChange, guards *config.Guards,
 ) (done bool, err error) {
 	missing, selfContained := config.RequiredServices(s.localValues(change.keys), change.values)
 	if !selfContained {
 		return false, nil
 	}
 	var services map[string]quorum.Value
-	if len(missing) > 0 {
-		if services, err = s.readKeys(ctx, missing); err != nil {
-			return true, err
-		}
+	if len(missing) == 0 {
+		guards = nil // no service that is named may be removed, as it is in use
+	} else if services, err = s.readKeys(ctx, missing); err != nil {
+		return true, err
 	}
-	err = commitWith(ctx, propose, change, config.CommitSelfContained(services, change.values))
+	err = commitWith(ctx, propose, change, guards, config.CommitSelfContained(services, change.values))
 	return !isType[*config.IndeterminateError](err), err
 }
 
-// commitWith proposes a change with a decision function and returns the outcome.
-func commitWith(ctx context.Context, propose proposeFunc, change *configChange, decide quorum.DecideFunc) error {
-	chosen, err := propose(ctx, change.keys, decide)
+// commitWith proposes a change with a decision function and returns the outcome. It returns errConfigurationChanged if
+// the change has to be validated again, as a change that it may not be valid together with was committed since guards were
+// read.
+func commitWith(
+	ctx context.Context, propose proposeFunc, change *configChange, guards *config.Guards, decide quorum.DecideFunc,
+) error {
+	keys := change.keys
+	if guards != nil {
+		keys = slices.Concat(keys, guards.Keys())
+		decide = guards.Wrap(decide)
+	}
+	chosen, err := propose(ctx, keys, decide)
 	if err != nil {
 		return err
 	}
-	return config.Outcome(chosen, change.values)
+	err = config.Outcome(chosen, change.values)
+	if isType[*config.IndeterminateError](err) && guards != nil && guards.Overtaken(chosen) {
+		return errConfigurationChanged
+	}
+	return err
 }
--- a/internal/control/server/errors.go
+++ b/internal/control/server/errors.go
@@ -15,7 +15,9 @@
 	errTooManyOperations = errors.New("too many operations are in progress at this controller")
 	errNotReplicated     = errors.New("too few other members hold this yet")
 	errNoProxies         = errors.New("no proxy is ready")
-	errOvertakenOrder    = errors.New("another order was carried out in between: ask again")
+	// errConfigurationChanged means that a change has to be validated again.
+	errConfigurationChanged = errors.New("the configuration was changed in between: ask again")
+	errOvertakenOrder       = errors.New("another order was carried out in between: ask again")
 )
 
 // errTooManyDrains rejects a drain in a zone that has the maximum number of drains.
--- a/internal/control/server/operations.go
+++ b/internal/control/server/operations.go
@@ -160,11 +160,12 @@
 	return s.replica.RoundTime()
 }
 
-// run calls do, and retries it after a pause while too few members respond and enough time is left for another attempt.
+// run calls do, and retries it after a pause while too few members respond, or the configuration changes during the attempt,
+// and enough time is left for another one.
 func (p retryPolicy) run(ctx context.Context, do func(ctx context.Context) error) error {
 	for attempts := 1; ; attempts++ {
 		err := attempt(ctx, p.attemptTimeout, do)
-		if !errors.Is(err, replica.ErrTooFewResponses) {
+		if !errors.Is(err, replica.ErrTooFewResponses) && !errors.Is(err, errConfigurationChanged) {
 			return err
 		}
 		pause := retryBackoff.Delay(attempts, p.random())
--- a/internal/control/server/tasks.go
+++ b/internal/control/server/tasks.go
@@ -113,6 +113,22 @@
 	return values
 }
 
+// localChosenValues is like localValues for values that are known to be chosen. ok is false if one of the registers has a
+// value of which this is not known.
+func (s *Server) localChosenValues(keys []string) (values map[string]quorum.Value, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	values = make(map[string]quorum.Value, len(keys))
+	for _, key := range keys {
+		entry := s.replica.Register(key)
+		if !entry.Chosen && entry.Accepted != (quorum.ProposalNumber{}) {
+			return nil, false
+		}
+		values[key] = entry.Value
+	}
+	return values, true
+}
+
 // requireQuorum returns replica.ErrNoQuorum if this member does not reach a majority. It can then neither confirm nor
 // reject an operation, as the other members may have decided otherwise.
 func (s *Server) requireQuorum() error {
