--- a/internal/proxy/balancer/canaryvote.go
+++ b/internal/proxy/balancer/canaryvote.go
@@ -13,12 +13,18 @@
 	// errorProbability (δ) bounds the probability of a wrong vote. At this value the expected cost of a wrong vote is
 	// about that of ten unnecessary seconds of a release.
 	errorProbability = 0.1
-	// meanMargin is the difference of means by which the canary must be worse than the stable build to be voted down
+	// meanMargin is the difference of mean rewards by which the canary must be worse than the stable build to be voted down
 	// (docs/design.md).
 	meanMargin = 0.03
+	// doubtFraction is the fraction of the threshold from which on the evidence that the canary fails more often prevents a
+	// vote to finish.
+	doubtFraction = 1.0 / 8
 	// toleratedRegression is the difference of means by which a canary that is voted to finish may be worse than the
-	// stable build.
-	toleratedRegression = 0.15
+	// stable build. toleratedFailures is that of the shares of failures; less evidence than for the vote itself is required
+	// for it, as only few requests of a release go to the canary.
+	toleratedRegression     = 0.15
+	toleratedFailures       = 0.03
+	failureEvidenceFraction = 1.0 / 4
 	// finishCutoff is the fraction of the release's duration after which no vote to finish is cast, since finishing
 	// takes time too.
 	finishCutoff = 0.94
@@ -111,32 +117,34 @@
 	counts := b.collectCounts(serviceName, canary, incarnation)
 	decisions := counts.rewards[stableArm].Pulls + counts.rewards[canaryArm].Pulls
 	threshold := bestarm.StoppingThreshold(decisions, float64(b.proxies), errorProbability)
-	if isInferior(counts.rewards, threshold) || isInferior(counts.successes, threshold) {
+	if isInferior(counts.rewards, meanMargin, threshold) || isInferior(counts.successes, 0, threshold) {
 		return release.VoteRevert
 	}
-	if !canary.inFinishWindow(now) || !counts.supportFinish() {
+	if !canary.inFinishWindow(now) || !counts.supportFinish() || isInferior(counts.successes, 0, doubtFraction*threshold) {
 		return ""
 	}
-	if isNonInferior(counts.rewards, threshold) && isNonInferior(counts.successes, threshold) {
+	if isNonInferior(counts.rewards, toleratedRegression, threshold) &&
+		isNonInferior(counts.successes, toleratedRegression, threshold) &&
+		isNonInferior(counts.successes, toleratedFailures, failureEvidenceFraction*threshold) {
 		return release.VoteFinish
 	}
 	return ""
 }
 
-// isInferior reports whether the canary is worse than the stable build by more than meanMargin, with a likelihood ratio
-// above the threshold.
-func isInferior(arms [2]bestarm.Arm, threshold float64) bool {
+// isInferior reports whether the canary is worse than the stable build by more than a margin, with a likelihood ratio above
+// the threshold. Responses that are late for reasons other than the build, such as cold backends, call for a margin; failures
+// hardly occur without a reason.
+func isInferior(arms [2]bestarm.Arm, margin, threshold float64) bool {
 	stable, canary := arms[stableArm], arms[canaryArm]
-	return canary.Mean()+meanMargin < stable.Mean() &&
-		bestarm.LikelihoodRatio(stable, canary, meanMargin) > threshold
+	return canary.Mean()+margin < stable.Mean() && bestarm.LikelihoodRatio(stable, canary, margin) > threshold
 }
 
-// isNonInferior reports whether the canary is worse than the stable build by at most toleratedRegression, with a
+// isNonInferior reports whether the canary is worse than the stable build by at most a tolerated difference, with a
 // likelihood ratio of at least the threshold.
-func isNonInferior(arms [2]bestarm.Arm, threshold float64) bool {
+func isNonInferior(arms [2]bestarm.Arm, tolerated, threshold float64) bool {
 	stable, canary := arms[stableArm], arms[canaryArm]
-	return canary.Mean() >= stable.Mean()-toleratedRegression &&
-		bestarm.LikelihoodRatio(canary, stable, -toleratedRegression) >= threshold
+	return canary.Mean() >= stable.Mean()-tolerated &&
+		bestarm.LikelihoodRatio(canary, stable, -tolerated) >= threshold
 }
 
 // inFinishWindow reports whether a vote to finish may be cast now: after the load phase and before the cut-off.
