--- a/internal/control/drain/evacuation_order.go
+++ b/internal/control/drain/evacuation_order.go
@@ -33,8 +33,7 @@
 // zone is evacuated until as many orders are withdrawn as were given.
 //
 // The update has no effect if other orders have changed the register since the base was read: they may have been given
-// after this one, of which another copy was acknowledged, and must not be undone. EvacuationOvertaken tells this from an
-// effect.
+// after this one, of which another copy was acknowledged, and must not be undone. EvacuationOvertaken reports this.
 func SetEvacuation(base EvacuationBase, order EvacuationArrival) quorum.UpdateFunc {
 	return func(current quorum.Value) quorum.Value {
 		log := readOrderLog(current, base.Acknowledged)
@@ -113,7 +112,7 @@
 	}
 }
 
-// UnknownReceipts returns the IDs of the arrivals of which it is not known yet whether their answers were received.
+// UnknownReceipts returns the IDs of the arrivals whose receipts are pending.
 func UnknownReceipts(evacuation quorum.Value) (ids []string) {
 	for _, group := range readOrderLog(evacuation, 0).Groups {
 		for _, arrival := range group.Arrivals {
@@ -145,7 +144,7 @@
 	return index
 }
 
-// LastOrderReceived reports whether an answer to the last order is known to have been received.
+// LastOrderReceived reports whether an answer to the last order is recorded as received.
 func LastOrderReceived(evacuation quorum.Value) bool {
 	last := readOrderLog(evacuation, 0).last()
 	return last != nil && last.count(answerReceived) > 0
--- a/internal/control/drain/order_log.go
+++ b/internal/control/drain/order_log.go
@@ -12,16 +12,16 @@
 
 //go:generate go tool easyjson $GOFILE
 
-// An order on a zone has neither a name nor a body, so that a copy which an operator sends because it got no answer looks
-// like another order. What tells them apart is that each order ends with exactly one answer that its caller receives. So
-// the number of orders is the number of answers received. An arrival whose answer was lost is followed by a copy; until one
-// has come, the last group of each kind counts as an order.
+// An order on a zone has neither a name nor a body, so that a retry, which an operator sends because it got no answer, looks
+// like another order. They differ in that each order ends with exactly one answer that its caller receives. So the number of
+// orders is the number of answers received. An arrival whose answer was lost is followed by a retry; until it arrives, the
+// last group of each kind counts as an order.
 //
-// Controllers learn whether an answer was received only afterwards (package delivery), so the log keeps the arrivals of
-// which this is not known yet. Until then they count in favour of the evacuation: an evacuation that may be a second order
-// counts, and a withdrawal that may be a second one does not.
+// Whether an answer was received is determined afterwards (package delivery), so the log keeps the arrivals for which this
+// is pending. Meanwhile they count in favour of the evacuation: an evacuation that may be a second order counts, and a
+// withdrawal that may be a second one does not.
 
-// receipt is what is known of the answer to an arrival.
+// receipt is the state of the answer to an arrival.
 type receipt int
 
 // Stored values; they must not change.
@@ -37,8 +37,8 @@
 	Receipt receipt `json:"r,omitempty"`
 }
 
-// arrivalGroup contains arrivals that may be copies of one order: none of their answers was known to be received when
-// the next of them came.
+// arrivalGroup contains arrivals that may be copies of one order: when each of them arrived, no answer to an earlier one was
+// recorded as received.
 type arrivalGroup struct {
 	Withdrawal bool      `json:"w,omitempty"`
 	OpenedMs   int64     `json:"t,omitempty"` // Unix milliseconds, by the clock of the controller; 0 if not known
@@ -65,8 +65,7 @@
 	// maxArrivals bounds the arrivals in a log. Beyond it, the receipts of the oldest group are assumed.
 	maxArrivals = 64
 
-	// keptGroups is the number of groups that a log keeps after all about them is known, as an assumption may have to be
-	// corrected.
+	// keptGroups is the number of groups that a log keeps after they are settled, as an assumption may have to be corrected.
 	keptGroups = 4
 )
 
@@ -120,7 +119,7 @@
 }
 
 // mayRepeat reports whether an arrival may be a copy of the last order: the last order is of the same kind, no answer to
-// it is known to have been received, and it was given less than window before or after now.
+// it is recorded as received, and it was given less than the window before or after the arrival.
 func (l orderLog) mayRepeat(order EvacuationArrival) bool {
 	last := l.last()
 	return last != nil && last.Withdrawal == order.Withdrawal && last.count(answerReceived) == 0 && last.within(order)
@@ -132,8 +131,8 @@
 	return g.OpenedMs == 0 || (age < order.Window && age > -order.Window)
 }
 
-// join adds an arrival to the last group. If the group is full, the oldest arrival gives way whose answer is not known to
-// have been received.
+// join adds an arrival to the last group. If the group is full, it replaces the oldest arrival whose answer is not recorded as
+// received.
 func (l *orderLog) join(id string) {
 	last := l.last()
 	if len(last.Arrivals) >= maxArrivals {
@@ -237,7 +236,7 @@
 	return state
 }
 
-// compact removes the oldest groups, as long as all about them is known, or there are too many arrivals.
+// compact removes the oldest groups, as long as they are settled, or there are too many arrivals.
 func (l *orderLog) compact() {
 	for len(l.Groups) > 1 {
 		tooMany := l.arrivalCount() > maxArrivals
--- a/internal/control/server/receipt.go
+++ b/internal/control/server/receipt.go
@@ -17,8 +17,8 @@
 	// recordTimeout bounds the time in which it is decided and recorded whether an answer was received.
 	recordTimeout = 5 * time.Second
 
-	// assumeAfter is how long a receipt may be unknown until this controller assumes that the one which sent the answer is
-	// lost. It is longer than an observation and its record take.
+	// assumeAfter is how long a receipt may be pending until this controller assumes that the one which sent the answer has
+	// failed. It is longer than an observation and its record take.
 	assumeAfter = 3500 * time.Millisecond
 
 	// assumeSpread spreads these assumptions over the controllers, so that the first makes the others unnecessary.
@@ -102,7 +102,7 @@
 	_, _ = s.propose(ctx, changes) // after a failure, such a build takes the next order for a repetition for some time
 }
 
-// unknownReceipts remembers since when this controller has known of arrivals whose answers may have been lost.
+// unknownReceipts records since when this controller has seen the receipts of arrivals pending.
 type unknownReceipts struct {
 	annotations map[string]string               // of the zones' registers when they were last checked
 	since       map[string]map[string]time.Time // by zone and arrival
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -1,6 +1,6 @@
 // Package delivery decides whether a caller has received the answer to its request. That an answer was written, or that the
-// host of the peer has confirmed its bytes, shows nothing: a relay may have taken them. What shows it is what the caller does
-// afterwards. A caller without an answer gives up its connection after some silence; one that has its answer closes the
+// host of the peer has confirmed its bytes, is no evidence: a relay may have received them. The actions of the caller
+// afterwards are. A caller without an answer closes its connection after some silence; one that has its answer closes the
 // connection at once, keeps it, or uses it again.
 //
 // The package does no I/O; the caller passes in what it has observed.
@@ -68,7 +68,7 @@
 	Unconfirmed bool
 }
 
-// Verdict tells whether an answer was received.
+// Verdict is the result of Judge.
 type Verdict int
 
 // Verdicts.
--- a/internal/proxy/refusal.go
+++ b/internal/proxy/refusal.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"net"
 	"os"
 	"slices"
 	"sync/atomic"
@@ -30,8 +31,8 @@
 // with that of the proxy.
 type attemptRecord struct {
 	backendID  string
-	localAddr  string // of the connection to the backend; "" if there was none
-	remoteAddr string
+	localAddr  net.Addr // of the connection to the backend; nil if there was none
+	remoteAddr net.Addr
 	phase      retry.Phase
 	event      retry.Event
 }
@@ -39,13 +40,21 @@
 // MarshalLogObject implements zapcore.ObjectMarshaler.
 func (r attemptRecord) MarshalLogObject(encoder zapcore.ObjectEncoder) error {
 	encoder.AddString("backend", r.backendID)
-	encoder.AddString("local", r.localAddr)
-	encoder.AddString("remote", r.remoteAddr)
+	encoder.AddString("local", formatAddr(r.localAddr))
+	encoder.AddString("remote", formatAddr(r.remoteAddr))
 	encoder.AddString("phase", r.phase.String())
 	encoder.AddString("event", r.event.String())
 	return nil
 }
 
+// formatAddr returns an address as text, or "" for none. Records format their addresses only when they are logged.
+func formatAddr(addr net.Addr) string {
+	if addr == nil {
+		return ""
+	}
+	return addr.String()
+}
+
 // attemptRecords are the attempts of one request that have ended, in their order.
 type attemptRecords []attemptRecord
 
@@ -74,8 +83,8 @@
 func (r *attemptResult) record() attemptRecord {
 	record := attemptRecord{backendID: r.attempt.backendID, phase: r.phase, event: r.event}
 	if conn := r.attempt.conn.Load(); conn != nil {
-		record.localAddr = conn.LocalAddr().String()
-		record.remoteAddr = conn.RemoteAddr().String()
+		record.localAddr = conn.LocalAddr()
+		record.remoteAddr = conn.RemoteAddr()
 	}
 	return record
 }
--- a/internal/tcp/peeraction.go
+++ b/internal/tcp/peeraction.go
@@ -31,8 +31,9 @@
 	return observable.ObservePeer(until)
 }
 
-// ObservePeer is like the function ObservePeer. Only one observation can be in progress.
+// ObservePeer is like the function ObservePeer. An observation in progress ends, as the peer has sent another request.
 func (c *ArrivalConn) ObservePeer(until time.Time) <-chan delivery.Observation {
+	c.report(delivery.Observation{Action: delivery.Reused, At: time.Now()})
 	observer := &peerObserver{result: make(chan delivery.Observation, 1)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/tcp/peeraction_test.go
+++ b/internal/tcp/peeraction_test.go
@@ -115,3 +115,14 @@
 		t.Error("a connection that no ArrivalListener has accepted is observed")
 	}
 }
+
+// The observation of one request ends when that of the next one on the connection begins, also if both requests were read at
+// once.
+func TestObservePeerAgain(t *testing.T) {
+	t.Parallel()
+	e := newExchange(t)
+	next := ObservePeer(e.accepted, time.Now().Add(observationTime))
+	e.wantObserved(delivery.Reused)
+	e.observed = next
+	e.wantObserved(delivery.KeptOpen)
+}
